feat(core): set down the workspace and the core types

Cause: the project starts empty; the shape has to stand before the code does. Weighed: a core package of slices with shells elsewhere (layers, not slices) against one entry package whose folders each hold state, messages, tests and adapters; the second keeps a promise in one place.

--- /dev/null
+++ b/crates/core/src/job.rs
@@ -0,0 +1,135 @@
+//! Jobs: raw drafts as callers send them, and checked jobs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::name::{self, Kind, Team};
+
+/// Most tasks in one job.
+pub const MAX_TASKS: usize = 1_000;
+/// Longest time a caller may allow for a job.
+pub const MAX_TIME: Duration = Duration::from_secs(3_600);
+/// Largest body of one submission, in bytes.
+pub const MAX_BODY_BYTES: usize = 4 << 20;
+
+/// Input or output of one task: any JSON value, passed on unread.
+pub type Payload = Arc<RawValue>;
+
+/// A job as a caller writes it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Draft {
+    /// The team that sends the job.
+    pub team: String,
+    /// The kind of every task in it.
+    pub kind: String,
+    /// Time allowed from acceptance to the whole answer, in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// Input of each task.
+    pub tasks: Vec<Payload>,
+}
+
+/// A checked job.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The team that sends the job.
+    pub team: Team,
+    /// The kind of every task in it.
+    pub kind: Kind,
+    /// Time allowed from acceptance to the whole answer.
+    pub time: Duration,
+    /// Input of each task.
+    pub tasks: Vec<Payload>,
+}
+
+/// Why a draft is not a job.
+#[derive(Clone, Debug, Display, Error, Eq, PartialEq)]
+pub enum Error {
+    /// The team is not a name.
+    #[display("team: {_0}")]
+    Team(#[error(source)] name::Error),
+    /// The kind is not a name.
+    #[display("kind: {_0}")]
+    Kind(#[error(source)] name::Error),
+    /// The draft states no deadline, or one of zero.
+    #[display("deadline_ms is missing or zero")]
+    NoDeadline,
+    /// The deadline is further away than [`MAX_TIME`].
+    #[display("deadline_ms is over {} ms", MAX_TIME.as_millis())]
+    DeadlineTooFar,
+    /// There is no task.
+    #[display("the job has no tasks")]
+    NoTasks,
+    /// There are more than [`MAX_TASKS`] tasks.
+    #[display("the job has {count} tasks, at most {MAX_TASKS} are allowed")]
+    TooManyTasks {
+        /// Number of tasks in the draft.
+        count: usize,
+    },
+}
+
+impl TryFrom<Draft> for Job {
+    type Error = Error;
+
+    fn try_from(draft: Draft) -> Result<Self, Error> {
+        let team = Team::try_from(draft.team).map_err(Error::Team)?;
+        let kind = Kind::try_from(draft.kind).map_err(Error::Kind)?;
+        let time = check_time(draft.deadline_ms)?;
+        check_count(draft.tasks.len())?;
+        Ok(Self { team, kind, time, tasks: draft.tasks })
+    }
+}
+
+impl From<&Job> for Draft {
+    fn from(job: &Job) -> Self {
+        Self {
+            team: job.team.to_string(),
+            kind: job.kind.to_string(),
+            deadline_ms: Some(u64::try_from(job.time.as_millis()).unwrap_or(u64::MAX)),
+            tasks: job.tasks.clone(),
+        }
+    }
+}
+
+impl Job {
+    /// Fingerprint that tells a resubmission from another job under the same identifier.
+    #[must_use]
+    pub fn digest(&self) -> u128 {
+        let mut hash = Xxh3::new();
+        let mut field = |bytes: &[u8]| {
+            hash.update(&bytes.len().to_le_bytes());
+            hash.update(bytes);
+        };
+        field(self.team.as_bytes());
+        field(self.kind.as_bytes());
+        field(&self.time.as_nanos().to_le_bytes());
+        for task in &self.tasks {
+            field(task.get().as_bytes());
+        }
+        hash.digest128()
+    }
+}
+
+fn check_time(deadline_ms: Option<u64>) -> Result<Duration, Error> {
+    let time = Duration::from_millis(deadline_ms.unwrap_or_default());
+    if time.is_zero() {
+        return Err(Error::NoDeadline);
+    }
+    if time > MAX_TIME {
+        return Err(Error::DeadlineTooFar);
+    }
+    Ok(time)
+}
+
+fn check_count(count: usize) -> Result<(), Error> {
+    match count {
+        0 => Err(Error::NoTasks),
+        1..=MAX_TASKS => Ok(()),
+        _ => Err(Error::TooManyTasks { count }),
+    }
+}
