--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -1,1 +1,11 @@
-//! x
+//! The callers' library: submits jobs and returns their typed answers.
+//!
+//! It keeps a few identifiers in hand, so that a submission costs one round trip, and repeats a
+//! submission under the same identifier when an answer is lost, which can't run it twice.
+
+mod caller;
+mod hand;
+
+pub use caller::{Caller, Failure, Settings};
+pub use coltsfootshunt_core as core;
+pub use hand::{Hand, Held};
--- /dev/null
+++ b/crates/cli/src/command/mod.rs
@@ -0,0 +1,51 @@
+//! The commands, one file each.
+
+mod accept;
+mod check;
+mod common;
+mod demo;
+mod dump;
+mod load;
+mod show;
+mod submit;
+
+use std::process::ExitCode;
+
+use clap::{ArgMatches, Command};
+
+pub use common::ask;
+
+use crate::problem::Problem;
+
+/// The whole command line.
+pub fn root() -> Command {
+    Command::new("coltsfootshunt")
+        .about("Dispatcher for sub-second tasks")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(check::command())
+        .subcommand(accept::command())
+        .subcommand(show::command())
+        .subcommand(submit::command())
+        .subcommand(dump::command())
+        .subcommand(load::command())
+        .subcommand(demo::command())
+}
+
+/// Runs the command that was asked for.
+///
+/// # Errors
+/// See [`Problem`]; the exit code is 1 then.
+pub async fn run(matches: &ArgMatches) -> Result<ExitCode, Problem> {
+    match matches.subcommand() {
+        Some(("check", matches)) => check::run(matches),
+        Some(("accept", matches)) => accept::run(matches).await,
+        Some(("show", matches)) => show::run(matches).await,
+        Some(("submit", matches)) => submit::run(matches).await,
+        Some(("dump", matches)) => dump::run(matches).await,
+        Some(("load", matches)) => load::run(matches).await,
+        Some(("demo", matches)) => demo::run(matches).await,
+        _ => unreachable!("clap requires one of the commands above"),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/load/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the load tool.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,1 +1,18 @@
-fn main(){}
+//! The command line of coltsfootshunt: for operators, for callers and for experiments.
+
+mod command;
+mod fleet;
+mod load;
+mod problem;
+
+use std::process::ExitCode;
+
+fn main() -> miette::Result<ExitCode> {
+    let matches = command::root().get_matches();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(problem::Problem::Runtime)?;
+    let code = runtime.block_on(command::run(&matches))?;
+    Ok(code)
+}
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -318,7 +318,17 @@
 
 /// Number of a configuration in force; a higher one replaces a lower one.
 #[derive(
-    Clone, Copy, Debug, Default, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
     Deserialize,
 )]
 pub struct Revision(pub u64);
--- /dev/null
+++ b/crates/entry/src/app.rs
@@ -0,0 +1,207 @@
+//! One entry, put together.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use coltsfootshunt_core::clock::{Clock, System};
+use coltsfootshunt_core::submission::Incarnation;
+use derive_more::{Display, Error};
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::net::TcpListener;
+use tokio::sync::{Mutex, watch};
+
+use crate::control::{self, Event, Handle, Hands, Parts, Setup};
+use crate::drain::{Exit, Signal};
+use crate::front;
+use crate::log::Log;
+use crate::member::Myself;
+use crate::peer::{self, Link, Rpc};
+use crate::platform::{Agent, Http, Platform, Registration};
+use crate::settings::Settings;
+use crate::target;
+
+/// Time in which responses are still written after the control thread ended.
+const FLUSH_WITHIN: Duration = Duration::from_secs(2);
+
+/// Why an entry did not start.
+#[derive(Debug, Display, Error)]
+pub enum Failure {
+    /// An address can't be listened on.
+    #[display("can't listen on {address}: {cause}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        #[error(source)]
+        cause: std::io::Error,
+    },
+    /// The control thread did not start.
+    #[display("can't start the control thread: {cause}")]
+    Thread {
+        /// Why.
+        #[error(source)]
+        cause: std::io::Error,
+    },
+}
+
+/// A running entry.
+pub struct App {
+    /// This run.
+    pub incarnation: Incarnation,
+    /// Where it listens for callers.
+    pub callers: SocketAddr,
+    /// Where it listens for operators.
+    pub operators: SocketAddr,
+    /// Where it listens for peers.
+    pub peers: SocketAddr,
+    control: Handle,
+    exit: watch::Receiver<Option<Exit>>,
+    servers: Mutex<Vec<tokio::task::JoinHandle<()>>>,
+}
+
+/// Makes a log once the entry knows who it is.
+pub type MakeLog = Box<dyn FnOnce(&Myself) -> Arc<dyn Log> + Send>;
+
+impl App {
+    /// Starts an entry on the current runtime, which serves its traffic.
+    ///
+    /// # Errors
+    /// See [`Failure`].
+    pub async fn start(
+        settings: Settings,
+        log: MakeLog,
+        metrics: PrometheusHandle,
+    ) -> Result<Self, Failure> {
+        let listen = settings.listen;
+        let callers = bind(listen.callers).await?;
+        let operators = bind(listen.operators).await?;
+        // The peers' address is needed before the server that uses it can start.
+        let peers = bind(listen.peers).await?;
+        let peers_address = address(&peers, listen.peers)?;
+        drop(peers);
+        let incarnation = Incarnation(rand::random());
+        let myself = Myself {
+            host: settings.host.clone(),
+            zone: settings.zone.clone(),
+            incarnation,
+            address: peers_address,
+            weight: settings.weight,
+        };
+        let link: Arc<dyn Link> = Arc::new(Rpc::default());
+        let (exit_sender, exit) = watch::channel(None);
+        let control = spawn_control(&settings, &myself, log(&myself), &link, exit_sender)?;
+        let rpc = peer::serve(peers_address, control.clone())
+            .await
+            .map_err(|cause| Failure::Listen { address: peers_address, cause })?;
+        let callers_address = address(&callers, listen.callers)?;
+        let operators_address = address(&operators, listen.operators)?;
+        let registration = Registration {
+            host: settings.host,
+            zone: settings.zone,
+            incarnation,
+            peers: rpc.address,
+            operators: operators_address,
+        };
+        let platform: Arc<dyn Platform> = Arc::new(Http::new(settings.platform));
+        tokio::spawn(Agent { platform, control: control.clone(), registration }.run());
+        let caller_routes = front::callers(control.clone(), link);
+        let operator_routes = front::operators(control.clone(), metrics);
+        let servers = Mutex::new(vec![
+            serve(callers, caller_routes, exit.clone()),
+            serve(operators, operator_routes, exit.clone()),
+            hold(rpc, exit.clone()),
+        ]);
+        Ok(Self {
+            incarnation,
+            callers: callers_address,
+            operators: operators_address,
+            peers: peers_address,
+            control,
+            exit,
+            servers,
+        })
+    }
+
+    /// Asks for a planned stop; asked twice, the entry stops at once.
+    pub async fn stop(&self) {
+        // An error means that it has stopped already.
+        let _ = self.control.tell(Event::Signal(Signal::Stop)).await;
+    }
+
+    /// Waits until the entry has ended and its last responses are written.
+    pub async fn exit(&self) -> Exit {
+        let mut exit = self.exit.clone();
+        let exit = match exit.wait_for(Option::is_some).await {
+            Ok(exit) => exit.unwrap_or(Exit::Forced),
+            Err(_) => Exit::Forced,
+        };
+        let servers = std::mem::take(&mut *self.servers.lock().await);
+        let flush = async {
+            for server in servers {
+                let _ = server.await;
+            }
+        };
+        let _ = tokio::time::timeout(FLUSH_WITHIN, flush).await;
+        exit
+    }
+}
+
+fn spawn_control(
+    settings: &Settings,
+    myself: &Myself,
+    log: Arc<dyn Log>,
+    link: &Arc<dyn Link>,
+    exit: watch::Sender<Option<Exit>>,
+) -> Result<Handle, Failure> {
+    let clock: Arc<dyn Clock> = Arc::new(System);
+    let runner = Arc::new(target::Http::new(Arc::clone(&clock)));
+    let link = Arc::clone(link);
+    let traffic = tokio::runtime::Handle::current();
+    let setup = Setup {
+        myself: myself.clone(),
+        contacts: settings.peers.clone(),
+        policy: settings.policy.into(),
+        ledger: settings.submissions.into(),
+        drain: settings.drain.into(),
+    };
+    let hands = move |control| Hands { traffic, runner, link, control, log, exit };
+    let parts = Parts { setup, clock, hands: Box::new(hands) };
+    let (control, _thread) = control::spawn(parts).map_err(|cause| Failure::Thread { cause })?;
+    Ok(control)
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Failure> {
+    TcpListener::bind(address).await.map_err(|cause| Failure::Listen { address, cause })
+}
+
+fn address(listener: &TcpListener, asked: SocketAddr) -> Result<SocketAddr, Failure> {
+    listener.local_addr().map_err(|cause| Failure::Listen { address: asked, cause })
+}
+
+fn serve(
+    listener: TcpListener,
+    routes: Router,
+    mut exit: watch::Receiver<Option<Exit>>,
+) -> tokio::task::JoinHandle<()> {
+    use axum::serve::ListenerExt;
+    let listener = listener.tap_io(|stream| {
+        // Small responses must not wait for acknowledgements.
+        let _ = stream.set_nodelay(true);
+    });
+    tokio::spawn(async move {
+        let ended = async move {
+            let _ = exit.wait_for(Option::is_some).await;
+        };
+        let _ = axum::serve(listener, routes).with_graceful_shutdown(ended).await;
+    })
+}
+
+/// Keeps the peers' server until the entry has ended.
+fn hold(rpc: peer::Server, mut exit: watch::Receiver<Option<Exit>>) -> tokio::task::JoinHandle<()> {
+    tokio::spawn(async move {
+        let _ = exit.wait_for(Option::is_some).await;
+        rpc.stop();
+    })
+}
--- /dev/null
+++ b/crates/entry/src/control/act.rs
@@ -0,0 +1,69 @@
+//! Carries actions out: sends tasks and calls, writes the log, counts.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use coltsfootshunt_core::submission::Incarnation;
+use tokio::runtime;
+use tokio::sync::watch;
+
+use super::{Attempt, Event, Handle, Note};
+use crate::drain::Exit;
+use crate::log::Log;
+use crate::peer::{Call, Link};
+use crate::target::{Runner, Start};
+
+/// What the control thread acts with; all of it works on traffic threads.
+pub struct Hands {
+    /// The traffic threads.
+    pub traffic: runtime::Handle,
+    /// Sends tasks to targets.
+    pub runner: Arc<dyn Runner>,
+    /// Reaches other entries.
+    pub link: Arc<dyn Link>,
+    /// Takes results back to the control thread.
+    pub control: Handle,
+    /// Writes decisions down.
+    pub log: Arc<dyn Log>,
+    /// Tells how the process ends.
+    pub exit: watch::Sender<Option<Exit>>,
+}
+
+impl Hands {
+    /// Sends a task.
+    pub fn start(&self, attempt: Attempt, start: Start) {
+        metrics::counter!("coltsfootshunt_task_starts_total").increment(1);
+        let runner = Arc::clone(&self.runner);
+        let control = self.control.clone();
+        self.traffic.spawn(async move {
+            let report = runner.run(start).await;
+            // After the control thread has ended nobody waits for the result.
+            let _ = control.tell(Event::Ended(attempt, report)).await;
+        });
+    }
+
+    /// Calls a peer.
+    pub fn call(&self, to: SocketAddr, peer: Option<Incarnation>, call: Call) {
+        metrics::counter!("coltsfootshunt_messages_total", "kind" => call.name()).increment(1);
+        let link = Arc::clone(&self.link);
+        let control = self.control.clone();
+        let part = match &call {
+            Call::Inherit(part) => Some(part.number),
+            _ => None,
+        };
+        self.traffic.spawn(async move {
+            let response = link.call(to, call).await.ok();
+            let _ = control.tell(Event::Responded { to, peer, part, response }).await;
+        });
+    }
+
+    /// Ends the process.
+    pub fn exit(&self, exit: Exit) {
+        self.exit.send_replace(Some(exit));
+    }
+
+    /// Writes a decision down.
+    pub fn note(&self, note: &Note) {
+        self.log.note(note);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/dump.rs
@@ -0,0 +1,131 @@
+//! The whole state as JSON, bounded in size.
+
+use std::time::Instant;
+
+use serde_json::{Value, json};
+
+use super::{Action, Output, State};
+use crate::member::Peer;
+use crate::submission::Ticket;
+use crate::target::{Gate, Seat};
+
+/// Most entries of one list in a dump.
+const MAX_ROWS: usize = 200;
+
+impl State {
+    pub(super) fn dump(&self, ticket: Ticket, now: Instant, out: &mut Vec<Action>) {
+        let myself = self.roster.myself();
+        let value = json!({
+            "entry": {
+                "host": myself.host,
+                "zone": myself.zone,
+                "incarnation": myself.incarnation,
+                "stage": stage_name(&self.stage),
+                "held": self.is_held(),
+                "tasks_started": self.started,
+            },
+            "config": { "revision": self.holder.revision(), "kinds": self.dump_kinds() },
+            "submissions": self.dump_submissions(now),
+            "queue": self.dump_queue(),
+            "teams": self.shares.iter().map(|(team, held)| json!({ "team": team, "slots": held }))
+                .take(MAX_ROWS).collect::<Vec<_>>(),
+            "slots": {
+                "own_usable": self.pool.own_usable(),
+                "own_free": self.pool.own_free(),
+                "lent": self.pool.own_lent(),
+                "borrowed": self.pool.borrowed(),
+                "busy": self.pool.busy(),
+                "targets": self.pool.iter().take(MAX_ROWS).map(dump_seat).collect::<Vec<_>>(),
+            },
+            "loans": self.lender.iter().take(MAX_ROWS)
+                .map(|(borrower, slots)| json!({ "borrower": borrower, "slots": slots }))
+                .collect::<Vec<_>>(),
+            "members": self.roster.iter().take(MAX_ROWS)
+                .map(|peer| dump_peer(peer, now)).collect::<Vec<_>>(),
+            "leaving": self.departures,
+        });
+        out.push(Action::Answer(ticket, Output::Dump(value)));
+    }
+
+    fn dump_kinds(&self) -> Vec<Value> {
+        let kinds = self.book.iter().take(MAX_ROWS);
+        let row = |(kind, mean, high): (&coltsfootshunt_core::name::Kind, _, _)| {
+            let (mean, high): (std::time::Duration, std::time::Duration) = (mean, high);
+            json!({
+                "kind": kind,
+                "mean_ms": mean.as_secs_f64() * 1e3,
+                "p90_ms": high.as_secs_f64() * 1e3,
+                "long": self.book.is_long(kind),
+            })
+        };
+        kinds.map(row).collect()
+    }
+
+    fn dump_submissions(&self, now: Instant) -> Value {
+        let row = |(sequence, open): (u64, &crate::submission::Open)| {
+            json!({
+                "id": self.ledger.id(sequence),
+                "team": open.job.team,
+                "kind": open.job.kind,
+                "age_ms": now.duration_since(open.since).as_millis() as u64,
+                "due_in_ms": open.due.saturating_duration_since(now).as_millis() as u64,
+                "tasks": open.progress(),
+            })
+        };
+        json!({
+            "open": self.ledger.open_count(),
+            "kept": self.ledger.done_count(),
+            "kept_bytes": self.ledger.done_bytes(),
+            "inherited_from": self.ledger.heirlooms().collect::<Vec<_>>(),
+            "oldest": self.ledger.iter().take(MAX_ROWS).map(row).collect::<Vec<_>>(),
+        })
+    }
+
+    fn dump_queue(&self) -> Value {
+        let lanes = self.queue.lanes().take(MAX_ROWS);
+        let row = |(lane, jobs): (&crate::dispatch::Lane, usize)| json!({ "team": lane.team, "kind": lane.kind, "jobs": jobs });
+        json!({
+            "waiting_tasks": self.queue.len(),
+            "work_ms": self.queue.work().as_millis() as u64,
+            "repeats_left": self.budget.left(),
+            "lanes": lanes.map(row).collect::<Vec<_>>(),
+        })
+    }
+}
+
+fn stage_name(stage: &crate::drain::Stage) -> &'static str {
+    use crate::drain::Stage;
+    match stage {
+        Stage::Serving => "serving",
+        Stage::Grace { .. } => "grace",
+        Stage::Finishing { .. } => "finishing",
+        Stage::HandingOver { .. } => "handing_over",
+        Stage::Over(_) => "over",
+    }
+}
+
+fn dump_seat(seat: &Seat) -> Value {
+    let gate = match seat.health.gate {
+        _ if seat.closed => "closed",
+        Gate::Open { .. } => "open",
+        Gate::Ejected { .. } => "ejected",
+    };
+    json!({
+        "target": seat.plan.name,
+        "lender": seat.lender,
+        "slots": seat.slots,
+        "usable": seat.usable(),
+        "busy": seat.busy,
+        "lent": seat.lent,
+        "gate": gate,
+        "pace": seat.pace(),
+    })
+}
+
+fn dump_peer(peer: &Peer, now: Instant) -> Value {
+    json!({
+        "brief": peer.brief,
+        "heard_ms_ago": now.duration_since(peer.heard).as_millis() as u64,
+        "direct": peer.direct,
+    })
+}
--- /dev/null
+++ b/crates/entry/src/control/fleet.rs
@@ -0,0 +1,224 @@
+//! Members, configuration and stewardship.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use coltsfootshunt_core::config::{Document, TargetPlan};
+use coltsfootshunt_core::submission::Incarnation;
+
+use super::{Action, Note, Output, Snapshot, State};
+use crate::member::{Beat, Brief, Peer, steward};
+use crate::peer::{Call, Response};
+use crate::submission::Ticket;
+use crate::target::Departures;
+
+impl State {
+    /// Heartbeats, failed peers and stewardship.
+    pub(super) fn fleet(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if self.next_round <= now {
+            self.schedule_round(now);
+            self.bury(now, out);
+            self.beat(out);
+        }
+        let wanted = Some((self.roster.changes(), self.stage.accepts()));
+        if self.stewarded != wanted {
+            self.stewarded = wanted;
+            self.restaff(out);
+        }
+    }
+
+    pub(super) fn call(&mut self, ticket: Ticket, call: Call, now: Instant, out: &mut Vec<Action>) {
+        let response = match call {
+            Call::Beat(beat) => {
+                let from = beat.brief.incarnation;
+                self.hear(&beat, now, out);
+                Response::Beat(Box::new(self.beat_for(Some(from), Some(beat.round))))
+            }
+            Call::Want(want) => Response::Grant(self.want(want, now)),
+            Call::Grant(grant) => {
+                self.granted(grant, now);
+                Response::Taken
+            }
+            Call::Return(back) => {
+                self.returned(back, now, out);
+                Response::Taken
+            }
+            Call::Configuration => {
+                let document = self.holder.document().map(|document| (**document).clone());
+                Response::Configuration(document.map(Box::new))
+            }
+            Call::Inherit(part) => {
+                self.ledger.inherit(part, now);
+                Response::Taken
+            }
+        };
+        out.push(Action::Answer(ticket, Output::Response(response)));
+    }
+
+    pub(super) fn responded(
+        &mut self,
+        peer: Option<Incarnation>,
+        part: Option<usize>,
+        response: Response,
+        now: Instant,
+        out: &mut Vec<Action>,
+    ) {
+        match response {
+            Response::Beat(beat) => {
+                self.hear(&beat, now, out);
+                if beat.echo.is_some_and(|echo| self.held.is_some_and(|held| echo > held.after)) {
+                    self.refreshed(out);
+                }
+            }
+            Response::Grant(grant) => self.granted(grant, now),
+            Response::Configuration(Some(document)) => self.configure(*document, out),
+            Response::Configuration(None) => {}
+            Response::Taken => {
+                if let (Some(number), Some(_)) = (part, peer) {
+                    self.stage.taken(number);
+                }
+            }
+        }
+    }
+
+    /// A call had no answer. Silence alone is no proof of failure; heartbeats decide.
+    pub(super) fn unanswered(
+        &mut self,
+        _to: SocketAddr,
+        peer: Option<Incarnation>,
+        part: Option<usize>,
+    ) {
+        if let Some(peer) = peer {
+            self.borrower.answered(peer, 0);
+            if part.is_some() && self.successor == Some(peer) {
+                self.successor = None;
+            }
+        }
+    }
+
+    /// Puts a configuration in force if it is newer.
+    pub(super) fn configure(&mut self, document: Document, out: &mut Vec<Action>) {
+        if !self.holder.offer(document) {
+            return;
+        }
+        let Some(document) = self.holder.document().cloned() else {
+            return;
+        };
+        let plan = &document.plan;
+        self.book.configure(&plan.kinds);
+        self.shares.configure(&plan.teams);
+        let targets = plan.targets.iter().map(|target| Arc::new(target.clone()));
+        self.targets = targets.map(|target| (target.name.clone(), target)).collect();
+        self.classes = plan.targets.iter().map(|target| target.has).collect();
+        self.stewarded = None;
+        out.push(Action::Note(Note::InForce { revision: document.mark.revision }));
+    }
+
+    /// Takes in the platform's list of leaving hosts.
+    pub(super) fn depart(&mut self, departures: &Departures) {
+        if self.departures.offer(departures) {
+            self.stewarded = None;
+        }
+    }
+
+    pub(super) fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            incarnation: self.roster.myself().incarnation,
+            ready: self.stage.is_serving() && self.holder.document().is_some(),
+            delegate: self.roster.is_delegate(),
+            revision: self.holder.revision(),
+            has_peers: self.roster.iter().next().is_some(),
+            routes: self.roster.iter().flat_map(routes).collect(),
+            heirlooms: self.ledger.heirlooms().collect(),
+        }
+    }
+
+    fn hear(&mut self, beat: &Beat, now: Instant, out: &mut Vec<Action>) {
+        self.roster.hear(beat, now);
+        self.depart(&beat.departures);
+        let peer = beat.brief.incarnation;
+        for offer in self.lender.reconcile(peer, &beat.holding, now) {
+            self.pool.restore(&offer.target, offer.slots);
+        }
+        if self.holder.wants(beat.brief.revision, now) {
+            let to = beat.brief.address;
+            out.push(Action::Call { to, peer: Some(peer), call: Call::Configuration });
+        }
+    }
+
+    fn beat(&mut self, out: &mut Vec<Action>) {
+        for to in self.roster.round() {
+            let peer = self.roster.iter().find(|peer| peer.brief.address == to);
+            let peer = peer.map(|peer| peer.brief.incarnation);
+            let call = Call::Beat(Box::new(self.beat_for(peer, None)));
+            out.push(Action::Call { to, peer, call });
+        }
+    }
+
+    fn beat_for(&mut self, to: Option<Incarnation>, echo: Option<u64>) -> Beat {
+        let brief = self.brief();
+        let others = self.roster.others_for(to, &brief);
+        let holding = to.map(|to| self.pool.holding(to)).unwrap_or_default();
+        let round = self.roster.round_number();
+        Beat { brief, round, echo, departures: self.departures.clone(), holding, others }
+    }
+
+    fn brief(&self) -> Brief {
+        let myself = self.roster.myself();
+        Brief {
+            host: myself.host.clone(),
+            zone: myself.zone.clone(),
+            incarnation: myself.incarnation,
+            address: myself.address,
+            weight: myself.weight,
+            idle: self.idle(),
+            waiting: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            revision: self.holder.revision(),
+            draining: !self.stage.is_serving(),
+            heirlooms: self.ledger.heirlooms().collect(),
+        }
+    }
+
+    fn bury(&mut self, now: Instant, out: &mut Vec<Action>) {
+        for peer in self.roster.bury(now) {
+            let incarnation = peer.brief.incarnation;
+            for offer in self.lender.write_off(incarnation) {
+                self.pool.restore(&offer.target, offer.slots);
+            }
+            self.borrower.forget(incarnation);
+            self.usage.remove(&incarnation);
+            let host = peer.brief.host;
+            out.push(Action::Note(Note::PeerFailed { host, incarnation }));
+        }
+    }
+
+    /// Settles anew which targets this entry is steward of.
+    fn restaff(&mut self, out: &mut Vec<Action>) {
+        let Some(document) = self.holder.document().cloned() else {
+            return;
+        };
+        let draining = !self.stage.accepts();
+        let me = self.roster.myself().incarnation;
+        let mut shares = std::collections::BTreeMap::new();
+        let mut mine: Vec<Arc<TargetPlan>> = Vec::new();
+        for target in &document.plan.targets {
+            let members = shares
+                .entry(&target.zone)
+                .or_insert_with(|| self.roster.stewards(&target.zone, draining));
+            if steward(&target.name, members) == Some(me) {
+                mine.extend(self.targets.get(&target.name).cloned());
+            }
+        }
+        self.pool.configure(&mine, &self.departures);
+        let peers = self.roster.iter().count();
+        out.push(Action::Note(Note::Members { peers, targets: mine.len() }));
+    }
+}
+
+/// Who is asked at a peer: itself, and those whose records it holds.
+fn routes(peer: &Peer) -> impl Iterator<Item = (Incarnation, SocketAddr)> {
+    let address = peer.brief.address;
+    let heirlooms = peer.brief.heirlooms.iter().copied();
+    heirlooms.chain([peer.brief.incarnation]).map(move |owner| (owner, address))
+}
--- /dev/null
+++ b/crates/entry/src/control/message.rs
@@ -0,0 +1,102 @@
+//! What goes into the control state and what comes out.
+
+use std::net::SocketAddr;
+
+use coltsfootshunt_core::config::Document;
+use coltsfootshunt_core::name::{Kind, Target, Team};
+use coltsfootshunt_core::submission::Incarnation;
+use serde_json::Value;
+
+use super::{Note, Snapshot};
+use crate::drain::{Exit, Signal};
+use crate::peer::{Call, Response};
+use crate::submission::{Reply, Request, Ticket};
+use crate::target::{Departures, Report, SeatId, Start};
+
+/// Something happened.
+#[derive(Debug)]
+pub enum Event {
+    /// A front end asks on behalf of a caller.
+    Request(Ticket, Request),
+    /// An attempt ended.
+    Ended(Attempt, Report),
+    /// A peer calls.
+    Call(Ticket, Call),
+    /// A peer answered a call, or did not.
+    Responded {
+        /// Where the call went.
+        to: SocketAddr,
+        /// Whom it was meant for, where known.
+        peer: Option<Incarnation>,
+        /// Number of the part, if the call handed records over.
+        part: Option<usize>,
+        /// The answer; none if the call failed.
+        response: Option<Response>,
+    },
+    /// Addresses where peers may be.
+    Contacts(Vec<SocketAddr>),
+    /// The platform's list of leaving hosts.
+    Departures(Departures),
+    /// A configuration, as the platform has it.
+    Configuration(Box<Document>),
+    /// The operating system asks for something.
+    Signal(Signal),
+    /// An operator asks for the state.
+    Dump(Ticket),
+}
+
+/// Something to do.
+#[derive(Debug)]
+pub enum Action {
+    /// Give a requester its output.
+    Answer(Ticket, Output),
+    /// Send a task to a target.
+    Start(Attempt, Start),
+    /// Call a peer.
+    Call {
+        /// Where.
+        to: SocketAddr,
+        /// Whom, where known.
+        peer: Option<Incarnation>,
+        /// The call.
+        call: Call,
+    },
+    /// Show this to the traffic threads.
+    Publish(Snapshot),
+    /// End the process.
+    Exit(Exit),
+    /// Write this to the log and count it.
+    Note(Note),
+}
+
+/// What a requester gets.
+#[derive(Debug)]
+pub enum Output {
+    /// For a caller's request.
+    Reply(Reply),
+    /// For a peer's call.
+    Response(Response),
+    /// For an operator's wish to see the state.
+    Dump(Value),
+}
+
+/// One attempt at one task.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Attempt {
+    /// The submission.
+    pub sequence: u64,
+    /// The task.
+    pub task: usize,
+    /// The slot.
+    pub seat: SeatId,
+    /// The target.
+    pub target: Target,
+    /// Who lends the slot, if it is borrowed.
+    pub lender: Option<Incarnation>,
+    /// The kind.
+    pub kind: Kind,
+    /// The team.
+    pub team: Team,
+    /// Whether the kind counted as long.
+    pub long: bool,
+}
--- /dev/null
+++ b/crates/entry/src/control/mod.rs
@@ -0,0 +1,26 @@
+//! The control state of an entry: all slices together, owned by one thread.
+//!
+//! [`State`] decides and does no I/O: events come in with the time, actions go out. [`Handle`] is
+//! what traffic threads see of it.
+
+mod act;
+mod dump;
+mod fleet;
+mod message;
+mod note;
+mod snapshot;
+mod state;
+mod stop;
+mod submit;
+mod thread;
+mod work;
+
+#[cfg(test)]
+mod tests;
+
+pub use act::Hands;
+pub use message::{Action, Attempt, Event, Output};
+pub use note::Note;
+pub use snapshot::{Route, Snapshot};
+pub use state::{Policy, Setup, State};
+pub use thread::{Gone, Handle, Parts, spawn};
--- /dev/null
+++ b/crates/entry/src/control/snapshot.rs
@@ -0,0 +1,62 @@
+//! What traffic threads see of the control state.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use coltsfootshunt_core::config::Revision;
+use coltsfootshunt_core::submission::Incarnation;
+
+/// An immutable view; a new one replaces it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Snapshot {
+    /// This entry.
+    pub incarnation: Incarnation,
+    /// Whether the balancer should send callers here.
+    pub ready: bool,
+    /// Whether this entry holds one of its zone's watches on the platform.
+    pub delegate: bool,
+    /// The configuration in force; zero without any.
+    pub revision: Revision,
+    /// Whether any peer is known.
+    pub has_peers: bool,
+    /// Who answers for which incarnation.
+    pub routes: HashMap<Incarnation, SocketAddr>,
+    /// Incarnations whose records are held here.
+    pub heirlooms: Vec<Incarnation>,
+}
+
+/// Where a submission's owner can be asked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Route {
+    /// At this entry.
+    Here,
+    /// At a peer.
+    At(SocketAddr),
+    /// Nowhere that is known.
+    Nowhere,
+}
+
+impl Snapshot {
+    /// A view before anything is known.
+    #[must_use]
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            ready: false,
+            delegate: false,
+            revision: Revision::default(),
+            has_peers: false,
+            routes: HashMap::new(),
+            heirlooms: Vec::new(),
+        }
+    }
+
+    /// Where to ask for a submission of `owner`.
+    #[must_use]
+    pub fn route(&self, owner: Incarnation) -> Route {
+        if owner == self.incarnation || self.heirlooms.contains(&owner) {
+            return Route::Here;
+        }
+        self.routes.get(&owner).map_or(Route::Nowhere, |address| Route::At(*address))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/state.rs
@@ -0,0 +1,241 @@
+//! The state and its main loop body.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coltsfootshunt_core::config::{Resources, TargetPlan};
+use coltsfootshunt_core::name::Target;
+use coltsfootshunt_core::submission::Incarnation;
+
+use super::{Action, Event, Note, Snapshot};
+use crate::config::Holder;
+use crate::dispatch::{Admission, Budget, Order, Queue, Reserve};
+use crate::drain;
+use crate::kind::Book;
+use crate::loan::{Borrower, Lender, Sharing, Usage};
+use crate::member::{INTERVAL, Myself, Roster};
+use crate::quota::Shares;
+use crate::submission::{Ledger, Limits};
+use crate::target::{Departures, Pool};
+
+/// Longest time between two looks at the clock.
+pub(super) const TICK: Duration = Duration::from_millis(100);
+/// Gap between two looks that means the process was stopped.
+const PAUSE: Duration = Duration::from_secs(1);
+/// Longest wait for a fresh view after a pause.
+const REFRESH_WITHIN: Duration = Duration::from_millis(750);
+
+/// Behaviour that varies.
+pub struct Policy {
+    /// Order of waiting jobs.
+    pub order: Box<dyn Order>,
+    /// Which jobs are let in.
+    pub admission: Box<dyn Admission>,
+    /// Whom to borrow slots from.
+    pub sharing: Box<dyn Sharing>,
+}
+
+/// What a state starts from.
+pub struct Setup {
+    /// This entry.
+    pub myself: Myself,
+    /// Addresses of first peers.
+    pub contacts: Vec<SocketAddr>,
+    /// Behaviour that varies.
+    pub policy: Policy,
+    /// Bounds of the ledger.
+    pub ledger: Limits,
+    /// Times of a planned stop.
+    pub drain: drain::Limits,
+}
+
+/// No task starts until a peer answers a heartbeat of a later round.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Hold {
+    /// When the wait ends in any case.
+    pub until: Instant,
+    /// The newest round when the process woke.
+    pub after: u64,
+}
+
+/// The control state.
+pub struct State {
+    pub(super) policy: Policy,
+    pub(super) drain_limits: drain::Limits,
+    pub(super) ledger: Ledger,
+    pub(super) queue: Queue,
+    pub(super) shares: Shares,
+    pub(super) book: Book,
+    pub(super) pool: Pool,
+    pub(super) reserve: Reserve,
+    pub(super) budget: Budget,
+    pub(super) departures: Departures,
+    pub(super) lender: Lender,
+    pub(super) borrower: Borrower,
+    pub(super) usage: BTreeMap<Incarnation, Vec<Usage>>,
+    pub(super) roster: Roster,
+    pub(super) holder: Holder,
+    pub(super) stage: drain::Stage,
+    pub(super) targets: HashMap<Target, Arc<TargetPlan>>,
+    pub(super) classes: BTreeSet<Resources>,
+    pub(super) stewarded: Option<(u64, bool)>,
+    pub(super) next_round: Instant,
+    pub(super) next_return: Instant,
+    pub(super) started: u64,
+    pub(super) published: Snapshot,
+    pub(super) successor: Option<Incarnation>,
+    pub(super) held: Option<Hold>,
+    last: Instant,
+    next_tick: Instant,
+    exited: bool,
+}
+
+impl State {
+    /// A state that knows nothing yet.
+    #[must_use]
+    pub fn new(setup: Setup, now: Instant) -> Self {
+        let Setup { myself, contacts, policy, ledger, drain } = setup;
+        let incarnation = myself.incarnation;
+        Self {
+            policy,
+            drain_limits: drain,
+            ledger: Ledger::new(myself.zone.clone(), incarnation, ledger),
+            queue: Queue::default(),
+            shares: Shares::default(),
+            book: Book::default(),
+            pool: Pool::default(),
+            reserve: Reserve::default(),
+            budget: Budget::default(),
+            departures: Departures::default(),
+            lender: Lender::default(),
+            borrower: Borrower::default(),
+            usage: BTreeMap::new(),
+            roster: Roster::new(myself, contacts),
+            holder: Holder::default(),
+            stage: drain::Stage::default(),
+            targets: HashMap::new(),
+            classes: BTreeSet::new(),
+            stewarded: None,
+            next_round: now,
+            next_return: now,
+            started: 0,
+            published: Snapshot::new(incarnation),
+            successor: None,
+            held: None,
+            last: now,
+            next_tick: now,
+            exited: false,
+        }
+    }
+
+    /// Takes in an event. [`Self::settle`] has to follow before the thread waits.
+    pub fn handle(&mut self, event: Event, now: Instant, out: &mut Vec<Action>) {
+        self.notice_pause(now, out);
+        match event {
+            Event::Request(ticket, request) => self.request(ticket, request, now, out),
+            Event::Ended(attempt, report) => self.ended(&attempt, report, now, out),
+            Event::Call(ticket, call) => self.call(ticket, call, now, out),
+            Event::Responded { to, peer, part, response } => match response {
+                Some(response) => self.responded(peer, part, response, now, out),
+                None => self.unanswered(to, peer, part),
+            },
+            Event::Contacts(contacts) => self.roster.contact(contacts),
+            Event::Departures(departures) => self.depart(&departures),
+            Event::Configuration(document) => self.configure(*document, out),
+            Event::Signal(_) => self.signal(now, out),
+            Event::Dump(ticket) => self.dump(ticket, now, out),
+        }
+    }
+
+    /// Does what follows from the events so far and from the time.
+    pub fn settle(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.notice_pause(now, out);
+        self.expire(now, out);
+        self.tick(now, out);
+        self.fleet(now, out);
+        self.dispatch(now, out);
+        self.borrow(now, out);
+        self.lend_to_wishes(now, out);
+        self.give_back(now, out);
+        self.stop(now, out);
+        self.publish(out);
+    }
+
+    /// When [`Self::settle`] is due again, if no event comes before.
+    #[must_use]
+    pub fn next_wake(&self) -> Instant {
+        let mut wake = self.next_tick.min(self.next_round);
+        if let Some(due) = self.ledger.next_due() {
+            wake = wake.min(due);
+        }
+        if self.pool.borrowed_spare() > 0 {
+            wake = wake.min(self.next_return);
+        }
+        wake
+    }
+
+    /// Whether no task may start, because the view may be old.
+    #[must_use]
+    pub fn is_held(&self) -> bool {
+        self.held.is_some()
+    }
+
+    /// The view is fresh again.
+    pub(super) fn refreshed(&mut self, out: &mut Vec<Action>) {
+        if self.held.take().is_some() {
+            out.push(Action::Note(Note::Resumed));
+        }
+    }
+
+    /// Ends the process once.
+    pub(super) fn exit(&mut self, exit: drain::Exit, out: &mut Vec<Action>) {
+        if !std::mem::replace(&mut self.exited, true) {
+            out.push(Action::Note(Note::Ending { exit }));
+            out.push(Action::Exit(exit));
+        }
+    }
+
+    fn notice_pause(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let gap = now.saturating_duration_since(self.last);
+        self.last = now;
+        if gap > PAUSE {
+            let gap_ms = u64::try_from(gap.as_millis()).unwrap_or(u64::MAX);
+            out.push(Action::Note(Note::Paused { gap_ms }));
+            let after = self.roster.round_number();
+            self.held = Some(Hold { until: now + REFRESH_WITHIN, after });
+            self.next_round = now;
+        }
+    }
+
+    fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if now < self.next_tick {
+            return;
+        }
+        self.next_tick = now + TICK;
+        if self.held.is_some_and(|held| held.until <= now) {
+            self.refreshed(out);
+        }
+        self.reserve.sample();
+        self.ledger.forget(now);
+        if self.departures.forget(now) {
+            self.stewarded = None;
+        }
+        let probed = self.pool.probe(now);
+        out.extend(probed.into_iter().map(|target| Action::Note(Note::Probed { target })));
+    }
+
+    fn publish(&mut self, out: &mut Vec<Action>) {
+        let snapshot = self.snapshot();
+        if snapshot != self.published {
+            self.published = snapshot.clone();
+            out.push(Action::Publish(snapshot));
+        }
+    }
+
+    /// Time of the next round of heartbeats.
+    pub(super) fn schedule_round(&mut self, now: Instant) {
+        self.next_round = now + INTERVAL;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/stop.rs
@@ -0,0 +1,54 @@
+//! A planned stop.
+
+use std::time::Instant;
+
+use super::{Action, Note, State};
+use crate::peer::Call;
+
+impl State {
+    pub(super) fn signal(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let first = self.stage.is_serving();
+        self.stage.signal(self.drain_limits, now);
+        if first {
+            out.push(Action::Note(Note::Stopping));
+            // Peers learn of it at once.
+            self.next_round = now;
+        }
+    }
+
+    pub(super) fn stop(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if self.stage.is_serving() {
+            return;
+        }
+        let busy = self.ledger.open_count() > 0 || self.pool.busy() > 0;
+        let ledger = &self.ledger;
+        self.stage.advance(now, busy, || ledger.parts());
+        self.hand_over(now, out);
+        if let Some(exit) = self.stage.exit() {
+            self.exit(exit, out);
+        }
+    }
+
+    fn hand_over(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let successor = self.roster.successor().map(|peer| peer.brief.clone());
+        let chosen = successor.as_ref().map(|brief| brief.incarnation);
+        let Some(part) = self.stage.next_part(chosen.is_some(), now) else {
+            return;
+        };
+        let Some(successor) = successor else {
+            return;
+        };
+        let mut part = part;
+        if self.successor != chosen {
+            self.successor = chosen;
+            let ledger = &self.ledger;
+            self.stage.restart(|| ledger.parts());
+            if let Some(first) = self.stage.first_part() {
+                part = first;
+            }
+            out.push(Action::Note(Note::HandingOver { successor: successor.host.clone() }));
+        }
+        let call = Call::Inherit(part);
+        out.push(Action::Call { to: successor.address, peer: chosen, call });
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/submit.rs
@@ -0,0 +1,278 @@
+//! Requests of callers.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coltsfootshunt_core::answer::{Answer, Doubt, Refusal};
+use coltsfootshunt_core::job::Job;
+use coltsfootshunt_core::submission::Id;
+
+use super::{Action, Note, Output, State};
+use crate::dispatch::{Demand, Lane, Shape, Supply};
+use crate::submission::{Open, Reply, Request, Stage, Standing, Ticket, Verdict};
+
+/// Most identifiers given out at once.
+pub const MAX_MINT: usize = 1_000;
+/// Quantile of run times that a promise is made on.
+const HIGH: f64 = 0.9;
+
+impl State {
+    pub(super) fn request(
+        &mut self,
+        ticket: Ticket,
+        request: Request,
+        now: Instant,
+        out: &mut Vec<Action>,
+    ) {
+        let reply = match request {
+            Request::Mint { count } => Some(self.mint(count, now)),
+            Request::Submit { id, job } => self.submit(ticket, &id, job, now, out),
+            Request::Answer { id, wait } => self.answer(ticket, &id, wait, out),
+            Request::Cancel { id } => self.cancel(ticket, &id, now, out),
+            Request::Course { id } => Some(self.course(&id)),
+        };
+        if let Some(reply) = reply {
+            out.push(Action::Answer(ticket, Output::Reply(reply)));
+        }
+    }
+
+    fn mint(&mut self, count: usize, now: Instant) -> Reply {
+        if !self.stage.accepts() {
+            return Refusal::Draining.into();
+        }
+        if self.holder.document().is_none() {
+            return Refusal::NotReady.into();
+        }
+        match self.ledger.mint(count.clamp(1, MAX_MINT), now) {
+            Ok(ids) => Reply::Identifiers(ids),
+            Err(refusal) => refusal.into(),
+        }
+    }
+
+    fn submit(
+        &mut self,
+        ticket: Ticket,
+        id: &Id,
+        job: Job,
+        now: Instant,
+        out: &mut Vec<Action>,
+    ) -> Option<Reply> {
+        if !self.owns(id) {
+            return Some(self.inherited(id).into());
+        }
+        let digest = job.digest();
+        match self.ledger.standing(id.sequence, Some(digest)) {
+            Standing::Done(answer) => Some(answer.into()),
+            Standing::Open => {
+                let open = self.ledger.get_mut(id.sequence)?;
+                open.course.note(open.since, now, Stage::Repeated);
+                self.join(ticket, id.sequence, out);
+                None
+            }
+            Standing::Fresh => match self.admit(&job) {
+                Ok(predicted) => self.accept(ticket, id, job, digest, predicted, now, out),
+                Err(refusal) => {
+                    self.ledger.refuse(id.sequence, digest, refusal.clone(), now);
+                    let note = Note::Refused { id: id.clone(), refusal: refusal.clone() };
+                    out.push(Action::Note(note));
+                    Some(refusal.into())
+                }
+            },
+        }
+    }
+
+    /// Lets a requester wait for the answer of an open submission.
+    fn join(&mut self, ticket: Ticket, sequence: u64, out: &mut Vec<Action>) {
+        let Some(open) = self.ledger.get_mut(sequence) else {
+            return;
+        };
+        if let Some(former) = open.join(ticket) {
+            let pending = Reply::Pending(open.progress());
+            out.push(Action::Answer(former, Output::Reply(pending)));
+        }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "one call, each part named")]
+    fn accept(
+        &mut self,
+        ticket: Ticket,
+        id: &Id,
+        job: Job,
+        digest: u128,
+        predicted: Duration,
+        now: Instant,
+        out: &mut Vec<Action>,
+    ) -> Option<Reply> {
+        let job = Arc::new(job);
+        let plan = self.book.plan(&job.kind)?;
+        let mut open = Open::new(Arc::clone(&job), digest, plan.rerun_lost, now);
+        let predicted_ms = u64::try_from(predicted.as_millis()).unwrap_or(u64::MAX);
+        open.course.note(now, now, Stage::Accepted { predicted_ms });
+        self.ledger.open(id.sequence, open);
+        self.join(ticket, id.sequence, out);
+        self.enqueue(id.sequence, &job, now, 0..job.tasks.len());
+        let note = Note::Accepted { id: id.clone(), tasks: job.tasks.len() };
+        out.push(Action::Note(note));
+        None
+    }
+
+    /// Puts tasks of a job into the queue.
+    pub(super) fn enqueue(
+        &mut self,
+        sequence: u64,
+        job: &Job,
+        since: Instant,
+        tasks: impl IntoIterator<Item = usize>,
+    ) {
+        let Some(profile) = self.book.profile(&job.kind) else {
+            return;
+        };
+        let shape = Shape { since, due: since + job.time, alone: profile.quantile(HIGH) };
+        let rank = self.policy.order.rank(&shape);
+        let lane = Lane { team: job.team.clone(), kind: job.kind.clone() };
+        self.queue.push(lane, sequence, rank, profile.mean(), tasks);
+    }
+
+    fn admit(&self, job: &Job) -> Result<Duration, Refusal> {
+        if !self.stage.accepts() {
+            return Err(Refusal::Draining);
+        }
+        if self.holder.document().is_none() {
+            return Err(Refusal::NotReady);
+        }
+        let plan = self.book.plan(&job.kind).ok_or(Refusal::UnknownKind)?;
+        let profile = self.book.profile(&job.kind).ok_or(Refusal::UnknownKind)?;
+        if !self.shares.knows(&job.team) {
+            return Err(Refusal::UnknownTeam);
+        }
+        if !self.classes.iter().any(|has| has.cover(&plan.needs)) {
+            return Err(Refusal::NoTarget);
+        }
+        if !self.ledger.has_room() {
+            return Err(Refusal::Full);
+        }
+        let demand = Demand {
+            time: job.time,
+            tasks: job.tasks.len(),
+            mean: profile.mean(),
+            high: profile.quantile(HIGH),
+        };
+        self.policy.admission.admit(&demand, &self.supply())
+    }
+
+    /// Slots that waiting work can count on: own ones, borrowed ones, and what peers have free.
+    fn supply(&self) -> Supply {
+        let idle: u32 = self.roster.candidates().iter().map(|candidate| candidate.idle).sum();
+        let own = self.pool.own_usable().saturating_sub(self.pool.own_lent());
+        Supply {
+            slots: own + self.pool.borrowed() + idle,
+            free: self.pool.own_free() + self.pool.borrowed_spare() + idle,
+            queued: self.queue.work(),
+            waiting: self.queue.len(),
+        }
+    }
+
+    fn answer(
+        &mut self,
+        ticket: Ticket,
+        id: &Id,
+        wait: bool,
+        out: &mut Vec<Action>,
+    ) -> Option<Reply> {
+        if !self.owns(id) {
+            return Some(self.inherited(id).into());
+        }
+        match self.ledger.standing(id.sequence, None) {
+            Standing::Done(answer) => Some(answer.into()),
+            Standing::Fresh => Some(Reply::Pending(Default::default())),
+            Standing::Open => {
+                let open = self.ledger.get_mut(id.sequence)?;
+                if !wait {
+                    return Some(Reply::Pending(open.progress()));
+                }
+                self.join(ticket, id.sequence, out);
+                None
+            }
+        }
+    }
+
+    fn cancel(
+        &mut self,
+        ticket: Ticket,
+        id: &Id,
+        now: Instant,
+        out: &mut Vec<Action>,
+    ) -> Option<Reply> {
+        if !self.owns(id) {
+            return Some(self.inherited(id).into());
+        }
+        match self.ledger.standing(id.sequence, None) {
+            Standing::Done(answer) => Some(answer.into()),
+            Standing::Fresh => {
+                // A later copy of the job meets this record and does not run.
+                self.ledger.withdraw(id.sequence, now);
+                Some(Refusal::Cancelled.into())
+            }
+            Standing::Open => {
+                self.queue.remove(id.sequence);
+                self.join(ticket, id.sequence, out);
+                let open = self.ledger.get_mut(id.sequence)?;
+                if let Verdict::Finished(answer) = open.cancel(now) {
+                    self.close(id.sequence, answer, now, out);
+                }
+                None
+            }
+        }
+    }
+
+    fn course(&self, id: &Id) -> Reply {
+        if !self.owns(id) {
+            return self.inherited(id).into();
+        }
+        match self.ledger.course(id.sequence) {
+            Some(course) => Reply::Course(course.clone()),
+            None => match self.ledger.standing(id.sequence, None) {
+                Standing::Done(answer) => answer.into(),
+                Standing::Fresh | Standing::Open => Reply::Pending(Default::default()),
+            },
+        }
+    }
+
+    /// Keeps an answer and tells those who wait for it.
+    pub(super) fn close(
+        &mut self,
+        sequence: u64,
+        answer: Answer,
+        now: Instant,
+        out: &mut Vec<Action>,
+    ) {
+        self.queue.remove(sequence);
+        let id = self.ledger.id(sequence);
+        out.push(Action::Note(Note::Answered { id, outcome: answer.outcome() }));
+        for ticket in self.ledger.close(sequence, answer.clone(), now) {
+            out.push(Action::Answer(ticket, Output::Reply(answer.clone().into())));
+        }
+    }
+
+    /// Answers what is due now, whole or not.
+    pub(super) fn expire(&mut self, now: Instant, out: &mut Vec<Action>) {
+        for sequence in self.ledger.expired(now) {
+            let Some(open) = self.ledger.get_mut(sequence) else {
+                continue;
+            };
+            let answer = open.expire(now);
+            self.close(sequence, answer, now, out);
+        }
+    }
+
+    fn owns(&self, id: &Id) -> bool {
+        id.owner == self.roster.myself().incarnation && id.zone == self.roster.myself().zone
+    }
+
+    fn inherited(&self, id: &Id) -> Answer {
+        match self.ledger.legacy(id.owner) {
+            Some(legacy) => legacy.answer(id.sequence),
+            None => Doubt::OwnerGone.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/thread.rs
@@ -0,0 +1,209 @@
+//! The control thread: one OS thread that owns the state.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use arc_swap::ArcSwap;
+use coltsfootshunt_core::clock::Clock;
+use derive_more::{Display, Error};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+use super::{Action, Event, Hands, Output, Setup, Snapshot, State};
+use crate::peer::{Call, Response};
+use crate::submission::{Reply, Request, Ticket};
+
+/// Events that wait for the control thread; senders wait beyond that.
+const CHANNEL: usize = 8_192;
+/// Events taken in before the consequences are drawn.
+const BATCH: usize = 128;
+
+/// The control thread has ended.
+#[derive(Clone, Copy, Debug, Display, Error)]
+#[display("the control thread has ended")]
+pub struct Gone;
+
+/// An event and who waits for its output.
+struct Envelope {
+    event: Box<dyn FnOnce(Ticket) -> Event + Send>,
+    reply: Option<oneshot::Sender<Output>>,
+}
+
+/// What traffic threads see of the control thread.
+#[derive(Clone)]
+pub struct Handle {
+    events: mpsc::Sender<Envelope>,
+    snapshot: Arc<ArcSwap<Snapshot>>,
+}
+
+impl Handle {
+    /// The newest snapshot.
+    #[must_use]
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        self.snapshot.load_full()
+    }
+
+    /// Asks on behalf of a caller.
+    ///
+    /// # Errors
+    /// [`Gone`] if the thread has ended.
+    pub async fn request(&self, request: Request) -> Result<Reply, Gone> {
+        match self.ask(|ticket| Event::Request(ticket, request)).await? {
+            Output::Reply(reply) => Ok(reply),
+            Output::Response(_) | Output::Dump(_) => Err(Gone),
+        }
+    }
+
+    /// Passes a peer's call on.
+    ///
+    /// # Errors
+    /// [`Gone`] if the thread has ended.
+    pub async fn call(&self, call: Call) -> Result<Response, Gone> {
+        match self.ask(|ticket| Event::Call(ticket, call)).await? {
+            Output::Response(response) => Ok(response),
+            Output::Reply(_) | Output::Dump(_) => Err(Gone),
+        }
+    }
+
+    /// Asks for the whole state.
+    ///
+    /// # Errors
+    /// [`Gone`] if the thread has ended.
+    pub async fn dump(&self) -> Result<serde_json::Value, Gone> {
+        match self.ask(Event::Dump).await? {
+            Output::Dump(value) => Ok(value),
+            Output::Reply(_) | Output::Response(_) => Err(Gone),
+        }
+    }
+
+    /// Reports an event that nobody waits for.
+    ///
+    /// # Errors
+    /// [`Gone`] if the thread has ended.
+    pub async fn tell(&self, event: Event) -> Result<(), Gone> {
+        let envelope = Envelope { event: Box::new(|_| event), reply: None };
+        self.events.send(envelope).await.map_err(|_| Gone)
+    }
+
+    /// Whether the thread has ended.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.events.is_closed()
+    }
+
+    async fn ask(
+        &self,
+        event: impl FnOnce(Ticket) -> Event + Send + 'static,
+    ) -> Result<Output, Gone> {
+        let (sender, receiver) = oneshot::channel();
+        let envelope = Envelope { event: Box::new(event), reply: Some(sender) };
+        self.events.send(envelope).await.map_err(|_| Gone)?;
+        receiver.await.map_err(|_| Gone)
+    }
+}
+
+/// What the thread needs.
+pub struct Parts {
+    /// Start of the state.
+    pub setup: Setup,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// Makes what carries actions out.
+    pub hands: Box<dyn FnOnce(Handle) -> Hands + Send>,
+}
+
+/// Starts the control thread.
+///
+/// # Errors
+/// The operating system refuses a thread.
+pub fn spawn(parts: Parts) -> std::io::Result<(Handle, JoinHandle<()>)> {
+    let (events, inbox) = mpsc::channel(CHANNEL);
+    let first = Snapshot::new(parts.setup.myself.incarnation);
+    let snapshot = Arc::new(ArcSwap::from_pointee(first));
+    let handle = Handle { events, snapshot: Arc::clone(&snapshot) };
+    let hands = (parts.hands)(handle.clone());
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build()?;
+    let owner = Owner {
+        state: State::new(parts.setup, parts.clock.now()),
+        clock: parts.clock,
+        hands,
+        snapshot,
+        waiting: HashMap::new(),
+        next: 0,
+        actions: Vec::new(),
+    };
+    let thread = std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || runtime.block_on(owner.run(inbox)))?;
+    Ok((handle, thread))
+}
+
+struct Owner {
+    state: State,
+    clock: Arc<dyn Clock>,
+    hands: Hands,
+    snapshot: Arc<ArcSwap<Snapshot>>,
+    waiting: HashMap<Ticket, oneshot::Sender<Output>>,
+    next: u64,
+    actions: Vec<Action>,
+}
+
+impl Owner {
+    async fn run(mut self, mut inbox: mpsc::Receiver<Envelope>) {
+        let mut batch = Vec::with_capacity(BATCH);
+        loop {
+            let wake = Instant::from_std(self.state.next_wake());
+            tokio::select! {
+                count = inbox.recv_many(&mut batch, BATCH) => {
+                    if count == 0 {
+                        return;
+                    }
+                }
+                () = tokio::time::sleep_until(wake) => {}
+            }
+            for envelope in batch.drain(..) {
+                self.take(envelope);
+            }
+            let now = self.clock.now();
+            self.state.settle(now, &mut self.actions);
+            if self.act() {
+                return;
+            }
+        }
+    }
+
+    fn take(&mut self, envelope: Envelope) {
+        let ticket = Ticket(self.next);
+        self.next += 1;
+        if let Some(reply) = envelope.reply {
+            self.waiting.insert(ticket, reply);
+        }
+        let now = self.clock.now();
+        self.state.handle((envelope.event)(ticket), now, &mut self.actions);
+    }
+
+    /// Carries actions out. Returns whether the process ends.
+    fn act(&mut self) -> bool {
+        let mut ends = false;
+        for action in self.actions.drain(..) {
+            match action {
+                Action::Answer(ticket, output) => {
+                    if let Some(reply) = self.waiting.remove(&ticket) {
+                        // A requester that went away needs no answer.
+                        let _ = reply.send(output);
+                    }
+                }
+                Action::Publish(snapshot) => self.snapshot.store(Arc::new(snapshot)),
+                Action::Exit(exit) => {
+                    self.hands.exit(exit);
+                    ends = true;
+                }
+                Action::Start(attempt, start) => self.hands.start(attempt, start),
+                Action::Call { to, peer, call } => self.hands.call(to, peer, call),
+                Action::Note(note) => self.hands.note(&note),
+            }
+        }
+        ends
+    }
+}
--- /dev/null
+++ b/crates/entry/src/dispatch/admission.rs
@@ -0,0 +1,102 @@
+//! Admission: whether a job is let in, by its predicted finish.
+
+use std::time::Duration;
+
+use coltsfootshunt_core::answer::Refusal;
+
+/// What a job asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand {
+    /// Time allowed to the whole answer.
+    pub time: Duration,
+    /// Number of tasks.
+    pub tasks: usize,
+    /// Mean run time of one task.
+    pub mean: Duration,
+    /// Run time that most tasks stay under.
+    pub high: Duration,
+}
+
+/// What there is to serve it.
+#[derive(Clone, Copy, Debug)]
+pub struct Supply {
+    /// Slots that this entry's work can count on.
+    pub slots: u32,
+    /// Slots of those that are free now.
+    pub free: u32,
+    /// Run time of all tasks that wait.
+    pub queued: Duration,
+    /// Number of tasks that wait.
+    pub waiting: usize,
+}
+
+/// Lets jobs in or refuses them.
+pub trait Admission: Send {
+    /// Predicted time to the whole answer.
+    ///
+    /// # Errors
+    /// [`Refusal::Late`] where that is over the deadline, [`Refusal::Full`] where the queue is.
+    fn admit(&self, demand: &Demand, supply: &Supply) -> Result<Duration, Refusal>;
+}
+
+/// Bound of the queue.
+#[derive(Clone, Copy, Debug)]
+pub struct Bound {
+    /// Most waiting tasks.
+    pub waiting: usize,
+}
+
+impl Default for Bound {
+    fn default() -> Self {
+        Self { waiting: 200_000 }
+    }
+}
+
+impl Bound {
+    fn check(self, demand: &Demand, supply: &Supply) -> Result<(), Refusal> {
+        if supply.waiting + demand.tasks > self.waiting { Err(Refusal::Full) } else { Ok(()) }
+    }
+}
+
+/// By predicted finish.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Predicted {
+    /// Bound of the queue.
+    pub bound: Bound,
+}
+
+impl Admission for Predicted {
+    fn admit(&self, demand: &Demand, supply: &Supply) -> Result<Duration, Refusal> {
+        self.bound.check(demand, supply)?;
+        let predicted = predict(demand, supply);
+        if predicted > demand.time {
+            let predicted_ms = u64::try_from(predicted.as_millis()).unwrap_or(u64::MAX);
+            return Err(Refusal::Late { predicted_ms });
+        }
+        Ok(predicted)
+    }
+}
+
+/// All that fits the queue; the baseline.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Everything {
+    /// Bound of the queue.
+    pub bound: Bound,
+}
+
+impl Admission for Everything {
+    fn admit(&self, demand: &Demand, supply: &Supply) -> Result<Duration, Refusal> {
+        self.bound.check(demand, supply)?;
+        Ok(predict(demand, supply))
+    }
+}
+
+/// Time for the queue to drain to this job, then for the job itself.
+fn predict(demand: &Demand, supply: &Supply) -> Duration {
+    let slots = f64::from(supply.slots.max(1));
+    let tasks = demand.tasks as f64;
+    let surplus = (tasks - f64::from(supply.free)).max(0.0);
+    let wait = supply.queued.as_secs_f64() / slots;
+    let spread = surplus * demand.mean.as_secs_f64() / slots;
+    Duration::from_secs_f64(wait + spread) + demand.high
+}
--- /dev/null
+++ b/crates/entry/src/dispatch/mod.rs
@@ -0,0 +1,16 @@
+//! Dispatch: which jobs are let in, and which waiting task takes the next free slot.
+
+mod admission;
+mod budget;
+mod order;
+mod queue;
+mod reserve;
+
+#[cfg(test)]
+mod tests;
+
+pub use admission::{Admission, Bound, Demand, Everything, Predicted, Supply};
+pub use budget::Budget;
+pub use order::{Arrival, Order, Shape, Slack};
+pub use queue::{Lane, Pick, Queue};
+pub use reserve::Reserve;
--- /dev/null
+++ b/crates/entry/src/front/callers.rs
@@ -0,0 +1,162 @@
+//! The callers' HTTP interface.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::Bytes;
+use axum::extract::rejection::BytesRejection;
+use axum::extract::{DefaultBodyLimit, Path, Query, State};
+use axum::response::Response;
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use coltsfootshunt_core::answer::{Answer, Doubt, Refusal};
+use coltsfootshunt_core::job::{Draft, Job, MAX_BODY_BYTES, MAX_TIME};
+use coltsfootshunt_core::submission::Id;
+use serde::Deserialize;
+
+use super::status::respond;
+use crate::control::{Handle, Route};
+use crate::peer::{Forward, Link};
+use crate::submission::{Reply, Request};
+
+/// Time beyond a job's own that an answer is waited for.
+const MARGIN: Duration = Duration::from_secs(2);
+/// Time for requests that have their answer at once.
+const AT_ONCE: Duration = Duration::from_secs(2);
+
+#[derive(Clone)]
+struct Front {
+    control: Handle,
+    link: Arc<dyn Link>,
+}
+
+#[derive(Deserialize)]
+struct Wait {
+    wait_ms: Option<u64>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Mint {
+    count: usize,
+}
+
+/// The routes for callers.
+pub fn callers(control: Handle, link: Arc<dyn Link>) -> Router {
+    Router::new()
+        .route("/v1/identifiers", post(mint))
+        .route("/v1/submissions/{id}", get(answer).put(submit).delete(cancel))
+        .route("/v1/submissions/{id}/course", get(course))
+        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .with_state(Front { control, link })
+}
+
+async fn mint(State(front): State<Front>, Json(mint): Json<Mint>) -> Response {
+    let request = Request::Mint { count: mint.count };
+    respond(front.here(request, AT_ONCE).await)
+}
+
+async fn submit(
+    State(front): State<Front>,
+    Path(id): Path<String>,
+    Query(wait): Query<Wait>,
+    body: Result<Bytes, BytesRejection>,
+) -> Response {
+    let (id, job) = match read(&id, body) {
+        Ok(read) => read,
+        Err(refusal) => return respond(refusal.into()),
+    };
+    let within = wait.within(job.time + MARGIN);
+    respond(front.ask(&id.clone(), Request::Submit { id, job }, within).await)
+}
+
+async fn answer(
+    State(front): State<Front>,
+    Path(id): Path<String>,
+    Query(wait): Query<Wait>,
+) -> Response {
+    let id = match read_id(&id) {
+        Ok(id) => id,
+        Err(refusal) => return respond(refusal.into()),
+    };
+    let waits = wait.wait_ms.is_some_and(|ms| ms > 0);
+    let within = if waits { wait.within(AT_ONCE) } else { AT_ONCE };
+    respond(front.ask(&id.clone(), Request::Answer { id, wait: waits }, within).await)
+}
+
+async fn cancel(
+    State(front): State<Front>,
+    Path(id): Path<String>,
+    Query(wait): Query<Wait>,
+) -> Response {
+    let id = match read_id(&id) {
+        Ok(id) => id,
+        Err(refusal) => return respond(refusal.into()),
+    };
+    let within = wait.within(MAX_TIME);
+    respond(front.ask(&id.clone(), Request::Cancel { id }, within).await)
+}
+
+async fn course(State(front): State<Front>, Path(id): Path<String>) -> Response {
+    let id = match read_id(&id) {
+        Ok(id) => id,
+        Err(refusal) => return respond(refusal.into()),
+    };
+    respond(front.ask(&id.clone(), Request::Course { id }, AT_ONCE).await)
+}
+
+impl Wait {
+    fn within(&self, otherwise: Duration) -> Duration {
+        self.wait_ms.map_or(otherwise, Duration::from_millis).min(MAX_TIME + MARGIN)
+    }
+}
+
+impl Front {
+    /// Asks the submission's owner, here or elsewhere.
+    async fn ask(&self, id: &Id, request: Request, within: Duration) -> Reply {
+        match self.control.snapshot().route(id.owner) {
+            Route::Here => self.here(request, within).await,
+            Route::At(to) => self.there(to, &request, within).await,
+            Route::Nowhere => unknown(Doubt::OwnerGone),
+        }
+    }
+
+    async fn here(&self, request: Request, within: Duration) -> Reply {
+        match tokio::time::timeout(within, self.control.request(request)).await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(_)) => unknown(Doubt::OwnerGone),
+            Err(_) => Reply::Pending(Default::default()),
+        }
+    }
+
+    async fn there(&self, to: std::net::SocketAddr, request: &Request, within: Duration) -> Reply {
+        let Some(forward) = Forward::of(request) else {
+            return unknown(Doubt::OwnerUnreachable);
+        };
+        metrics::counter!("coltsfootshunt_messages_total", "kind" => "forward").increment(1);
+        match self.link.forward(to, forward, within).await {
+            Ok(reply) => reply,
+            Err(_) => unknown(Doubt::OwnerUnreachable),
+        }
+    }
+}
+
+fn read(id: &str, body: Result<Bytes, BytesRejection>) -> Result<(Id, Job), Refusal> {
+    let id = read_id(id)?;
+    let body = body.map_err(|_| Refusal::BodyTooLarge { limit: MAX_BODY_BYTES })?;
+    let draft: Draft = serde_json::from_slice(&body).map_err(|error| malformed(&error))?;
+    let job = Job::try_from(draft).map_err(|error| malformed(&error))?;
+    Ok((id, job))
+}
+
+fn read_id(text: &str) -> Result<Id, Refusal> {
+    Id::try_from(text).map_err(|error| malformed(&error))
+}
+
+fn malformed(error: &dyn std::fmt::Display) -> Refusal {
+    Refusal::Malformed { detail: error.to_string() }
+}
+
+fn unknown(doubt: Doubt) -> Reply {
+    Reply::Answer(Answer::from(doubt))
+}
--- /dev/null
+++ b/crates/entry/src/kind/book.rs
@@ -0,0 +1,119 @@
+//! Profiles of all kinds, and which of them are long.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use coltsfootshunt_core::config::KindPlan;
+use coltsfootshunt_core::name::Kind;
+
+use super::Profile;
+
+/// A kind is long if its mean run time is this many times the median over tasks.
+const LONG_FACTOR: u32 = 5;
+/// Runs after which all counts of the mix are halved.
+const MIX_HALVE_AT: f64 = 5_000.0;
+
+/// What is known about each kind.
+#[derive(Debug, Default)]
+pub struct Book {
+    kinds: BTreeMap<Kind, Entry>,
+    typical: Duration,
+    runs: f64,
+}
+
+#[derive(Debug)]
+struct Entry {
+    plan: KindPlan,
+    profile: Profile,
+    runs: f64,
+    long: bool,
+}
+
+impl Book {
+    /// Takes the kinds of a new configuration; what was learned stays.
+    pub fn configure(&mut self, plans: &[KindPlan]) {
+        let mut kinds = BTreeMap::new();
+        for plan in plans {
+            let known = self.kinds.remove(&plan.name);
+            let entry = match known {
+                Some(entry) => Entry { plan: plan.clone(), ..entry },
+                None => Entry {
+                    plan: plan.clone(),
+                    profile: Profile::new(plan.expected),
+                    runs: 0.0,
+                    long: false,
+                },
+            };
+            kinds.insert(plan.name.clone(), entry);
+        }
+        self.kinds = kinds;
+    }
+
+    /// The configuration of a kind.
+    #[must_use]
+    pub fn plan(&self, kind: &Kind) -> Option<&KindPlan> {
+        self.kinds.get(kind).map(|entry| &entry.plan)
+    }
+
+    /// What was learned about a kind.
+    #[must_use]
+    pub fn profile(&self, kind: &Kind) -> Option<&Profile> {
+        self.kinds.get(kind).map(|entry| &entry.profile)
+    }
+
+    /// Takes in the time of one run.
+    pub fn record(&mut self, kind: &Kind, time: Duration) {
+        let Some(entry) = self.kinds.get_mut(kind) else {
+            return;
+        };
+        entry.profile.record(time);
+        entry.runs += 1.0;
+        self.runs += 1.0;
+        if self.runs > MIX_HALVE_AT {
+            self.halve();
+        }
+        self.classify();
+    }
+
+    /// Whether tasks of this kind hold a slot much longer than the usual task.
+    #[must_use]
+    pub fn is_long(&self, kind: &Kind) -> bool {
+        self.kinds.get(kind).is_some_and(|entry| entry.long)
+    }
+
+    /// Name, mean and 90% quantile of each kind's run time.
+    pub fn iter(&self) -> impl Iterator<Item = (&Kind, Duration, Duration)> {
+        const HIGH: f64 = 0.9;
+        self.kinds
+            .iter()
+            .map(|(kind, entry)| (kind, entry.profile.mean(), entry.profile.quantile(HIGH)))
+    }
+
+    fn halve(&mut self) {
+        self.runs /= 2.0;
+        for entry in self.kinds.values_mut() {
+            entry.runs /= 2.0;
+        }
+    }
+
+    fn classify(&mut self) {
+        self.typical = self.median_mean();
+        for entry in self.kinds.values_mut() {
+            entry.long = entry.profile.mean() > self.typical * LONG_FACTOR;
+        }
+    }
+
+    /// Median over tasks of their kind's mean run time.
+    fn median_mean(&self) -> Duration {
+        let mut means: Vec<_> = self.kinds.values().map(|e| (e.profile.mean(), e.runs)).collect();
+        means.sort_by_key(|(mean, _)| *mean);
+        let mut seen = 0.0;
+        for (mean, runs) in &means {
+            seen += runs;
+            if seen * 2.0 >= self.runs {
+                return *mean;
+            }
+        }
+        Duration::ZERO
+    }
+}
--- /dev/null
+++ b/crates/entry/src/loan/borrower.rs
@@ -0,0 +1,112 @@
+//! The borrower's side: whom to ask for how many slots.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use coltsfootshunt_core::submission::Incarnation;
+
+/// Time before the same peer is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(50);
+/// Peers that are asked where none is known to have a free slot.
+const BLIND: usize = 1;
+
+/// A peer that may lend.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// The peer.
+    pub peer: Incarnation,
+    /// Whether it is in this entry's zone.
+    pub near: bool,
+    /// Slots that it has free, by its last word.
+    pub idle: u32,
+    /// Tasks that wait there, by its last word.
+    pub waiting: u32,
+}
+
+/// Decides whom to ask.
+pub trait Sharing: Send {
+    /// Peers and the number of slots to ask each for, to get `wanted` in all.
+    fn plan(&self, wanted: u32, candidates: &[Candidate]) -> Vec<(Incarnation, u32)>;
+}
+
+/// Asks the peers with most free slots, near ones first.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Plenty;
+
+/// Asks nobody; the baseline.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Solitary;
+
+impl Sharing for Plenty {
+    fn plan(&self, wanted: u32, candidates: &[Candidate]) -> Vec<(Incarnation, u32)> {
+        let mut sorted: Vec<_> = candidates.iter().filter(|c| c.idle > 0).collect();
+        sorted.sort_by_key(|c| (!c.near, u32::MAX - c.idle, c.peer));
+        let mut plan = Vec::new();
+        let mut missing = wanted;
+        for candidate in sorted {
+            if missing == 0 {
+                return plan;
+            }
+            let slots = missing.min(candidate.idle);
+            plan.push((candidate.peer, slots));
+            missing -= slots;
+        }
+        if plan.is_empty() {
+            let blind = candidates.iter().filter(|c| c.waiting == 0).take(BLIND);
+            plan.extend(blind.map(|c| (c.peer, wanted)));
+        }
+        plan
+    }
+}
+
+impl Sharing for Solitary {
+    fn plan(&self, _wanted: u32, _candidates: &[Candidate]) -> Vec<(Incarnation, u32)> {
+        Vec::new()
+    }
+}
+
+/// What was asked for and not answered.
+#[derive(Debug, Default)]
+pub struct Borrower {
+    asked: BTreeMap<Incarnation, Asked>,
+}
+
+#[derive(Debug)]
+struct Asked {
+    slots: u32,
+    at: Instant,
+}
+
+impl Borrower {
+    /// Whether this peer may be asked now.
+    #[must_use]
+    pub fn may_ask(&self, peer: Incarnation, now: Instant) -> bool {
+        self.asked.get(&peer).is_none_or(|asked| now.duration_since(asked.at) >= ASK_AGAIN)
+    }
+
+    /// Notes a question.
+    pub fn ask(&mut self, peer: Incarnation, slots: u32, now: Instant) {
+        self.asked.insert(peer, Asked { slots, at: now });
+    }
+
+    /// Notes the answer; the peer may be asked again at once if it gave something.
+    pub fn answered(&mut self, peer: Incarnation, granted: u32) {
+        if granted > 0 {
+            self.asked.remove(&peer);
+        } else if let Some(asked) = self.asked.get_mut(&peer) {
+            asked.slots = 0;
+        }
+    }
+
+    /// Slots that were asked for and may still come.
+    #[must_use]
+    pub fn pending(&self, now: Instant) -> u32 {
+        let fresh = |asked: &&Asked| now.duration_since(asked.at) < ASK_AGAIN;
+        self.asked.values().filter(fresh).map(|asked| asked.slots).sum()
+    }
+
+    /// Forgets a peer that is gone.
+    pub fn forget(&mut self, peer: Incarnation) {
+        self.asked.remove(&peer);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/loan/lender.rs
@@ -0,0 +1,121 @@
+//! The steward's side: who holds which of its slots, and who asked in vain.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use coltsfootshunt_core::name::Target;
+use coltsfootshunt_core::submission::Incarnation;
+
+use super::Want;
+use crate::target::Offer;
+
+/// Time within which a borrower may start tasks on lent slots.
+pub const TERM: Duration = Duration::from_millis(250);
+/// Time for which an unmet wish stands.
+const WISH_LIFE: Duration = Duration::from_millis(250);
+/// Time after a grant before the borrower's own word on what it holds counts.
+const SETTLE: Duration = Duration::from_secs(2);
+
+/// The book of a steward.
+#[derive(Debug, Default)]
+pub struct Lender {
+    lent: BTreeMap<Incarnation, Account>,
+    wishes: BTreeMap<Incarnation, Wish>,
+}
+
+#[derive(Debug)]
+struct Account {
+    slots: BTreeMap<Target, u32>,
+    granted: Instant,
+}
+
+#[derive(Debug)]
+struct Wish {
+    want: Want,
+    since: Instant,
+}
+
+impl Lender {
+    /// Notes slots that were granted.
+    pub fn grant(&mut self, borrower: Incarnation, offers: &[Offer], now: Instant) {
+        let account = self
+            .lent
+            .entry(borrower)
+            .or_insert_with(|| Account { slots: BTreeMap::new(), granted: now });
+        account.granted = now;
+        for offer in offers {
+            *account.slots.entry(offer.target.clone()).or_default() += offer.slots;
+        }
+    }
+
+    /// Notes slots that came back. Returns those that were really lent.
+    pub fn returned(&mut self, borrower: Incarnation, offers: &[Offer]) -> Vec<Offer> {
+        let Some(account) = self.lent.get_mut(&borrower) else {
+            return Vec::new();
+        };
+        let mut back = Vec::new();
+        for offer in offers {
+            let Some(held) = account.slots.get_mut(&offer.target) else {
+                continue;
+            };
+            let slots = offer.slots.min(*held);
+            *held -= slots;
+            if *held == 0 {
+                account.slots.remove(&offer.target);
+            }
+            back.push(Offer { target: offer.target.clone(), slots });
+        }
+        back
+    }
+
+    /// Sets the book right after a borrower's word on what it holds, once no grant or return can
+    /// be under way. Returns slots that were lent by the book only.
+    pub fn reconcile(
+        &mut self,
+        borrower: Incarnation,
+        holding: &[Offer],
+        now: Instant,
+    ) -> Vec<Offer> {
+        let Some(account) = self.lent.get(&borrower) else {
+            return Vec::new();
+        };
+        if now.duration_since(account.granted) < SETTLE {
+            return Vec::new();
+        }
+        let held = |target: &Target| {
+            holding.iter().filter(|o| o.target == *target).map(|o| o.slots).sum::<u32>()
+        };
+        let excess = account.slots.iter().filter_map(|(target, slots)| {
+            let slots = slots.saturating_sub(held(target));
+            (slots > 0).then(|| Offer { target: target.clone(), slots })
+        });
+        let excess: Vec<_> = excess.collect();
+        self.returned(borrower, &excess)
+    }
+
+    /// Writes off all that a dead borrower held.
+    pub fn write_off(&mut self, borrower: Incarnation) -> Vec<Offer> {
+        self.wishes.remove(&borrower);
+        let account = self.lent.remove(&borrower);
+        let slots = account.map(|account| account.slots).unwrap_or_default();
+        slots.into_iter().map(|(target, slots)| Offer { target, slots }).collect()
+    }
+
+    /// Remembers what could not be granted.
+    pub fn wish(&mut self, want: Want, now: Instant) {
+        self.wishes.insert(want.borrower, Wish { want, since: now });
+    }
+
+    /// Takes the oldest wish that still stands.
+    pub fn next_wish(&mut self, now: Instant) -> Option<Want> {
+        self.wishes.retain(|_, wish| now.duration_since(wish.since) < WISH_LIFE);
+        let oldest = self.wishes.iter().min_by_key(|(_, wish)| wish.since)?;
+        let borrower = *oldest.0;
+        self.wishes.remove(&borrower).map(|wish| wish.want)
+    }
+
+    /// Slots lent to each borrower.
+    pub fn iter(&self) -> impl Iterator<Item = (Incarnation, u32)> {
+        self.lent.iter().map(|(borrower, account)| (*borrower, account.slots.values().sum()))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/log/json.rs
@@ -0,0 +1,180 @@
+//! Decisions as JSON lines.
+
+use coltsfootshunt_core::answer::Refusal;
+use derive_more::Display;
+use metrics::counter;
+use serde::{Deserialize, Serialize};
+use slog::{Drain, Logger, debug, info, o, warn};
+
+use crate::control::Note;
+use crate::member::Myself;
+
+/// Lines that wait to be written; more are dropped and counted by the logger.
+const CHANNEL: usize = 16_384;
+
+/// Writes decisions down.
+pub trait Log: Send + Sync {
+    /// Writes one decision.
+    fn note(&self, note: &Note);
+}
+
+/// Writes nothing.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Silent;
+
+impl Log for Silent {
+    fn note(&self, note: &Note) {
+        count(note);
+    }
+}
+
+/// How much is written.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Level {
+    /// Failures only.
+    #[display("warn")]
+    Warn,
+    /// Refusals and changes too.
+    #[default]
+    #[display("info")]
+    Info,
+    /// Each submission too.
+    #[display("debug")]
+    Debug,
+}
+
+impl From<Level> for slog::Level {
+    fn from(level: Level) -> Self {
+        match level {
+            Level::Warn => Self::Warning,
+            Level::Info => Self::Info,
+            Level::Debug => Self::Debug,
+        }
+    }
+}
+
+/// Writes JSON lines to standard error.
+pub struct Lines {
+    logger: Logger,
+}
+
+impl Lines {
+    /// A log of one entry.
+    #[must_use]
+    pub fn new(level: Level, myself: &Myself) -> Self {
+        let json = slog_json::Json::new(std::io::stderr()).add_default_keys().build().fuse();
+        let json = slog_async::Async::new(json).chan_size(CHANNEL).build().fuse();
+        let drain = slog::LevelFilter::new(json, level.into()).fuse();
+        let keys = o!(
+            "host" => myself.host.to_string(),
+            "zone" => myself.zone.to_string(),
+            "incarnation" => myself.incarnation.to_string(),
+        );
+        Self { logger: Logger::root(drain, keys) }
+    }
+}
+
+impl Log for Lines {
+    fn note(&self, note: &Note) {
+        count(note);
+        let log = &self.logger;
+        match note {
+            Note::Refused { id, refusal } => {
+                info!(log, "submission refused"; "submission" => %id, "reason" => %refusal);
+            }
+            Note::Accepted { id, tasks } => {
+                debug!(log, "submission accepted"; "submission" => %id, "tasks" => tasks);
+            }
+            Note::Answered { id, outcome } => {
+                debug!(log, "submission answered"; "submission" => %id, "outcome" => %outcome);
+            }
+            Note::Faulted { id, task, target, fault } => {
+                warn!(log, "task gave no output"; "submission" => %id, "task" => task,
+                    "target" => %target, "reason" => %fault);
+            }
+            Note::NotStarted { id, task, target } => {
+                info!(log, "target did not start the task"; "submission" => %id, "task" => task,
+                    "target" => %target);
+            }
+            Note::Ejected { target } => {
+                warn!(log, "target ejected"; "target" => %target,
+                    "reason" => "it fails more than its peers");
+            }
+            Note::Probed { target } => {
+                info!(log, "target probed"; "target" => %target);
+            }
+            Note::Leaving { target } => {
+                info!(log, "target is leaving"; "target" => %target, "reason" => "its own word");
+            }
+            Note::Members { peers, targets } => {
+                info!(log, "stewardship settled"; "peers" => peers, "targets" => targets);
+            }
+            Note::PeerFailed { host, incarnation } => {
+                warn!(log, "peer failed"; "peer" => %host, "peer_incarnation" => %incarnation);
+            }
+            Note::InForce { revision } => {
+                info!(log, "configuration in force"; "revision" => %revision);
+            }
+            Note::Paused { gap_ms } => {
+                warn!(log, "process was stopped for a while"; "gap_ms" => gap_ms);
+            }
+            Note::Resumed => {
+                info!(log, "view is fresh after a pause");
+            }
+            Note::Stopping => {
+                info!(log, "planned stop began");
+            }
+            Note::HandingOver { successor } => {
+                info!(log, "records go to a successor"; "successor" => %successor);
+            }
+            Note::Ending { exit } => {
+                info!(log, "process ends"; "how" => %exit);
+            }
+        }
+    }
+}
+
+fn count(note: &Note) {
+    match note {
+        Note::Refused { refusal, .. } => {
+            counter!("coltsfootshunt_refusals_total", "reason" => reason(refusal)).increment(1);
+        }
+        Note::Accepted { tasks, .. } => {
+            counter!("coltsfootshunt_accepted_total").increment(1);
+            counter!("coltsfootshunt_accepted_tasks_total").increment(*tasks as u64);
+        }
+        Note::Answered { outcome, .. } => {
+            let outcome = outcome.to_string();
+            counter!("coltsfootshunt_answers_total", "outcome" => outcome).increment(1);
+        }
+        Note::Faulted { .. } => counter!("coltsfootshunt_faults_total").increment(1),
+        Note::NotStarted { .. } => counter!("coltsfootshunt_not_started_total").increment(1),
+        Note::Ejected { .. } => counter!("coltsfootshunt_ejections_total").increment(1),
+        Note::PeerFailed { .. } => counter!("coltsfootshunt_peer_failures_total").increment(1),
+        Note::Paused { .. } => counter!("coltsfootshunt_pauses_total").increment(1),
+        _ => {}
+    }
+}
+
+/// Label of a refusal, without its details.
+fn reason(refusal: &Refusal) -> &'static str {
+    match refusal {
+        Refusal::Malformed { .. } => "malformed",
+        Refusal::BodyTooLarge { .. } => "body_too_large",
+        Refusal::UnknownKind => "unknown_kind",
+        Refusal::UnknownTeam => "unknown_team",
+        Refusal::NeverMinted => "never_minted",
+        Refusal::Mismatch => "mismatch",
+        Refusal::NoTarget => "no_target",
+        Refusal::Late { .. } => "late",
+        Refusal::Expired => "expired",
+        Refusal::Full => "full",
+        Refusal::Draining => "draining",
+        Refusal::NotReady => "not_ready",
+        Refusal::Cancelled => "cancelled",
+        Refusal::Retired => "retired",
+        Refusal::TargetsRefused => "targets_refused",
+        Refusal::IdentifierExpired => "identifier_expired",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/log/mod.rs
@@ -0,0 +1,5 @@
+//! The log: JSON lines, one for each decision that matters, and its counters.
+
+mod json;
+
+pub use json::{Level, Lines, Log, Silent};
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,1 +1,84 @@
-fn main(){}
+//! The entry process of coltsfootshunt.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use clap::{Arg, Command, value_parser};
+use coltsfootshunt_entry::app::App;
+use coltsfootshunt_entry::drain::Exit;
+use coltsfootshunt_entry::log::Lines;
+use coltsfootshunt_entry::settings::Settings;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use miette::{IntoDiagnostic, Result};
+use tokio::signal::unix::{SignalKind, signal};
+
+fn main() -> Result<ExitCode> {
+    let matches = command().get_matches();
+    let path = matches.get_one::<PathBuf>("settings").expect("clap requires it");
+    let settings = Settings::read(path)?;
+    if matches.get_flag("check") {
+        println!("the settings are valid");
+        return Ok(ExitCode::SUCCESS);
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.traffic_threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .into_diagnostic()?;
+    let exit = runtime.block_on(run(settings))?;
+    Ok(ExitCode::from(exit.code()))
+}
+
+fn command() -> Command {
+    Command::new("coltsfootshunt-entry")
+        .about("Takes jobs from callers and sends their tasks to targets")
+        .version(env!("CARGO_PKG_VERSION"))
+        .arg(
+            Arg::new("settings")
+                .help("Settings file, JSON with comments")
+                .required(true)
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .help("Check the settings and end")
+                .action(clap::ArgAction::SetTrue),
+        )
+}
+
+async fn run(settings: Settings) -> Result<Exit> {
+    let metrics = PrometheusBuilder::new().install_recorder().into_diagnostic()?;
+    let level = settings.log;
+    let log = Box::new(move |myself: &_| Arc::new(Lines::new(level, myself)) as Arc<_>);
+    let app = App::start(settings, log, metrics).await.into_diagnostic()?;
+    println!("{}", announcement(&app));
+    let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
+    let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
+    let app = Arc::new(app);
+    let stopper = Arc::clone(&app);
+    let listener = tokio::spawn(async move {
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            stopper.stop().await;
+        }
+    });
+    let exit = app.exit().await;
+    listener.abort();
+    Ok(exit)
+}
+
+/// One line for whoever started the process: where it listens, once it does.
+fn announcement(app: &App) -> serde_json::Value {
+    serde_json::json!({
+        "incarnation": app.incarnation,
+        "callers": app.callers,
+        "operators": app.operators,
+        "peers": app.peers,
+    })
+}
--- /dev/null
+++ b/crates/entry/src/member/mod.rs
@@ -0,0 +1,18 @@
+//! Membership: which entries live, what they have free, and which of them is steward of which
+//! target.
+//!
+//! Heartbeats go directly between the entries of a zone. Two delegates a zone exchange heartbeats
+//! with the delegates of other zones, so that a node's cost does not grow with the fleet.
+
+mod beat;
+mod peer;
+mod roster;
+mod steward;
+
+#[cfg(test)]
+mod tests;
+
+pub use beat::{Beat, Brief};
+pub use peer::Peer;
+pub use roster::{FAIL_AFTER, INTERVAL, Myself, Roster};
+pub use steward::steward;
--- /dev/null
+++ b/crates/entry/src/platform/accept.rs
@@ -0,0 +1,129 @@
+//! Putting a configuration in force by compare-and-swap.
+
+use std::time::Duration;
+
+use coltsfootshunt_core::config::{Document, Mark, Plan, Revision};
+use derive_more::{Display, Error};
+use uuid::Uuid;
+
+use super::{Entry, Failure, Platform, Swap};
+
+/// Where the configuration is kept.
+pub const CONFIGURATION_KEY: &str = "configuration";
+/// Attempts to learn what became of a write.
+const READ_BACKS: u32 = 20;
+/// Time between them.
+const READ_BACK_EVERY: Duration = Duration::from_millis(250);
+
+/// Another operator's configuration came first.
+#[derive(Clone, Debug, Display, Error, Eq, PartialEq)]
+#[display("revision {} by {} is in force, not {based_on}", rival.revision, rival.writer)]
+pub struct Conflict {
+    /// The revision that the caller started from.
+    pub based_on: Revision,
+    /// The rival's mark.
+    #[error(not(source))]
+    pub rival: Mark,
+}
+
+/// Why a configuration is not in force.
+#[derive(Clone, Debug, Display, Error)]
+pub enum Rejected {
+    /// Another operator's configuration came first.
+    #[display("conflict: {_0}")]
+    Conflict(#[error(source)] Conflict),
+    /// The platform did not answer; nothing was written.
+    #[display("not accepted: {_0}")]
+    Platform(#[error(source)] Failure),
+    /// The platform stopped answering after the write; it may be in force.
+    #[display("it can't be told whether the configuration was accepted; writer {writer}")]
+    Unknown {
+        /// Unique to this call; `show` tells whether it is in force.
+        writer: Uuid,
+    },
+    /// The platform holds a document that can't be read.
+    #[display("the configuration in force can't be read: {detail}")]
+    Unreadable {
+        /// What is wrong with it.
+        detail: String,
+    },
+}
+
+/// The configuration in force and its version in the store.
+///
+/// # Errors
+/// [`Rejected::Platform`] or [`Rejected::Unreadable`].
+pub async fn fetch(platform: &dyn Platform) -> Result<Option<(u64, Document)>, Rejected> {
+    let entry = platform.get(CONFIGURATION_KEY).await.map_err(Rejected::Platform)?;
+    entry.map(|entry| parse(&entry)).transpose()
+}
+
+/// Puts a configuration in force after the revision `based_on`, or after whatever is in force.
+///
+/// # Errors
+/// See [`Rejected`]; all but [`Rejected::Unknown`] mean that nothing changed.
+pub async fn accept(
+    platform: &dyn Platform,
+    plan: Plan,
+    based_on: Option<Revision>,
+    writer: Uuid,
+) -> Result<Revision, Rejected> {
+    let current = fetch(platform).await?;
+    let version = current.as_ref().map_or(0, |(version, _)| *version);
+    let previous = current.map(|(_, document)| document);
+    check_base(previous.as_ref(), based_on)?;
+    let document = Document::after(previous.as_ref(), writer, plan);
+    let value = serde_json::to_string(&document).expect("a checked plan serializes");
+    match platform.compare_and_swap(CONFIGURATION_KEY, version, &value, None).await {
+        Ok(Swap::Done) => Ok(document.mark.revision),
+        Ok(Swap::Lost) | Err(Failure::Lost | Failure::Garbled) => {
+            read_back(platform, &document, version).await
+        }
+        Err(failure) => Err(Rejected::Platform(failure)),
+    }
+}
+
+fn check_base(previous: Option<&Document>, based_on: Option<Revision>) -> Result<(), Rejected> {
+    let (Some(based_on), Some(previous)) = (based_on, previous) else {
+        return Ok(());
+    };
+    if previous.mark.revision == based_on {
+        return Ok(());
+    }
+    Err(Rejected::Conflict(Conflict { based_on, rival: previous.mark.clone() }))
+}
+
+/// Tells a lost answer from a lost race: the store says whether this writer's mark is in it.
+async fn read_back(
+    platform: &dyn Platform,
+    document: &Document,
+    version: u64,
+) -> Result<Revision, Rejected> {
+    let writer = document.mark.writer;
+    for _ in 0..READ_BACKS {
+        match fetch(platform).await {
+            Ok(Some((found, current))) => {
+                if let Some(revision) = current.written_by(writer) {
+                    return Ok(revision);
+                }
+                if found > version {
+                    let based_on = Revision(document.mark.revision.0 - 1);
+                    let rival = current.mark;
+                    return Err(Rejected::Conflict(Conflict { based_on, rival }));
+                }
+                // The write may still be under way; the version that it expects stands.
+            }
+            Ok(None) | Err(Rejected::Platform(_)) => {}
+            Err(rejected) => return Err(rejected),
+        }
+        tokio::time::sleep(READ_BACK_EVERY).await;
+    }
+    Err(Rejected::Unknown { writer })
+}
+
+fn parse(entry: &Entry) -> Result<(u64, Document), Rejected> {
+    match serde_json::from_str(&entry.value) {
+        Ok(document) => Ok((entry.version, document)),
+        Err(error) => Err(Rejected::Unreadable { detail: error.to_string() }),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/platform/http.rs
@@ -0,0 +1,119 @@
+//! The platform over HTTP and JSON. The one place that knows its wire form.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use coltsfootshunt_http::{Call, Client, Failure as Broken, Method, StatusCode};
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+
+use super::{Entry, Failure, Hosts, Lease, Platform, Swap};
+
+/// Largest answer, in bytes: many values of up to a megabyte.
+const MAX_RESPONSE_BYTES: usize = 32 << 20;
+/// Time for one call.
+const WITHIN: Duration = Duration::from_secs(2);
+
+/// The adapter.
+pub struct Http {
+    client: Client,
+    to: SocketAddr,
+}
+
+impl Http {
+    /// An adapter for the service at an address.
+    #[must_use]
+    pub fn new(to: SocketAddr) -> Self {
+        Self { client: Client::new(MAX_RESPONSE_BYTES), to }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Value>,
+        within: Duration,
+    ) -> Result<(StatusCode, Vec<u8>), Failure> {
+        let body = body.map(|body| body.to_string().into_bytes()).unwrap_or_default();
+        let call = Call { method, to: self.to, path, body, within };
+        match self.client.send(call).await {
+            Ok((status, body)) if status.is_server_error() => {
+                drop(body);
+                Err(Failure::Lost)
+            }
+            Ok((status, body)) => Ok((status, body.to_vec())),
+            Err(Broken::Connect) => Err(Failure::Unreachable),
+            Err(_) => Err(Failure::Lost),
+        }
+    }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        within: Duration,
+    ) -> Result<Option<T>, Failure> {
+        let (status, body) = self.call(Method::GET, path, None, within).await?;
+        match status {
+            StatusCode::OK => parse(&body).map(Some),
+            StatusCode::NOT_FOUND | StatusCode::NO_CONTENT => Ok(None),
+            _ => Err(Failure::Garbled),
+        }
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Failure> {
+    serde_json::from_slice(body).map_err(|_| Failure::Garbled)
+}
+
+#[async_trait]
+impl Platform for Http {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, Failure> {
+        self.read(&format!("/v1/keys/{key}"), WITHIN).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Entry>, Failure> {
+        let entries = self.read(&format!("/v1/list/{prefix}"), WITHIN).await?;
+        Ok(entries.unwrap_or_default())
+    }
+
+    async fn compare_and_swap(
+        &self,
+        key: &str,
+        expected: u64,
+        value: &str,
+        lease: Option<&Lease>,
+    ) -> Result<Swap, Failure> {
+        let lease = lease.map(|lease| lease.lease);
+        let body = json!({ "expected": expected, "value": value, "lease": lease });
+        let path = format!("/v1/keys/{key}");
+        let (status, _) = self.call(Method::PUT, &path, Some(body), WITHIN).await?;
+        match status {
+            StatusCode::OK => Ok(Swap::Done),
+            StatusCode::CONFLICT => Ok(Swap::Lost),
+            _ => Err(Failure::Garbled),
+        }
+    }
+
+    async fn lease(&self, term: Duration) -> Result<Lease, Failure> {
+        let body = json!({ "term_ms": term.as_millis() as u64 });
+        let (_, body) = self.call(Method::POST, "/v1/leases", Some(body), WITHIN).await?;
+        parse(&body)
+    }
+
+    async fn renew(&self, lease: &Lease) -> Result<bool, Failure> {
+        let path = format!("/v1/leases/{}", lease.lease);
+        let (status, _) = self.call(Method::PUT, &path, None, WITHIN).await?;
+        Ok(status == StatusCode::OK)
+    }
+
+    async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<Option<Entry>, Failure> {
+        let path = format!("/v1/keys/{key}?after={after}&wait_ms={}", wait.as_millis());
+        self.read(&path, wait + WITHIN).await
+    }
+
+    async fn hosts(&self) -> Result<Hosts, Failure> {
+        let hosts = self.read("/v1/hosts", WITHIN).await?;
+        Ok(hosts.unwrap_or_default())
+    }
+}
--- /dev/null
+++ b/crates/entry/src/platform/mod.rs
@@ -0,0 +1,16 @@
+//! The platform's service: a small key-value store, and the list of hosts.
+//!
+//! Nothing on the path of a task touches it.
+
+mod accept;
+mod agent;
+mod http;
+mod service;
+
+#[cfg(test)]
+mod tests;
+
+pub use accept::{CONFIGURATION_KEY, Conflict, Rejected, accept, fetch};
+pub use agent::{Agent, Registration};
+pub use http::Http;
+pub use service::{Entry, Failure, Hosts, Lease, Platform, Swap};
--- /dev/null
+++ b/crates/entry/src/quota/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of this slice.
--- /dev/null
+++ b/crates/entry/src/settings/mod.rs
@@ -0,0 +1,10 @@
+//! Settings of one entry process: JSON with comments, each field checked.
+
+mod file;
+mod problem;
+
+#[cfg(test)]
+mod tests;
+
+pub use file::{Admitting, Drain, Listen, Ordering, Policy, Settings, Sharing};
+pub use problem::Problem;
--- /dev/null
+++ b/crates/entry/src/submission/ledger.rs
@@ -0,0 +1,370 @@
+//! The owner's records. Only the incarnation that minted an identifier holds a ledger for it.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use coltsfootshunt_core::answer::{Answer, Doubt, Refusal};
+use coltsfootshunt_core::name::Zone;
+use coltsfootshunt_core::submission::{Id, Incarnation};
+
+use super::{Course, Finished, Legacy, Open, Part, Stage, Step, Ticket};
+
+/// Finished submissions in one part of a hand-over.
+const PART_RECORDS: usize = 500;
+/// Bytes of answers in one part of a hand-over, as long as one answer is no larger.
+const PART_BYTES: usize = 1 << 20;
+
+/// Bytes of a kept record beside its answer and its course.
+const RECORD_BYTES: usize = 256;
+
+/// Stands for the digest of a submission that was cancelled before its job came.
+const ANY_JOB: u128 = 0;
+
+/// Bounds of the ledger.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Time within which a fresh identifier has to be used.
+    pub identifier_life: Duration,
+    /// Identifiers within that time; more are not given out.
+    pub live_identifiers: u64,
+    /// Time for which an answer is kept.
+    pub retention: Duration,
+    /// Bytes of answers that are kept; the oldest give way.
+    pub retained_bytes: usize,
+    /// Submissions without an answer; more are refused.
+    pub open: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            identifier_life: Duration::from_secs(300),
+            live_identifiers: 1_000_000,
+            retention: Duration::from_secs(300),
+            retained_bytes: 48 << 20,
+            open: 20_000,
+        }
+    }
+}
+
+/// How an identifier stands with its owner.
+#[derive(Debug)]
+pub enum Standing {
+    /// Given out and never used.
+    Fresh,
+    /// Accepted and not answered.
+    Open,
+    /// Answered.
+    Done(Answer),
+}
+
+#[derive(Debug)]
+enum Record {
+    Open(Box<Open>),
+    Done(Box<Done>),
+    /// The submission ended; its answer is no longer kept.
+    Ended,
+}
+
+#[derive(Debug)]
+struct Done {
+    digest: u128,
+    answer: Answer,
+    course: Course,
+    weight: usize,
+}
+
+#[derive(Debug)]
+struct Batch {
+    until: u64,
+    at: Instant,
+}
+
+/// Records of all submissions of one incarnation, and of incarnations that left theirs to it.
+#[derive(Debug)]
+pub struct Ledger {
+    zone: Zone,
+    incarnation: Incarnation,
+    limits: Limits,
+    next: u64,
+    floor: u64,
+    batches: VecDeque<Batch>,
+    records: BTreeMap<u64, Record>,
+    open: usize,
+    due: BTreeSet<(Instant, u64)>,
+    done: VecDeque<(Instant, u64)>,
+    done_bytes: usize,
+    legacies: BTreeMap<Incarnation, Legacy>,
+}
+
+impl Ledger {
+    /// An empty ledger.
+    #[must_use]
+    pub fn new(zone: Zone, incarnation: Incarnation, limits: Limits) -> Self {
+        Self {
+            zone,
+            incarnation,
+            limits,
+            next: 0,
+            floor: 0,
+            batches: VecDeque::new(),
+            records: BTreeMap::new(),
+            open: 0,
+            due: BTreeSet::new(),
+            done: VecDeque::new(),
+            done_bytes: 0,
+            legacies: BTreeMap::new(),
+        }
+    }
+
+    /// Gives out identifiers.
+    ///
+    /// # Errors
+    /// [`Refusal::Full`] where too many are out already.
+    pub fn mint(&mut self, count: usize, now: Instant) -> Result<Vec<Id>, Refusal> {
+        let until = self.next + count as u64;
+        if until - self.floor > self.limits.live_identifiers {
+            return Err(Refusal::Full);
+        }
+        let ids = (self.next..until).map(|sequence| self.id(sequence)).collect();
+        self.next = until;
+        self.batches.push_back(Batch { until, at: now });
+        Ok(ids)
+    }
+
+    /// The identifier at a place in this ledger's order.
+    #[must_use]
+    pub fn id(&self, sequence: u64) -> Id {
+        Id { zone: self.zone.clone(), owner: self.incarnation, sequence }
+    }
+
+    /// How an identifier of this incarnation stands. With a digest, another job under the same
+    /// identifier is told from a repeat.
+    #[must_use]
+    pub fn standing(&self, sequence: u64, digest: Option<u128>) -> Standing {
+        let other = |known: u128| known != ANY_JOB && digest.is_some_and(|digest| digest != known);
+        match self.records.get(&sequence) {
+            Some(Record::Open(open)) if other(open.digest) => mismatch(),
+            Some(Record::Done(done)) if other(done.digest) => mismatch(),
+            Some(Record::Open(_)) => Standing::Open,
+            Some(Record::Done(done)) => Standing::Done(done.answer.clone()),
+            Some(Record::Ended) => Standing::Done(Doubt::TooOld.into()),
+            None if sequence >= self.next => Standing::Done(Refusal::NeverMinted.into()),
+            None if sequence < self.floor => Standing::Done(Doubt::TooOld.into()),
+            None => Standing::Fresh,
+        }
+    }
+
+    /// Whether another submission may be opened.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        self.open < self.limits.open
+    }
+
+    /// Number of submissions without an answer.
+    #[must_use]
+    pub fn open_count(&self) -> usize {
+        self.open
+    }
+
+    /// Number of submissions with a kept answer.
+    #[must_use]
+    pub fn done_count(&self) -> usize {
+        self.done.len()
+    }
+
+    /// Bytes of kept answers.
+    #[must_use]
+    pub fn done_bytes(&self) -> usize {
+        self.done_bytes
+    }
+
+    /// Opens a fresh submission.
+    pub fn open(&mut self, sequence: u64, open: Open) {
+        self.due.insert((open.due, sequence));
+        self.open += 1;
+        self.records.insert(sequence, Record::Open(Box::new(open)));
+    }
+
+    /// The open submission at `sequence`.
+    pub fn get_mut(&mut self, sequence: u64) -> Option<&mut Open> {
+        match self.records.get_mut(&sequence) {
+            Some(Record::Open(open)) => Some(open),
+            _ => None,
+        }
+    }
+
+    /// The open submission at `sequence`.
+    #[must_use]
+    pub fn get(&self, sequence: u64) -> Option<&Open> {
+        match self.records.get(&sequence) {
+            Some(Record::Open(open)) => Some(open),
+            _ => None,
+        }
+    }
+
+    /// Open submissions, in the order of their identifiers.
+    pub fn iter(&self) -> impl Iterator<Item = (u64, &Open)> {
+        self.records.iter().filter_map(|(sequence, record)| match record {
+            Record::Open(open) => Some((*sequence, open.as_ref())),
+            _ => None,
+        })
+    }
+
+    /// What happened with a submission, as far as it is kept.
+    #[must_use]
+    pub fn course(&self, sequence: u64) -> Option<&Course> {
+        match self.records.get(&sequence)? {
+            Record::Open(open) => Some(&open.course),
+            Record::Done(done) => Some(&done.course),
+            Record::Ended => None,
+        }
+    }
+
+    /// Keeps the answer of a submission that is open no more. Returns those who wait for it.
+    pub fn close(&mut self, sequence: u64, answer: Answer, now: Instant) -> Vec<Ticket> {
+        let Some(Record::Open(mut open)) = self.records.remove(&sequence) else {
+            return Vec::new();
+        };
+        self.due.remove(&(open.due, sequence));
+        self.open -= 1;
+        let waiters = open.take_waiters();
+        let stage = Stage::Answered { outcome: answer.outcome() };
+        open.course.note(open.since, now, stage);
+        self.keep(sequence, open.digest, open.course, answer, now);
+        waiters
+    }
+
+    /// Keeps the answer of a submission that was refused at once.
+    pub fn refuse(&mut self, sequence: u64, digest: u128, refusal: Refusal, now: Instant) {
+        let mut course = Course::default();
+        let answer = Answer::from(refusal);
+        course.note(now, now, Stage::Answered { outcome: answer.outcome() });
+        self.keep(sequence, digest, course, answer, now);
+    }
+
+    /// Ends a submission that has not come yet: whatever job comes under it is answered as
+    /// cancelled.
+    pub fn withdraw(&mut self, sequence: u64, now: Instant) {
+        self.refuse(sequence, ANY_JOB, Refusal::Cancelled, now);
+    }
+
+    /// Submissions whose deadline has passed.
+    pub fn expired(&mut self, now: Instant) -> Vec<u64> {
+        let passed = self.due.iter().take_while(|(due, _)| *due <= now);
+        passed.map(|(_, sequence)| *sequence).collect()
+    }
+
+    /// The next deadline.
+    #[must_use]
+    pub fn next_due(&self) -> Option<Instant> {
+        self.due.first().map(|(due, _)| *due)
+    }
+
+    /// Forgets what is past its retention.
+    pub fn forget(&mut self, now: Instant) {
+        self.drop_answers(now);
+        self.raise_floor(now);
+        let retention = self.limits.retention;
+        self.legacies.retain(|_, legacy| now.duration_since(legacy.since) < retention);
+    }
+
+    /// The records as parts for a successor.
+    #[must_use]
+    pub fn parts(&self) -> Vec<Part> {
+        let mut groups = vec![Vec::new()];
+        let mut bytes = 0;
+        for finished in self.finished() {
+            let weight = finished.answer.as_ref().map_or(0, Answer::weight);
+            let last = groups.last_mut().expect("there is always a group");
+            if last.len() < PART_RECORDS && bytes + weight <= PART_BYTES || last.is_empty() {
+                bytes += weight;
+                last.push(finished);
+                continue;
+            }
+            bytes = weight;
+            groups.push(vec![finished]);
+        }
+        let parts = groups.len();
+        let part = |(number, finished)| Part {
+            from: self.incarnation,
+            number,
+            parts,
+            floor: self.floor,
+            next: self.next,
+            finished,
+        };
+        groups.into_iter().enumerate().map(part).collect()
+    }
+
+    /// Takes in a part of another incarnation's records.
+    pub fn inherit(&mut self, part: Part, now: Instant) {
+        let legacy = self.legacies.entry(part.from).or_insert_with(|| Legacy::new(&part, now));
+        legacy.take(part, now);
+    }
+
+    /// The records that another incarnation left.
+    #[must_use]
+    pub fn legacy(&self, incarnation: Incarnation) -> Option<&Legacy> {
+        self.legacies.get(&incarnation)
+    }
+
+    /// Incarnations whose records are held here.
+    pub fn heirlooms(&self) -> impl Iterator<Item = Incarnation> {
+        self.legacies.keys().copied()
+    }
+
+    fn finished(&self) -> impl Iterator<Item = Finished> {
+        self.records.iter().map(|(sequence, record)| {
+            let answer = match record {
+                Record::Done(done) => Some(done.answer.clone()),
+                Record::Open(_) | Record::Ended => None,
+            };
+            Finished { sequence: *sequence, answer }
+        })
+    }
+
+    fn keep(&mut self, sequence: u64, digest: u128, course: Course, answer: Answer, now: Instant) {
+        let steps = course.steps.len() * size_of::<Step>();
+        let weight = answer.weight() + steps + RECORD_BYTES;
+        self.done_bytes += weight;
+        self.done.push_back((now, sequence));
+        let done = Done { digest, answer, course, weight };
+        self.records.insert(sequence, Record::Done(Box::new(done)));
+    }
+
+    fn drop_answers(&mut self, now: Instant) {
+        while let Some((at, sequence)) = self.done.front().copied() {
+            let kept = now.duration_since(at) < self.limits.retention;
+            if kept && self.done_bytes <= self.limits.retained_bytes {
+                return;
+            }
+            self.done.pop_front();
+            if let Some(Record::Done(done)) = self.records.insert(sequence, Record::Ended) {
+                self.done_bytes -= done.weight;
+            }
+        }
+    }
+
+    fn raise_floor(&mut self, now: Instant) {
+        let life = self.limits.identifier_life;
+        while let Some(batch) = self.batches.front() {
+            if now.duration_since(batch.at) < life {
+                break;
+            }
+            self.floor = batch.until;
+            self.batches.pop_front();
+        }
+        while let Some(entry) = self.records.first_entry() {
+            // A record that still says something stays, and shields only itself.
+            if *entry.key() >= self.floor || !matches!(entry.get(), Record::Ended) {
+                return;
+            }
+            entry.remove();
+        }
+    }
+}
+
+fn mismatch() -> Standing {
+    Standing::Done(Refusal::Mismatch.into())
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,114 @@
+//! JSON over HTTP/1.1. The failures tell whether the other side may have seen the request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+pub use hyper::{Method, StatusCode};
+use hyper::{Request, Response, header};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::{Client as Pool, Error as PoolError};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+/// Time to connect.
+const CONNECT_WITHIN: Duration = Duration::from_secs(1);
+/// Time for which an idle connection is kept.
+const KEEP_IDLE: Duration = Duration::from_secs(5);
+
+/// Why there is no response.
+#[derive(Clone, Copy, Debug, Display, Error, Eq, PartialEq)]
+pub enum Failure {
+    /// No connection; the request was provably not sent.
+    #[display("no connection")]
+    Connect,
+    /// The connection ended before a whole response.
+    #[display("the connection was lost")]
+    Lost,
+    /// No whole response in time.
+    #[display("no response in time")]
+    Timeout,
+    /// The response is over the limit.
+    #[display("the response is too large")]
+    Oversized,
+}
+
+/// One request.
+#[derive(Clone, Debug)]
+pub struct Call<'a> {
+    /// Its method.
+    pub method: Method,
+    /// Where the server listens.
+    pub to: SocketAddr,
+    /// Path and query, from the first slash.
+    pub path: &'a str,
+    /// JSON body; empty for none.
+    pub body: Vec<u8>,
+    /// Time to the whole response.
+    pub within: Duration,
+}
+
+/// A client with its pool of connections.
+#[derive(Clone)]
+pub struct Client {
+    pool: Pool<HttpConnector, Full<Bytes>>,
+    max_response_bytes: usize,
+}
+
+impl Client {
+    /// A client with no connections that reads responses up to a size, in bytes.
+    #[must_use]
+    pub fn new(max_response_bytes: usize) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_WITHIN));
+        let pool = Pool::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(KEEP_IDLE)
+            .build(connector);
+        Self { pool, max_response_bytes }
+    }
+
+    /// Makes a request.
+    ///
+    /// # Errors
+    /// See [`Failure`]; after anything but [`Failure::Connect`] the request may have been served.
+    pub async fn send(&self, call: Call<'_>) -> Result<(StatusCode, Bytes), Failure> {
+        let within = call.within;
+        // Dropping the exchange closes its connection, so no late response meets another request.
+        match tokio::time::timeout(within, self.exchange(call)).await {
+            Ok(outcome) => outcome,
+            Err(_) => Err(Failure::Timeout),
+        }
+    }
+
+    async fn exchange(&self, call: Call<'_>) -> Result<(StatusCode, Bytes), Failure> {
+        let response = self.pool.request(request(call)).await.map_err(|error| failure(&error))?;
+        self.read(response).await
+    }
+
+    async fn read(&self, response: Response<Incoming>) -> Result<(StatusCode, Bytes), Failure> {
+        let status = response.status();
+        let limited = Limited::new(response.into_body(), self.max_response_bytes);
+        match limited.collect().await {
+            Ok(body) => Ok((status, body.to_bytes())),
+            Err(error) if error.is::<LengthLimitError>() => Err(Failure::Oversized),
+            Err(_) => Err(Failure::Lost),
+        }
+    }
+}
+
+fn request(call: Call<'_>) -> Request<Full<Bytes>> {
+    Request::builder()
+        .method(call.method)
+        .uri(format!("http://{}{}", call.to, call.path))
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(call.body)))
+        .expect("an IP number, a port and a path make a URI")
+}
+
+fn failure(error: &PoolError) -> Failure {
+    if error.is_connect() { Failure::Connect } else { Failure::Lost }
+}
