fix(platform): register before looking for peers

Cause: two entries that started together could each list the registrations before the other was in them, and met only at the next look 2 s later; the demo's question through another entry then gave 'unknown'. Ruled out: forwarding itself (it worked once the roster was whole). Change: the first registration is over before the first look, so the later of two finds the earlier; the embedded fleet waits until all entries know each other in place of a fixed time.

--- a/crates/cli/src/command/demo.rs
+++ b/crates/cli/src/command/demo.rs
@@ -8,6 +8,7 @@
 use coltsfootshunt_caller::{Caller, Settings};
 use coltsfootshunt_core::answer::Answer;
 use coltsfootshunt_core::job::{Draft, Job};
+use coltsfootshunt_standin::target::Target;
 
 use crate::fleet::{Fleet, Size};
 use crate::problem::Problem;
@@ -41,7 +42,7 @@
     if let Answer::Complete { outputs } = &answer {
         println!("{} outputs in {} ms", outputs.len(), took.as_millis());
     }
-    let starts: Vec<_> = fleet.targets.iter().map(|target| target.total()).collect();
+    let starts: Vec<_> = fleet.targets.iter().map(Target::total).collect();
     println!("tasks started by target: {starts:?}, {} in all", starts.iter().sum::<usize>());
     let again = caller.answer(&id, began.elapsed()).await.map_err(Problem::Caller)?;
     println!("asked again, through another entry: {}", again.outcome());
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -23,8 +23,6 @@
 const READY_WITHIN: Duration = Duration::from_secs(10);
 /// Time between looks.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
-/// Time in which members find each other after the last one is ready.
-const SETTLE: Duration = Duration::from_millis(1_500);
 
 /// Size of a fleet.
 #[derive(Clone, Debug)]
@@ -114,16 +112,20 @@
     async fn ready(&self) {
         let began = Instant::now();
         for entry in &self.entries {
-            while began.elapsed() < READY_WITHIN && !is_ready(entry).await {
+            while began.elapsed() < READY_WITHIN && !self.knows_all(entry).await {
                 tokio::time::sleep(LOOK_EVERY).await;
             }
         }
-        tokio::time::sleep(SETTLE).await;
     }
-}
 
-async fn is_ready(entry: &App) -> bool {
-    ask(entry.operators, "/readyz").await.is_ok_and(|(status, _)| status.is_success())
+    /// Whether an entry is ready and knows all others.
+    async fn knows_all(&self, entry: &App) -> bool {
+        let ready = ask(entry.operators, "/readyz").await;
+        let dump = ask(entry.operators, "/dump").await;
+        let is_ready = ready.is_ok_and(|(status, _)| status.is_success());
+        let members = dump.ok().and_then(|(_, dump)| dump["members"].as_array().map(Vec::len));
+        is_ready && members == Some(self.entries.len() - 1)
+    }
 }
 
 fn plan(size: &Size, targets: &[target::Target]) -> Result<Plan, Problem> {
--- a/crates/entry/src/control/submit.rs
+++ b/crates/entry/src/control/submit.rs
@@ -218,7 +218,7 @@
                 self.join(ticket, id.sequence, out);
                 let open = self.ledger.get_mut(id.sequence)?;
                 if let Verdict::Finished(answer) = open.cancel(now) {
-                    self.close(id.sequence, answer, now, out);
+                    self.close(id.sequence, &answer, now, out);
                 }
                 None
             }
@@ -242,7 +242,7 @@
     pub(super) fn close(
         &mut self,
         sequence: u64,
-        answer: Answer,
+        answer: &Answer,
         now: Instant,
         out: &mut Vec<Action>,
     ) {
@@ -261,7 +261,7 @@
                 continue;
             };
             let answer = open.expire(now);
-            self.close(sequence, answer, now, out);
+            self.close(sequence, &answer, now, out);
         }
     }
 
--- a/crates/entry/src/control/work.rs
+++ b/crates/entry/src/control/work.rs
@@ -114,7 +114,7 @@
                 let (job, since) = (Arc::clone(&open.job), open.since);
                 self.enqueue(sequence, &job, since, [attempt.task]);
             }
-            Verdict::Finished(answer) => self.close(sequence, answer, now, out),
+            Verdict::Finished(answer) => self.close(sequence, &answer, now, out),
         }
     }
 
@@ -133,7 +133,7 @@
                 return;
             };
             self.queue.take(&pick);
-            self.start(&pick, taken, now, out);
+            self.start(&pick, &taken, now, out);
         }
     }
 
@@ -161,11 +161,11 @@
         self.queue.remove(pick.sequence);
         if let Some(open) = self.ledger.get_mut(pick.sequence) {
             let answer = open.expire(now);
-            self.close(pick.sequence, answer, now, out);
+            self.close(pick.sequence, &answer, now, out);
         }
     }
 
-    fn start(&mut self, pick: &Pick, taken: Taken, now: Instant, out: &mut Vec<Action>) {
+    fn start(&mut self, pick: &Pick, taken: &Taken, now: Instant, out: &mut Vec<Action>) {
         let lender = self.pool.lender(taken.seat);
         let id = self.ledger.id(pick.sequence);
         let startable = self
--- a/crates/entry/src/platform/agent.rs
+++ b/crates/entry/src/platform/agent.rs
@@ -63,15 +63,17 @@
 impl Agent {
     /// Runs until the control thread ends.
     pub async fn run(self) {
+        // Of two entries that start together, the one that registers last finds the other.
+        let lease = self.enroll().await;
         tokio::join!(
-            self.clone().register(),
+            self.clone().register(lease),
             self.clone().meet(),
             self.clone().follow_configuration(),
             self.follow_hosts(),
         );
     }
 
-    /// Registers all registered entries of the fleet.
+    /// All registered entries of the fleet.
     ///
     /// # Errors
     /// The platform's failure.
@@ -83,15 +85,14 @@
         Ok(entries.iter().filter_map(parse).collect())
     }
 
-    async fn register(self) {
-        let mut lease = None;
+    async fn register(self, mut lease: Option<Lease>) {
         while self.is_wanted() {
+            let pause = if lease.is_some() { RENEW_EVERY } else { AGAIN_AFTER * 4 };
+            sleep(jitter(pause)).await;
             lease = match lease {
                 Some(held) if self.renews(&held).await => Some(held),
                 _ => self.enroll().await,
             };
-            let pause = if lease.is_some() { RENEW_EVERY } else { AGAIN_AFTER * 4 };
-            sleep(jitter(pause)).await;
         }
     }
 
