test: cover each slice, keep answers over rolling stops

Cause: a second planned stop would have dropped the answers that the first one left with its successor (found by reading: parts held own records only); slices had no tests of their own. Change: records that were left to an entry go on to its own successor with their age, so that retention counts from the first stop; bytes of inherited answers are bounded; courses of jobs that went well keep their ends only. Tests of each slice with named cases, of checked types by proptest, of the platform's adapter against the stand-in, of the examples.

--- a/crates/core/src/name.rs
+++ b/crates/core/src/name.rs
@@ -49,6 +49,7 @@
             PartialOrd, serde::Serialize, serde::Deserialize,
         )]
         #[serde(try_from = "String", into = "String")]
+        #[deref(forward)]
         pub struct $name(Arc<str>);
 
         impl TryFrom<&str> for $name {
--- /dev/null
+++ b/crates/core/tests/checked.rs
@@ -0,0 +1,160 @@
+//! Checked types: what they take, refuse and keep.
+
+use coltsfootshunt_core::answer::{Answer, Census, Doubt, Failure, Fault, Refusal};
+use coltsfootshunt_core::config::{Document, Draft, Error, Plan, Revision};
+use coltsfootshunt_core::job::{self, Job};
+use coltsfootshunt_core::name::{self, Team};
+use coltsfootshunt_core::submission::{self, Id};
+use coltsfootshunt_testkit::cases;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use serde_json::json;
+use uuid::Uuid;
+
+/// A text is a name, or not for this reason.
+fn named(text: &str, wanted: Result<(), name::Error>) {
+    assert_eq!(Team::try_from(text).map(|_| ()), wanted);
+}
+
+cases! { named:
+    plain("stand-hold_2.1", Ok(()));
+    empty("", Err(name::Error::Empty));
+    space("a b", Err(name::Error::Character { found: ' ' }));
+    tilde("a~b", Err(name::Error::Character { found: '~' }));
+    too_long(&"x".repeat(65), Err(name::Error::TooLong { length: 65 }));
+}
+
+/// A text is no identifier, for this reason.
+fn no_identifier(text: &str, wanted: &submission::Error) {
+    assert_eq!(Id::try_from(text).as_ref(), Err(wanted));
+}
+
+cases! { no_identifier:
+    no_parts("riga", &submission::Error::Parts);
+    too_many_parts("riga~0123456789abcdef~1~2", &submission::Error::Parts);
+    short_incarnation("riga~12~1", &submission::Error::Incarnation);
+    upper_case("riga~0123456789ABCDEF~1", &submission::Error::Incarnation);
+    no_sequence("riga~0123456789abcdef~", &submission::Error::Sequence);
+    sign("riga~0123456789abcdef~+1", &submission::Error::Sequence);
+}
+
+proptest! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// What is written can be read, and nothing else reads the same.
+    #[test]
+    fn identifiers_survive_their_text(zone in "[a-z]{1,9}", owner: u64, sequence: u64) {
+        let text = format!("{zone}~{owner:016x}~{sequence:x}");
+        let id = Id::try_from(text.as_str()).expect("it has the form");
+        prop_assert_eq!(id.to_string(), text);
+        prop_assert_eq!((id.owner.0, id.sequence), (owner, sequence));
+    }
+
+    /// Any text is refused with a type, never with a panic.
+    #[test]
+    fn any_text_is_read_or_refused(text in ".{0,80}") {
+        if let Ok(id) = Id::try_from(text.as_str()) {
+            prop_assert_eq!(id.to_string(), text.as_str());
+        }
+        let _ = serde_json::from_str::<job::Draft>(&text);
+        let _ = serde_json::from_str::<Answer>(&text);
+    }
+}
+
+fn draft(deadline_ms: Option<u64>, tasks: usize) -> job::Draft {
+    let value = json!({
+        "team": "team", "kind": "kind", "deadline_ms": deadline_ms, "tasks": vec![1; tasks],
+    });
+    serde_json::from_str(&value.to_string()).expect("it has the form")
+}
+
+/// A draft is no job, for this reason.
+fn no_job(deadline_ms: Option<u64>, tasks: usize, wanted: &job::Error) {
+    assert_eq!(Job::try_from(draft(deadline_ms, tasks)).map(|_| ()).as_ref(), Err(wanted));
+}
+
+cases! { no_job:
+    no_deadline(None, 1, &job::Error::NoDeadline);
+    deadline_of_zero(Some(0), 1, &job::Error::NoDeadline);
+    deadline_too_far(Some(3_600_001), 1, &job::Error::DeadlineTooFar);
+    no_tasks(Some(1), 0, &job::Error::NoTasks);
+    too_many_tasks(Some(1), 1_001, &job::Error::TooManyTasks { count: 1_001 });
+}
+
+/// Jobs that differ anywhere have different digests.
+#[test]
+fn digests_tell_jobs_apart() {
+    let digest = |draft| Job::try_from(draft).expect("it is whole").digest();
+    let one = digest(draft(Some(1_000), 2));
+    assert_eq!(one, digest(draft(Some(1_000), 2)));
+    assert_ne!(one, digest(draft(Some(1_001), 2)));
+    assert_ne!(one, digest(draft(Some(1_000), 3)));
+}
+
+/// An answer's JSON names its outcome and reads back as the same.
+fn answer_survives(answer: &Answer, outcome: &str) {
+    let text = serde_json::to_string(answer).expect("it serializes");
+    assert!(text.contains(&format!("\"outcome\":\"{outcome}\"")), "{text}");
+    let back: Answer = serde_json::from_str(&text).expect("it reads back");
+    assert_eq!(serde_json::to_string(&back).expect("it serializes"), text);
+}
+
+cases! { answer_survives:
+    complete(&Answer::Complete { outputs: draft(Some(1), 2).tasks }, "complete");
+    failed(
+        &Answer::Failed {
+            failure: Failure::Task { task: 0, fault: Fault::Lost },
+            census: Census { may_have_run: vec![0], ..Census::default() },
+        },
+        "failed",
+    );
+    not_run(&Refusal::Late { predicted_ms: 7 }.into(), "not_run");
+    unknown(&Doubt::OwnerGone.into(), "unknown");
+}
+
+/// A configuration is refused, and the message names the place.
+fn no_configuration(path: &str, value: &serde_json::Value, message: &str) {
+    let mut whole = json!({
+        "teams": [{ "name": "team", "share": 1 }],
+        "kinds": [{ "name": "kind", "idempotent": false, "expected_ms": 50 }],
+        "targets": [
+            { "name": "target", "zone": "zone", "address": "127.0.0.1:1", "slots": 8 },
+            { "name": "other", "zone": "zone", "address": "127.0.0.1:2", "slots": 8 },
+        ],
+    });
+    *whole.pointer_mut(path).expect("the place is there") = value.clone();
+    let draft: Draft = serde_json::from_value(whole).expect("it has the form");
+    let error: Error = Plan::try_from(draft).expect_err("something is wrong");
+    assert_eq!(error.to_string(), message);
+}
+
+cases! { no_configuration:
+    no_share("/teams/0/share", &json!(0), "teams[0].share must be at least 1");
+    bad_name("/kinds/0/name", &json!(""), "kinds[0].name: a name must not be empty");
+    twice("/targets/1/name", &json!("target"), "targets[1].name: target stands twice");
+    slots("/targets/0/slots", &json!(65), "targets[0].slots must be from 1 to connections");
+    rerun(
+        "/kinds/0",
+        &json!({ "name": "k", "idempotent": false, "expected_ms": 1, "rerun_lost": true }),
+        "kinds[0].rerun_lost needs an idempotent kind",
+    );
+}
+
+/// Documents follow each other and remember who wrote them, for a while.
+#[test]
+fn documents_remember_their_writers() {
+    let writers: Vec<_> = (0..40).map(Uuid::from_u128).collect();
+    let mut document: Option<Document> = None;
+    for writer in &writers {
+        document = Some(Document::after(document.as_ref(), *writer, Plan::default()));
+    }
+    let document = document.expect("there is one");
+    assert_eq!(document.mark.revision, Revision(40));
+    assert_eq!(document.written_by(writers[39]), Some(Revision(40)));
+    assert_eq!(document.written_by(writers[20]), Some(Revision(21)));
+    assert_eq!(document.written_by(writers[0]), None, "long ago");
+}
--- a/crates/entry/src/config/tests.rs
+++ b/crates/entry/src/config/tests.rs
@@ -1,1 +1,46 @@
 //! Tests of this slice.
+
+use std::time::{Duration, Instant};
+
+use coltsfootshunt_core::config::{Document, Plan, Revision};
+use coltsfootshunt_testkit::cases;
+use uuid::Uuid;
+
+use super::Holder;
+
+fn document(revision: u64) -> Document {
+    let mut document = Document::after(None, Uuid::nil(), Plan::default());
+    document.mark.revision = Revision(revision);
+    document
+}
+
+/// Offers in this order leave this revision in force.
+fn in_force(offers: &[u64], wanted: u64) {
+    let mut holder = Holder::default();
+    let mut highest = 0;
+    for revision in offers {
+        let taken = holder.offer(document(*revision));
+        assert_eq!(taken, *revision > highest);
+        highest = highest.max(*revision);
+    }
+    assert_eq!(holder.revision(), Revision(wanted));
+}
+
+cases! { in_force:
+    nothing(&[], 0);
+    rising(&[1, 2, 3], 3);
+    late_copies(&[2, 1, 2, 3, 1], 3);
+}
+
+/// A peer that has a newer revision is asked for it, and not again at once.
+#[test]
+fn newer_revision_is_asked_for_once() {
+    let now = Instant::now();
+    let mut holder = Holder::default();
+    assert!(holder.wants(Revision(2), now));
+    assert!(!holder.wants(Revision(2), now));
+    assert!(holder.wants(Revision(3), now), "a still newer one is");
+    assert!(holder.wants(Revision(3), now + Duration::from_secs(1)), "a lost answer is made good");
+    holder.offer(document(3));
+    assert!(!holder.wants(Revision(3), now + Duration::from_secs(9)));
+}
--- a/crates/entry/src/control/act.rs
+++ b/crates/entry/src/control/act.rs
@@ -48,12 +48,12 @@
         let link = Arc::clone(&self.link);
         let control = self.control.clone();
         let part = match &call {
-            Call::Inherit(part) => Some(part.number),
+            Call::Inherit(part) => Some(part.key()),
             _ => None,
         };
         self.traffic.spawn(async move {
             let response = link.call(to, call).await.ok();
-            let _ = control.tell(Event::Responded { to, peer, part, response }).await;
+            let _ = control.tell(Event::Responded { peer, part, response }).await;
         });
     }
 
--- a/crates/entry/src/control/fleet.rs
+++ b/crates/entry/src/control/fleet.rs
@@ -11,7 +11,7 @@
 use super::{Action, Note, Output, Snapshot, State};
 use crate::member::{Beat, Brief, Peer, assign};
 use crate::peer::{Call, Response};
-use crate::submission::Ticket;
+use crate::submission::{PartKey, Ticket};
 use crate::target::Departures;
 
 impl State {
@@ -63,8 +63,7 @@
 
     pub(super) fn responded(
         &mut self,
-        peer: Option<Incarnation>,
-        part: Option<usize>,
+        part: Option<PartKey>,
         response: Response,
         now: Instant,
         out: &mut Vec<Action>,
@@ -80,20 +79,15 @@
             Response::Configuration(Some(document)) => self.configure(*document, out),
             Response::Configuration(None) => {}
             Response::Taken => {
-                if let (Some(number), Some(_)) = (part, peer) {
-                    self.stage.taken(number);
+                if let Some(part) = part {
+                    self.stage.taken(part);
                 }
             }
         }
     }
 
     /// A call had no answer. Silence alone is no proof of failure; heartbeats decide.
-    pub(super) fn unanswered(
-        &mut self,
-        _to: SocketAddr,
-        peer: Option<Incarnation>,
-        part: Option<usize>,
-    ) {
+    pub(super) fn unanswered(&mut self, peer: Option<Incarnation>, part: Option<PartKey>) {
         if let Some(peer) = peer {
             self.borrower.answered(peer, 0);
             if part.is_some() && self.successor == Some(peer) {
--- a/crates/entry/src/control/message.rs
+++ b/crates/entry/src/control/message.rs
@@ -10,7 +10,7 @@
 use super::{Note, Snapshot};
 use crate::drain::{Exit, Signal};
 use crate::peer::{Call, Response};
-use crate::submission::{Reply, Request, Ticket};
+use crate::submission::{PartKey, Reply, Request, Ticket};
 use crate::target::{Departures, Report, SeatId, Start};
 
 /// Something happened.
@@ -24,12 +24,10 @@
     Call(Ticket, Call),
     /// A peer answered a call, or did not.
     Responded {
-        /// Where the call went.
-        to: SocketAddr,
         /// Whom it was meant for, where known.
         peer: Option<Incarnation>,
-        /// Number of the part, if the call handed records over.
-        part: Option<usize>,
+        /// The part, if the call handed records over.
+        part: Option<PartKey>,
         /// The answer; none if the call failed.
         response: Option<Response>,
     },
--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -137,9 +137,9 @@
             Event::Request(ticket, request) => self.request(ticket, request, now, out),
             Event::Ended(attempt, report) => self.ended(&attempt, report, now, out),
             Event::Call(ticket, call) => self.call(ticket, call, now, out),
-            Event::Responded { to, peer, part, response } => match response {
-                Some(response) => self.responded(peer, part, response, now, out),
-                None => self.unanswered(to, peer, part),
+            Event::Responded { peer, part, response } => match response {
+                Some(response) => self.responded(part, response, now, out),
+                None => self.unanswered(peer, part),
             },
             Event::Contacts(contacts) => self.roster.contact(contacts),
             Event::Departures(departures) => self.depart(&departures),
--- a/crates/entry/src/control/stop.rs
+++ b/crates/entry/src/control/stop.rs
@@ -22,7 +22,7 @@
         }
         let busy = self.ledger.open_count() > 0 || self.pool.busy() > 0;
         let ledger = &self.ledger;
-        self.stage.advance(now, busy, || ledger.parts());
+        self.stage.advance(now, busy, || ledger.parts(now));
         self.hand_over(now, out);
         if let Some(exit) = self.stage.exit() {
             self.exit(exit, out);
@@ -42,7 +42,7 @@
         if self.successor != chosen {
             self.successor = chosen;
             let ledger = &self.ledger;
-            self.stage.restart(|| ledger.parts());
+            self.stage.restart(|| ledger.parts(now));
             if let Some(first) = self.stage.first_part() {
                 part = first;
             }
--- a/crates/entry/src/control/tests/fleet.rs
+++ b/crates/entry/src/control/tests/fleet.rs
@@ -100,3 +100,21 @@
     let never = legacy.answer(id.sequence + 1);
     assert!(matches!(never, Answer::NotRun { refusal: Refusal::NeverMinted }));
 }
+
+/// Entries that stop one after the other leave all answers with the last one.
+#[test]
+fn rolling_stop_loses_no_answer() {
+    let mut world = World::new(3);
+    for entry in 0..2 {
+        world.submit(entry, "once", 2, 30_000).expect("the entry is ready");
+    }
+    for entry in 0..2 {
+        world.stop(entry);
+        run_out(&mut world);
+        assert_eq!(world.entries[entry].exit, Some(Exit::Clean));
+    }
+    for which in 0..2 {
+        world.repeat(which, 2);
+    }
+    assert_eq!(world.outcomes.get("complete"), Some(&4), "{:?}", world.outcomes);
+}
--- a/crates/entry/src/control/tests/world.rs
+++ b/crates/entry/src/control/tests/world.rs
@@ -260,12 +260,12 @@
     pub fn deliver(&mut self, which: usize, lose_answer: bool) {
         let mail = self.mail.remove(which);
         let part = match &mail.call {
-            Call::Inherit(part) => Some(part.number),
+            Call::Inherit(part) => Some(part.key()),
             _ => None,
         };
         let response = self.exchange(&mail);
         let response = if lose_answer { None } else { response };
-        let event = Event::Responded { to: mail.to, peer: mail.peer, part, response };
+        let event = Event::Responded { peer: mail.peer, part, response };
         self.event(mail.from, event);
     }
 
--- a/crates/entry/src/drain/stage.rs
+++ b/crates/entry/src/drain/stage.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use crate::submission::Part;
+use crate::submission::{Part, PartKey};
 
 use super::Exit;
 
@@ -128,11 +128,11 @@
     }
 
     /// The successor took a part.
-    pub fn taken(&mut self, number: usize) {
+    pub fn taken(&mut self, key: PartKey) {
         let Self::HandingOver { parts, sent, .. } = self else {
             return;
         };
-        if parts.front().is_some_and(|part| part.number == number) {
+        if parts.front().is_some_and(|part| part.key() == key) {
             parts.pop_front();
             *sent = None;
         }
--- a/crates/entry/src/drain/tests.rs
+++ b/crates/entry/src/drain/tests.rs
@@ -1,1 +1,66 @@
 //! Tests of this slice.
+
+use std::time::{Duration, Instant};
+
+use coltsfootshunt_core::submission::Incarnation;
+use coltsfootshunt_testkit::cases;
+
+use super::{Exit, Limits, Stage};
+use crate::submission::Part;
+
+const LIMITS: Limits = Limits { grace: Duration::from_secs(1), deadline: Duration::from_secs(10) };
+
+fn parts() -> Vec<Part> {
+    let part = |number| Part {
+        from: Incarnation(1),
+        number,
+        parts: 2,
+        age_ms: 0,
+        floor: 0,
+        next: 0,
+        finished: Vec::new(),
+    };
+    (0..2).map(part).collect()
+}
+
+/// A stop with work until `busy_secs`, with or without a successor that takes parts, ends so.
+fn ends(busy_secs: u64, successor: bool, takes: bool, wanted: Exit, after: u64) {
+    let start = Instant::now();
+    let mut stage = Stage::default();
+    assert!(stage.is_serving() && stage.accepts());
+    stage.signal(LIMITS, start);
+    assert!(!stage.is_serving() && stage.accepts(), "the balancer needs time to notice");
+    for tenth in 0..200 {
+        let now = start + Duration::from_millis(100) * tenth;
+        stage.advance(now, u64::from(tenth) < busy_secs * 10, parts);
+        if let Some(part) = stage.next_part(successor, now)
+            && takes
+        {
+            stage.taken(part.key());
+        }
+        if let Some(exit) = stage.exit() {
+            assert_eq!((exit, u64::from(tenth) / 10), (wanted, after));
+            return;
+        }
+    }
+    panic!("it never ends");
+}
+
+cases! { ends:
+    idle(0, true, true, Exit::Clean, 1);
+    with_work(5, true, true, Exit::Clean, 5);
+    without_successor(5, false, false, Exit::Clean, 5);
+    successor_does_not_answer(0, true, false, Exit::Overdue, 10);
+    work_past_the_deadline(99, true, true, Exit::Overdue, 10);
+}
+
+/// A second signal ends the process at once, with a code of its own.
+#[test]
+fn second_signal_forces() {
+    let now = Instant::now();
+    let mut stage = Stage::default();
+    stage.signal(LIMITS, now);
+    stage.signal(LIMITS, now);
+    assert_eq!(stage.exit(), Some(Exit::Forced));
+    assert_eq!([Exit::Clean, Exit::Overdue, Exit::Forced].map(Exit::code), [0, 1, 2]);
+}
--- a/crates/entry/src/platform/tests.rs
+++ b/crates/entry/src/platform/tests.rs
@@ -1,1 +1,54 @@
-//! Tests of this slice.
+//! Tests of this slice, against the stand-in.
+
+use coltsfootshunt_core::config::{Plan, Revision};
+use coltsfootshunt_standin::platform::Platform as StandIn;
+use uuid::Uuid;
+
+use super::{Failure, Http, Platform, Rejected, Swap, accept, fetch};
+
+async fn platform() -> (StandIn, Http) {
+    let stand_in = StandIn::start().await.expect("the kernel gives a port");
+    let adapter = Http::new(stand_in.address);
+    (stand_in, adapter)
+}
+
+#[tokio::test]
+async fn compare_and_swap_tells_who_won() {
+    let (_stand_in, adapter) = platform().await;
+    assert_eq!(adapter.compare_and_swap("key", 0, "one", None).await, Ok(Swap::Done));
+    assert_eq!(adapter.compare_and_swap("key", 0, "two", None).await, Ok(Swap::Lost));
+    let entry = adapter.get("key").await.expect("it is up").expect("it has a value");
+    assert_eq!((entry.version, entry.value.as_str()), (1, "one"));
+}
+
+#[tokio::test]
+async fn outage_is_a_failure_and_no_absence() {
+    let (stand_in, adapter) = platform().await;
+    stand_in.set_down(true);
+    assert_eq!(adapter.get("key").await, Err(Failure::Lost));
+    assert!(matches!(fetch(&adapter).await, Err(Rejected::Platform(Failure::Lost))));
+}
+
+#[tokio::test]
+async fn stale_base_is_a_conflict() {
+    let (_stand_in, adapter) = platform().await;
+    let first = accept(&adapter, Plan::default(), None, Uuid::new_v4()).await.expect("it is up");
+    let based_on = Some(first);
+    accept(&adapter, Plan::default(), based_on, Uuid::new_v4()).await.expect("nobody was first");
+    let late = accept(&adapter, Plan::default(), based_on, Uuid::new_v4()).await;
+    let Err(Rejected::Conflict(conflict)) = late else {
+        panic!("a rival was first: {late:?}");
+    };
+    assert_eq!((conflict.based_on, conflict.rival.revision), (first, Revision(2)));
+}
+
+#[tokio::test]
+async fn own_write_is_found_behind_a_later_one() {
+    let (stand_in, adapter) = platform().await;
+    let writer = Uuid::new_v4();
+    stand_in.lose_answers(1);
+    let mine = accept(&adapter, Plan::default(), None, writer).await.expect("it took effect");
+    accept(&adapter, Plan::default(), None, Uuid::new_v4()).await.expect("it is up");
+    let (_, document) = fetch(&adapter).await.expect("it is up").expect("a document");
+    assert_eq!(document.written_by(writer), Some(mine));
+}
--- a/crates/entry/src/settings/tests.rs
+++ b/crates/entry/src/settings/tests.rs
@@ -1,1 +1,63 @@
 //! Tests of this slice.
+
+use coltsfootshunt_testkit::cases;
+
+use super::{Problem, Settings};
+
+const WHOLE: &str = r#"{
+    // An entry host.
+    "host": "entry-1",
+    "zone": "riga",
+    "listen": {
+        "callers": "127.0.0.1:7001",
+        "operators": "127.0.0.1:7002",
+        "peers": "127.0.0.1:7003",
+    },
+    "platform": "127.0.0.1:7000",
+}"#;
+
+#[test]
+fn whole_settings_are_taken() {
+    let settings = Settings::parse("test", WHOLE).expect("they are whole");
+    assert_eq!((&*settings.host, settings.weight), ("entry-1", 1));
+}
+
+/// The examples that ship with the project are whole.
+fn example(text: &str, zone: &str) {
+    let settings = Settings::parse("example", text).expect("the example is whole");
+    assert_eq!(&*settings.zone, zone);
+}
+
+cases! { example:
+    riga_centrs(include_str!("../../../../examples/entry-riga-centrs.jsonc"), "riga-centrs");
+    riga_kurzeme(include_str!("../../../../examples/entry-riga-kurzeme.jsonc"), "riga-kurzeme");
+}
+
+/// Replacing a text in the whole settings leads to this field and points at this text.
+fn points_at(from: &str, to: &str, field: &str, place: &str) {
+    let text = WHOLE.replace(from, to);
+    let problem = Settings::parse("test", &text).expect_err("something is wrong");
+    let (found, span) = match &problem {
+        Problem::Field { field, place, .. } => (field.as_str(), *place),
+        Problem::Syntax { place, .. } => ("syntax", *place),
+        Problem::Unreadable { .. } => panic!("it was read"),
+    };
+    assert_eq!(found, field, "{problem:?}");
+    let shown = &text[span.offset()..span.offset() + span.len()];
+    assert!(shown.contains(place), "points at {shown:?}");
+}
+
+cases! { points_at:
+    no_port("127.0.0.1:7001", "127.0.0.1", "listen.callers", "127.0.0.1");
+    not_a_name("entry-1", "entry 1", "host", "entry 1");
+    unknown_field("\"platform\"", "\"platfrom\": 1, \"platform\"", "platfrom", "1");
+    wrong_type("\"riga\"", "7", "zone", "7");
+    out_of_range("\"zone\"", "\"weight\": 0, \"zone\"", "weight", "0");
+    stop_shorter_than_its_grace(
+        "\"zone\"",
+        "\"drain\": { \"deadline_ms\": 1 }, \"zone\"",
+        "drain",
+        "deadline_ms",
+    );
+    no_json("\"zone\":", "\"zone\"", "syntax", "\"");
+}
--- a/crates/entry/src/submission/course.rs
+++ b/crates/entry/src/submission/course.rs
@@ -8,6 +8,9 @@
 /// Most steps that one submission remembers; later ones are counted only.
 pub const MAX_STEPS: usize = 64;
 
+/// Steps kept from the beginning and from the end of a course that went well.
+const KEPT_ENDS: usize = 8;
+
 /// What happened, in order.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Course {
@@ -82,6 +85,18 @@
     }
 }
 
+impl Course {
+    /// Drops the middle of a course that went well, to hold more of them.
+    pub fn shorten(&mut self) {
+        let surplus = self.steps.len().saturating_sub(2 * KEPT_ENDS);
+        if surplus > 0 {
+            self.steps.drain(KEPT_ENDS..KEPT_ENDS + surplus);
+            self.omitted += surplus;
+        }
+        self.steps.shrink_to_fit();
+    }
+}
+
 fn micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/entry/src/submission/ledger.rs
+++ b/crates/entry/src/submission/ledger.rs
@@ -7,13 +7,9 @@
 use coltsfootshunt_core::name::Zone;
 use coltsfootshunt_core::submission::{Id, Incarnation};
 
+use super::legacy::{Bounds, split};
 use super::{Course, Finished, Legacy, Open, Part, Stage, Step, Ticket};
 
-/// Finished submissions in one part of a hand-over.
-const PART_RECORDS: usize = 500;
-/// Bytes of answers in one part of a hand-over, as long as one answer is no larger.
-const PART_BYTES: usize = 1 << 20;
-
 /// Bytes of a kept record beside its answer and its course.
 const RECORD_BYTES: usize = 256;
 
@@ -95,6 +91,7 @@
     done: VecDeque<(Instant, u64)>,
     done_bytes: usize,
     legacies: BTreeMap<Incarnation, Legacy>,
+    inherited_bytes: usize,
 }
 
 impl Ledger {
@@ -114,6 +111,7 @@
             done: VecDeque::new(),
             done_bytes: 0,
             legacies: BTreeMap::new(),
+            inherited_bytes: 0,
         }
     }
 
@@ -231,6 +229,9 @@
         let waiters = open.take_waiters();
         let stage = Stage::Answered { outcome: answer.outcome() };
         open.course.note(open.since, now, stage);
+        if matches!(answer, Answer::Complete { .. }) {
+            open.course.shorten();
+        }
         self.keep(sequence, open.digest, open.course, answer, now);
         waiters
     }
@@ -265,42 +266,25 @@
     pub fn forget(&mut self, now: Instant) {
         self.drop_answers(now);
         self.raise_floor(now);
-        let retention = self.limits.retention;
-        self.legacies.retain(|_, legacy| now.duration_since(legacy.since) < retention);
+        self.drop_legacies(now);
     }
 
-    /// The records as parts for a successor.
+    /// The records as parts for a successor: this incarnation's, and those that were left to it.
     #[must_use]
-    pub fn parts(&self) -> Vec<Part> {
-        let mut groups = vec![Vec::new()];
-        let mut bytes = 0;
-        for finished in self.finished() {
-            let weight = finished.answer.as_ref().map_or(0, Answer::weight);
-            let last = groups.last_mut().expect("there is always a group");
-            if last.len() < PART_RECORDS && bytes + weight <= PART_BYTES || last.is_empty() {
-                bytes += weight;
-                last.push(finished);
-                continue;
-            }
-            bytes = weight;
-            groups.push(vec![finished]);
-        }
-        let parts = groups.len();
-        let part = |(number, finished)| Part {
-            from: self.incarnation,
-            number,
-            parts,
-            floor: self.floor,
-            next: self.next,
-            finished,
-        };
-        groups.into_iter().enumerate().map(part).collect()
+    pub fn parts(&self, now: Instant) -> Vec<Part> {
+        let bounds =
+            Bounds { from: self.incarnation, floor: self.floor, next: self.next, since: now };
+        let mut parts = split(self.finished(), bounds, now);
+        let legacies = self.legacies.iter();
+        parts.extend(legacies.flat_map(|(from, legacy)| legacy.parts(*from, now)));
+        parts
     }
 
     /// Takes in a part of another incarnation's records.
     pub fn inherit(&mut self, part: Part, now: Instant) {
+        let room = self.limits.retained_bytes.saturating_sub(self.inherited_bytes);
         let legacy = self.legacies.entry(part.from).or_insert_with(|| Legacy::new(&part, now));
-        legacy.take(part, now);
+        self.inherited_bytes += legacy.take(part, room);
     }
 
     /// The records that another incarnation left.
@@ -346,6 +330,17 @@
         }
     }
 
+    fn drop_legacies(&mut self, now: Instant) {
+        let retention = self.limits.retention;
+        let mut freed = 0;
+        self.legacies.retain(|_, legacy| {
+            let kept = now.duration_since(legacy.since) < retention;
+            freed += if kept { 0 } else { legacy.weight() };
+            kept
+        });
+        self.inherited_bytes -= freed;
+    }
+
     fn raise_floor(&mut self, now: Instant) {
         let life = self.limits.identifier_life;
         while let Some(batch) = self.batches.front() {
--- a/crates/entry/src/submission/legacy.rs
+++ b/crates/entry/src/submission/legacy.rs
@@ -1,12 +1,17 @@
 //! Answers of an incarnation that stopped in good order, kept by its successor.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use coltsfootshunt_core::answer::{Answer, Doubt, Refusal};
 use coltsfootshunt_core::submission::Incarnation;
 use serde::{Deserialize, Serialize};
 
+/// Finished submissions in one part of a hand-over.
+const PART_RECORDS: usize = 500;
+/// Bytes of answers in one part of a hand-over, as long as one answer is no larger.
+const PART_BYTES: usize = 1 << 20;
+
 /// One finished submission.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Finished {
@@ -25,6 +30,8 @@
     pub number: usize,
     /// Number of parts.
     pub parts: usize,
+    /// Time since the incarnation ended, in milliseconds.
+    pub age_ms: u64,
     /// Identifiers below this one are too old to be told apart.
     pub floor: u64,
     /// The first identifier that was never given out.
@@ -33,10 +40,68 @@
     pub finished: Vec<Finished>,
 }
 
+/// Names one part.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PartKey {
+    from: Incarnation,
+    number: usize,
+}
+
+impl Part {
+    /// Names this part.
+    #[must_use]
+    pub fn key(&self) -> PartKey {
+        PartKey { from: self.from, number: self.number }
+    }
+}
+
+/// What all parts of one incarnation's records have in common.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Bounds {
+    pub from: Incarnation,
+    pub floor: u64,
+    pub next: u64,
+    pub since: Instant,
+}
+
+/// Splits records into parts of bounded size.
+pub(super) fn split(
+    records: impl Iterator<Item = Finished>,
+    bounds: Bounds,
+    now: Instant,
+) -> Vec<Part> {
+    let mut groups = vec![Vec::new()];
+    let mut bytes = 0;
+    for finished in records {
+        let weight = finished.answer.as_ref().map_or(0, Answer::weight);
+        let last = groups.last_mut().expect("there is always a group");
+        let fits = last.len() < PART_RECORDS && bytes + weight <= PART_BYTES;
+        if fits || last.is_empty() {
+            bytes += weight;
+            last.push(finished);
+        } else {
+            bytes = weight;
+            groups.push(vec![finished]);
+        }
+    }
+    let parts = groups.len();
+    let age = now.saturating_duration_since(bounds.since);
+    let part = |(number, finished)| Part {
+        from: bounds.from,
+        number,
+        parts,
+        age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        floor: bounds.floor,
+        next: bounds.next,
+        finished,
+    };
+    groups.into_iter().enumerate().map(part).collect()
+}
+
 /// What a successor knows of an incarnation that stopped.
 #[derive(Debug)]
 pub struct Legacy {
-    /// When the last part arrived.
+    /// When the incarnation ended.
     pub since: Instant,
     floor: u64,
     next: u64,
@@ -48,8 +113,9 @@
     /// Starts from the first part that arrives.
     #[must_use]
     pub fn new(part: &Part, now: Instant) -> Self {
+        let age = Duration::from_millis(part.age_ms);
         Self {
-            since: now,
+            since: now.checked_sub(age).unwrap_or(now),
             floor: part.floor,
             next: part.next,
             missing: vec![true; part.parts],
@@ -57,15 +123,40 @@
         }
     }
 
-    /// Takes in a part; a part that comes twice changes nothing.
-    pub fn take(&mut self, part: Part, now: Instant) {
-        let Some(missing) = self.missing.get_mut(part.number) else {
-            return;
-        };
-        *missing = false;
-        self.since = now;
-        let entries = part.finished.into_iter().map(|f| (f.sequence, f.answer));
-        self.finished.extend(entries);
+    /// Takes in a part; a part that comes twice changes nothing. Returns the bytes of answers that
+    /// it added. Answers beyond `room` bytes are dropped, and only the fact is kept.
+    pub fn take(&mut self, part: Part, room: usize) -> usize {
+        match self.missing.get_mut(part.number) {
+            Some(missing) if *missing => *missing = false,
+            _ => return 0,
+        }
+        let mut added = 0;
+        for Finished { sequence, answer } in part.finished {
+            let weight = answer.as_ref().map_or(0, Answer::weight);
+            let kept = answer.filter(|_| added + weight <= room);
+            added += if kept.is_some() { weight } else { 0 };
+            self.finished.insert(sequence, kept);
+        }
+        added
+    }
+
+    /// Bytes of answers held.
+    #[must_use]
+    pub fn weight(&self) -> usize {
+        self.finished.values().flatten().map(Answer::weight).sum()
+    }
+
+    /// What a further successor has to know; nothing where not all of it is known here.
+    #[must_use]
+    pub fn parts(&self, from: Incarnation, now: Instant) -> Vec<Part> {
+        if !self.whole() {
+            return Vec::new();
+        }
+        let records = self.finished.iter();
+        let finished = records
+            .map(|(sequence, answer)| Finished { sequence: *sequence, answer: answer.clone() });
+        let bounds = Bounds { from, floor: self.floor, next: self.next, since: self.since };
+        split(finished, bounds, now)
     }
 
     /// Whether every part has arrived.
--- a/crates/entry/src/submission/mod.rs
+++ b/crates/entry/src/submission/mod.rs
@@ -14,6 +14,6 @@
 
 pub use course::{Course, Stage, Step};
 pub use ledger::{Ledger, Limits, Standing};
-pub use legacy::{Finished, Legacy, Part};
+pub use legacy::{Finished, Legacy, Part, PartKey};
 pub use message::{End, Progress, Reply, Request, Ticket};
 pub use record::{Open, Verdict};
