--- a/crates/core/tests/checked.rs
+++ b/crates/core/tests/checked.rs
@@ -12,16 +12,16 @@
 use uuid::Uuid;
 
 /// A text is a name, or not for this reason.
-fn named(text: &str, wanted: Result<(), name::Error>) {
-    assert_eq!(Team::try_from(text).map(|_| ()), wanted);
+fn named(text: &str, wanted: &Result<(), name::Error>) {
+    assert_eq!(Team::try_from(text).map(|_| ()), *wanted);
 }
 
 cases! { named:
-    plain("stand-hold_2.1", Ok(()));
-    empty("", Err(name::Error::Empty));
-    space("a b", Err(name::Error::Character { found: ' ' }));
-    tilde("a~b", Err(name::Error::Character { found: '~' }));
-    too_long(&"x".repeat(65), Err(name::Error::TooLong { length: 65 }));
+    plain("stand-hold_2.1", &Ok(()));
+    empty("", &Err(name::Error::Empty));
+    space("a b", &Err(name::Error::Character { found: ' ' }));
+    tilde("a~b", &Err(name::Error::Character { found: '~' }));
+    too_long(&"x".repeat(65), &Err(name::Error::TooLong { length: 65 }));
 }
 
 /// A text is no identifier, for this reason.
--- /dev/null
+++ b/crates/entry/src/target/mod.rs
@@ -0,0 +1,21 @@
+//! Targets: the slots that this entry may use, which targets are fit for work, and how a task is
+//! sent to one.
+//!
+//! Here lives the promise that a leaving target gets no new work.
+
+mod departures;
+mod health;
+mod http;
+mod pool;
+mod runner;
+mod seat;
+
+#[cfg(test)]
+mod tests;
+
+pub use departures::Departures;
+pub use health::{Gate, Health, Rates};
+pub use http::Http;
+pub use pool::{Offer, Pool, SeatId, Taken};
+pub use runner::{Refused, Report, Runner, Start};
+pub use seat::Seat;
--- /dev/null
+++ b/crates/entry/src/target/pool.rs
@@ -0,0 +1,404 @@
+//! All slots that this entry may use, indexed so that the best free one is found at once.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coltsfootshunt_core::config::{Resources, TargetPlan};
+use coltsfootshunt_core::name::{Kind, Target};
+use coltsfootshunt_core::submission::Incarnation;
+use serde::{Deserialize, Serialize};
+
+use super::{Departures, Gate, Rates, Seat};
+use crate::loan::Loan;
+
+/// Largest part of the targets that may be ejected at once, as a divisor.
+const EJECT_ONE_IN: usize = 3;
+
+/// Stands for one seat of the pool.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct SeatId(u32);
+
+/// A slot that was taken.
+#[derive(Clone, Debug)]
+pub struct Taken {
+    /// Its seat.
+    pub seat: SeatId,
+    /// The target.
+    pub plan: Arc<TargetPlan>,
+}
+
+/// Slots of one target that change hands.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Offer {
+    /// The target.
+    pub target: Target,
+    /// Number of slots.
+    pub slots: u32,
+}
+
+/// Place of a free seat in the order of choice: own first, fast first, idle first.
+type Place = (bool, u16, u32, SeatId);
+
+/// The slots.
+#[derive(Debug, Default)]
+pub struct Pool {
+    seats: HashMap<SeatId, Seat>,
+    by_target: HashMap<(Target, Option<Incarnation>), SeatId>,
+    by_lender: BTreeMap<Incarnation, BTreeSet<SeatId>>,
+    free: BTreeMap<Resources, BTreeSet<Place>>,
+    places: HashMap<SeatId, Place>,
+    rates: Rates,
+    next: u32,
+    own_free: u32,
+    own_usable: u32,
+    own_lent: u32,
+    busy: u32,
+    borrowed: u32,
+    borrowed_spare: u32,
+    ejected: usize,
+    own_seats: usize,
+}
+
+impl Pool {
+    /// Makes `targets` the ones that this entry is steward of. Seats of others close, and go when
+    /// they are idle.
+    pub fn configure(&mut self, targets: &[Arc<TargetPlan>], departures: &Departures) {
+        let keep: HashMap<_, _> = targets.iter().map(|plan| (plan.name.clone(), plan)).collect();
+        for id in self.own_ids() {
+            let plan = keep.get(&self.seats[&id].plan.name);
+            self.change(id, |seat| match plan {
+                Some(plan) => {
+                    seat.closed = departures.contains(&plan.name);
+                    seat.slots = plan.slots;
+                    seat.plan = Arc::clone(plan);
+                }
+                None => seat.closed = true,
+            });
+        }
+        for plan in targets {
+            if self.by_target.contains_key(&(plan.name.clone(), None)) {
+                continue;
+            }
+            let mut seat = Seat::own(Arc::clone(plan));
+            seat.closed = departures.contains(&plan.name);
+            self.add(seat);
+        }
+    }
+
+    /// Closes the seats of a leaving target, own and borrowed.
+    pub fn close(&mut self, departures: &Departures) {
+        let leaving = |seat: &Seat| departures.contains(&seat.plan.name);
+        let ids: Vec<_> =
+            self.seats.iter().filter(|(_, s)| leaving(s)).map(|(id, _)| *id).collect();
+        for id in ids {
+            self.change(id, |seat| seat.closed = true);
+        }
+    }
+
+    /// Whether a slot is free that covers `needs`.
+    #[must_use]
+    pub fn has_free(&self, needs: &Resources) -> bool {
+        self.free.iter().any(|(has, places)| has.cover(needs) && !places.is_empty())
+    }
+
+    /// Whether any seat, free or not, covers `needs`.
+    #[must_use]
+    pub fn could_serve(&self, needs: &Resources) -> bool {
+        self.seats.values().any(|seat| seat.plan.has.cover(needs))
+    }
+
+    /// Takes the best free slot that covers `needs`.
+    pub fn take(&mut self, needs: &Resources) -> Option<Taken> {
+        let classes = self.free.iter().filter(|(has, _)| has.cover(needs));
+        let best = classes.filter_map(|(_, places)| places.first()).min()?;
+        let seat = best.3;
+        self.change(seat, |seat| seat.busy += 1);
+        let plan = Arc::clone(&self.seats[&seat].plan);
+        Some(Taken { seat, plan })
+    }
+
+    /// Frees a slot without a word on the target.
+    pub fn release(&mut self, id: SeatId) {
+        self.change(id, |seat| seat.busy = seat.busy.saturating_sub(1));
+        self.sweep(id);
+    }
+
+    /// Takes in the time of a run.
+    pub fn learn(&mut self, id: SeatId, time: Duration, mean: Duration) {
+        self.change(id, |seat| seat.learn(time, mean));
+    }
+
+    /// Takes in whether a run failed. Returns the target if it is ejected for that.
+    pub fn judge(&mut self, id: SeatId, kind: &Kind, failed: bool, now: Instant) -> Option<Target> {
+        let floor = self.own_seats / EJECT_ONE_IN;
+        let room = self.ejected < floor.max(usize::from(self.own_seats > 1));
+        let mut rates = std::mem::take(&mut self.rates);
+        let mut ejected = false;
+        self.change(id, |seat| {
+            let open = matches!(seat.health.gate, Gate::Open { .. });
+            let bad = seat.health.note(kind, failed, seat.plan.slots, &mut rates);
+            ejected = bad && open && room && seat.lender.is_none();
+            if ejected {
+                seat.health.eject(now);
+            }
+        });
+        self.rates = rates;
+        if !ejected {
+            return None;
+        }
+        self.ejected += 1;
+        self.seats.get(&id).map(|seat| seat.plan.name.clone())
+    }
+
+    /// A target refused a task for want of room.
+    pub fn throttle(&mut self, id: SeatId) {
+        self.change(id, |seat| seat.health.throttle(seat.busy));
+    }
+
+    /// The seat of a target that this entry is steward of.
+    #[must_use]
+    pub fn own(&self, target: &Target) -> Option<SeatId> {
+        self.by_target.get(&(target.clone(), None)).copied()
+    }
+
+    /// Opens ejected targets whose time has come. Returns them.
+    pub fn probe(&mut self, now: Instant) -> Vec<Target> {
+        if self.ejected == 0 {
+            return Vec::new();
+        }
+        let mut probed = Vec::new();
+        for id in self.own_ids() {
+            let mut opened = false;
+            self.change(id, |seat| opened = seat.health.probe(now));
+            if opened {
+                self.ejected -= 1;
+                probed.push(self.seats[&id].plan.name.clone());
+            }
+        }
+        probed
+    }
+
+    /// Lends up to `count` free own slots that cover `needs`.
+    pub fn lend(&mut self, needs: &Resources, count: u32) -> Vec<Offer> {
+        let mut offers: BTreeMap<Target, u32> = BTreeMap::new();
+        for _ in 0..count {
+            let classes = self.free.iter().filter(|(has, _)| has.cover(needs));
+            let own = classes.filter_map(|(_, places)| places.first()).filter(|place| !place.0);
+            let Some(id) = own.min().map(|place| place.3) else {
+                break;
+            };
+            self.change(id, |seat| seat.lent += 1);
+            *offers.entry(self.seats[&id].plan.name.clone()).or_default() += 1;
+        }
+        offers.into_iter().map(|(target, slots)| Offer { target, slots }).collect()
+    }
+
+    /// Takes back slots that were lent.
+    pub fn restore(&mut self, target: &Target, slots: u32) {
+        let Some(id) = self.own(target) else {
+            return;
+        };
+        self.change(id, |seat| seat.lent = seat.lent.saturating_sub(slots));
+        self.sweep(id);
+    }
+
+    /// Adds slots that a peer lends.
+    pub fn borrow(
+        &mut self,
+        lender: Incarnation,
+        plan: Arc<TargetPlan>,
+        slots: u32,
+        until: Instant,
+    ) {
+        let key = (plan.name.clone(), Some(lender));
+        match self.by_target.get(&key).copied() {
+            Some(id) => self.change(id, |seat| {
+                seat.slots += slots;
+                seat.until = Some(until);
+            }),
+            None => self.add(Seat::borrowed(plan, lender, slots, until)),
+        }
+    }
+
+    /// The loans, by lender.
+    #[must_use]
+    pub fn loans(&self, now: Instant) -> Vec<Loan> {
+        let loan = |(lender, ids): (&Incarnation, &BTreeSet<SeatId>)| {
+            let seats = ids.iter().filter_map(|id| self.seats.get(id));
+            let mut loan = Loan { lender: *lender, slots: 0, spare: 0, over: false };
+            for seat in seats {
+                loan.slots += seat.slots;
+                loan.spare += seat.slots - seat.busy;
+                loan.over |= seat.closed || seat.until.is_some_and(|until| until <= now);
+            }
+            loan
+        };
+        self.by_lender.iter().map(loan).collect()
+    }
+
+    /// Takes out the slots of one lender that no task uses.
+    pub fn give_back(&mut self, lender: Incarnation) -> Vec<Offer> {
+        let ids = self.by_lender.get(&lender).cloned().unwrap_or_default();
+        let mut offers = Vec::new();
+        for id in ids {
+            let seat = &self.seats[&id];
+            let slots = seat.slots - seat.busy;
+            if slots == 0 {
+                continue;
+            }
+            offers.push(Offer { target: seat.plan.name.clone(), slots });
+            self.change(id, |seat| seat.slots -= slots);
+            self.sweep(id);
+        }
+        offers
+    }
+
+    /// Who lends a seat; none where this entry is the steward.
+    #[must_use]
+    pub fn lender(&self, id: SeatId) -> Option<Incarnation> {
+        self.seats.get(&id).and_then(|seat| seat.lender)
+    }
+
+    /// Slots borrowed from one lender.
+    #[must_use]
+    pub fn holding(&self, lender: Incarnation) -> Vec<Offer> {
+        let from = |seat: &&Seat| seat.lender == Some(lender);
+        let offer = |seat: &Seat| Offer { target: seat.plan.name.clone(), slots: seat.slots };
+        self.seats.values().filter(from).map(offer).collect()
+    }
+
+    /// Own slots that are free.
+    #[must_use]
+    pub fn own_free(&self) -> u32 {
+        self.own_free
+    }
+
+    /// Own slots that may be given work, used or not.
+    #[must_use]
+    pub fn own_usable(&self) -> u32 {
+        self.own_usable
+    }
+
+    /// Own slots that are lent.
+    #[must_use]
+    pub fn own_lent(&self) -> u32 {
+        self.own_lent
+    }
+
+    /// Slots on loan from peers.
+    #[must_use]
+    pub fn borrowed(&self) -> u32 {
+        self.borrowed
+    }
+
+    /// Slots on loan that no task uses.
+    #[must_use]
+    pub fn borrowed_spare(&self) -> u32 {
+        self.borrowed_spare
+    }
+
+    /// Slots with a task of this entry.
+    #[must_use]
+    pub fn busy(&self) -> u32 {
+        self.busy
+    }
+
+    /// All seats.
+    pub fn iter(&self) -> impl Iterator<Item = &Seat> {
+        self.seats.values()
+    }
+
+    fn own_ids(&self) -> Vec<SeatId> {
+        self.seats.iter().filter(|(_, seat)| seat.lender.is_none()).map(|(id, _)| *id).collect()
+    }
+
+    fn add(&mut self, seat: Seat) {
+        let id = SeatId(self.next);
+        self.next = self.next.wrapping_add(1);
+        self.by_target.insert((seat.plan.name.clone(), seat.lender), id);
+        self.own_seats += usize::from(seat.lender.is_none());
+        if let Some(lender) = seat.lender {
+            self.by_lender.entry(lender).or_default().insert(id);
+        }
+        self.count(&seat, true);
+        self.seats.insert(id, seat);
+        self.index(id);
+    }
+
+    /// Changes a seat and keeps counts and index true.
+    fn change(&mut self, id: SeatId, change: impl FnOnce(&mut Seat)) {
+        let Some(mut seat) = self.seats.remove(&id) else {
+            return;
+        };
+        self.count(&seat, false);
+        change(&mut seat);
+        self.count(&seat, true);
+        self.seats.insert(id, seat);
+        self.index(id);
+    }
+
+    fn count(&mut self, seat: &Seat, add: bool) {
+        let apply = |sum: &mut u32, amount: u32| {
+            *sum = if add { *sum + amount } else { *sum - amount };
+        };
+        apply(&mut self.busy, seat.busy);
+        if seat.lender.is_some() {
+            apply(&mut self.borrowed, seat.slots);
+            apply(&mut self.borrowed_spare, seat.slots - seat.busy);
+            return;
+        }
+        apply(&mut self.own_free, seat.free());
+        apply(&mut self.own_usable, seat.usable());
+        apply(&mut self.own_lent, seat.lent);
+    }
+
+    fn index(&mut self, id: SeatId) {
+        let Some(seat) = self.seats.get(&id) else {
+            return;
+        };
+        let place = (seat.lender.is_some(), seat.pace_step(), seat.busy, id);
+        let wanted = (seat.free() > 0).then_some(place);
+        let known = self.places.get(&id).copied();
+        if wanted == known {
+            return;
+        }
+        let class = self.free.entry(seat.plan.has).or_default();
+        if let Some(known) = known {
+            class.remove(&known);
+            self.places.remove(&id);
+        }
+        if let Some(wanted) = wanted {
+            class.insert(wanted);
+            self.places.insert(id, wanted);
+        }
+    }
+
+    /// Drops a seat that is of no more use.
+    fn sweep(&mut self, id: SeatId) {
+        let Some(seat) = self.seats.get(&id) else {
+            return;
+        };
+        let returned = seat.lender.is_some() && seat.slots == 0;
+        if !returned || !seat.is_idle() {
+            return;
+        }
+        let key = (seat.plan.name.clone(), seat.lender);
+        let class = seat.plan.has;
+        if let Some(place) = self.places.remove(&id)
+            && let Some(places) = self.free.get_mut(&class)
+        {
+            places.remove(&place);
+        }
+        if let Some(lender) = seat.lender
+            && let Some(ids) = self.by_lender.get_mut(&lender)
+        {
+            ids.remove(&id);
+            if ids.is_empty() {
+                self.by_lender.remove(&lender);
+            }
+        }
+        self.seats.remove(&id);
+        self.by_target.remove(&key);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/target/seat.rs
@@ -0,0 +1,106 @@
+//! The slots of one target that this entry may use, as its steward or on loan.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coltsfootshunt_core::config::TargetPlan;
+use coltsfootshunt_core::submission::Incarnation;
+
+use super::{Gate, Health};
+
+/// Weight of the newest run in the learned pace.
+const PACE_GAIN: f64 = 0.1;
+/// Steps in which paces are compared, per unit; finer differences are noise.
+const PACE_STEPS: f64 = 4.0;
+
+/// Slots of one target.
+#[derive(Debug)]
+pub struct Seat {
+    /// The target.
+    pub plan: Arc<TargetPlan>,
+    /// Who lends the slots; none where this entry is the steward.
+    pub lender: Option<Incarnation>,
+    /// Slots: all of the target's, or those on loan.
+    pub slots: u32,
+    /// Slots with a task of this entry.
+    pub busy: u32,
+    /// Slots lent to others.
+    pub lent: u32,
+    /// Until when tasks may start on borrowed slots.
+    pub until: Option<Instant>,
+    /// Fitness for work.
+    pub health: Health,
+    /// Whether the target leaves, or is this entry's no more.
+    pub closed: bool,
+    pace: f64,
+}
+
+impl Seat {
+    /// Slots of a target that this entry is steward of.
+    #[must_use]
+    pub fn own(plan: Arc<TargetPlan>) -> Self {
+        let slots = plan.slots;
+        Self::new(plan, None, slots, None)
+    }
+
+    /// Slots on loan.
+    #[must_use]
+    pub fn borrowed(
+        plan: Arc<TargetPlan>,
+        lender: Incarnation,
+        slots: u32,
+        until: Instant,
+    ) -> Self {
+        Self::new(plan, Some(lender), slots, Some(until))
+    }
+
+    fn new(
+        plan: Arc<TargetPlan>,
+        lender: Option<Incarnation>,
+        slots: u32,
+        until: Option<Instant>,
+    ) -> Self {
+        let health = Health::new(plan.slots);
+        Self { plan, lender, slots, busy: 0, lent: 0, until, health, closed: false, pace: 1.0 }
+    }
+
+    /// Slots that may be given work, used or not.
+    #[must_use]
+    pub fn usable(&self) -> u32 {
+        match self.health.gate {
+            _ if self.closed => 0,
+            Gate::Open { limit } => self.slots.min(limit),
+            Gate::Ejected { .. } => 0,
+        }
+    }
+
+    /// Slots that a task may take now.
+    #[must_use]
+    pub fn free(&self) -> u32 {
+        self.usable().saturating_sub(self.busy + self.lent)
+    }
+
+    /// Whether nothing uses the seat.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.busy == 0 && self.lent == 0
+    }
+
+    /// Takes in how long a run took, against the kind's mean.
+    pub fn learn(&mut self, time: Duration, mean: Duration) {
+        let ratio = time.as_secs_f64() / mean.as_secs_f64().max(1e-6);
+        self.pace += (ratio.min(4.0) - self.pace) * PACE_GAIN;
+    }
+
+    /// Learned run time against the mean of all targets.
+    #[must_use]
+    pub fn pace(&self) -> f64 {
+        self.pace
+    }
+
+    /// Pace in coarse steps; lower is faster.
+    #[must_use]
+    pub fn pace_step(&self) -> u16 {
+        (self.pace * PACE_STEPS).round() as u16
+    }
+}
--- /dev/null
+++ b/crates/entry/src/target/tests.rs
@@ -0,0 +1,187 @@
+//! Tests of this slice.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coltsfootshunt_core::config::{Resources, TargetPlan};
+use coltsfootshunt_core::name::{Kind, Target, Zone};
+use coltsfootshunt_core::submission::Incarnation;
+use coltsfootshunt_testkit::cases;
+
+use super::{Departures, Pool, Taken};
+
+const ANY: Resources = Resources { cores: 0, memory_mib: 0, accelerators: 0 };
+const LENDER: Incarnation = Incarnation(5);
+
+fn name(number: usize) -> Target {
+    Target::try_from(format!("target-{number}")).expect("a name")
+}
+
+fn kind(text: &str) -> Kind {
+    Kind::try_from(text).expect("a name")
+}
+
+fn plan(number: usize, slots: u32, accelerators: u32) -> Arc<TargetPlan> {
+    Arc::new(TargetPlan {
+        name: name(number),
+        zone: Zone::try_from("zone").expect("a name"),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        slots,
+        connections: 64,
+        has: Resources { accelerators, ..ANY },
+    })
+}
+
+fn pool(targets: usize) -> Pool {
+    let plans: Vec<_> = (0..targets).map(|number| plan(number, 2, 0)).collect();
+    let mut pool = Pool::default();
+    pool.configure(&plans, &Departures::default());
+    pool
+}
+
+fn leaving(number: usize) -> Departures {
+    Departures::new(1, BTreeSet::from([name(number)]))
+}
+
+/// Runs tasks until some target is ejected or enough ran. A run fails where `fails` says so.
+fn run(pool: &mut Pool, runs: usize, fails: impl Fn(&Taken) -> bool) -> BTreeSet<Target> {
+    let now = Instant::now();
+    let mut ejected = BTreeSet::new();
+    for _ in 0..runs {
+        let Some(taken) = pool.take(&ANY) else {
+            break;
+        };
+        pool.release(taken.seat);
+        let failed = fails(&taken);
+        ejected.extend(pool.judge(taken.seat, &kind("kind"), failed, now));
+        // Another target comes up next.
+        let mean = Duration::from_millis(100);
+        pool.learn(taken.seat, if failed { mean } else { mean * 4 }, mean);
+    }
+    ejected
+}
+
+/// So many of the targets fail all they get; so many are ejected.
+fn ejects(targets: usize, bad: usize, wanted: usize) {
+    let mut pool = pool(targets);
+    let is_bad = |taken: &Taken| (0..bad).any(|number| name(number) == taken.plan.name);
+    let ejected = run(&mut pool, 400, is_bad);
+    assert_eq!(ejected.len(), wanted, "{ejected:?}");
+}
+
+cases! { ejects:
+    good_targets(10, 0, 0);
+    one_bad_target(10, 1, 1);
+    no_more_than_a_third(9, 5, 3);
+    the_only_target(1, 1, 0);
+}
+
+/// A kind that fails everywhere condemns no target.
+#[test]
+fn bad_kind_ejects_no_target() {
+    let mut pool = pool(20);
+    let now = Instant::now();
+    for round in 0..30 {
+        for number in 0..20 {
+            let seat = pool.own(&name(number)).expect("it is there");
+            let bad = round > 5;
+            let text = if bad { "bad" } else { "good" };
+            let ejected = pool.judge(seat, &kind(text), bad, now);
+            assert_eq!(ejected, None, "round {round}");
+        }
+    }
+}
+
+/// An ejected target is probed with one task, and opens as it succeeds.
+#[test]
+fn ejected_target_is_probed_and_comes_back() {
+    let mut pool = pool(4);
+    let bad = name(0);
+    let ejected = run(&mut pool, 400, |taken| taken.plan.name == bad);
+    assert!(ejected.contains(&bad));
+    assert_eq!(pool.own_usable(), 6);
+    let later = Instant::now() + Duration::from_secs(6);
+    assert_eq!(pool.probe(later), std::slice::from_ref(&bad));
+    assert_eq!(pool.own_usable(), 7, "one slot for the probe");
+    let seat = pool.own(&bad).expect("it is there");
+    pool.judge(seat, &kind("kind"), false, later);
+    assert_eq!(pool.own_usable(), 8);
+}
+
+/// Slots lent come back, also if the book says otherwise meanwhile.
+#[test]
+fn lent_slots_come_back() {
+    let mut pool = pool(3);
+    let offers = pool.lend(&ANY, 4);
+    assert_eq!((pool.own_free(), pool.own_lent()), (2, 4));
+    for offer in offers {
+        pool.restore(&offer.target, offer.slots);
+    }
+    assert_eq!((pool.own_free(), pool.own_lent()), (6, 0));
+}
+
+/// Borrowed slots go back but for those in use, and those in use later.
+#[test]
+fn borrowed_slots_go_back() {
+    let now = Instant::now();
+    let mut pool = pool(0);
+    pool.borrow(LENDER, plan(7, 8, 0), 3, now + Duration::from_secs(1));
+    let taken = pool.take(&ANY).expect("a slot is free");
+    assert_eq!(pool.lender(taken.seat), Some(LENDER));
+    let slots =
+        |pool: &mut Pool| -> u32 { pool.give_back(LENDER).iter().map(|offer| offer.slots).sum() };
+    assert_eq!(slots(&mut pool), 2);
+    assert!(pool.take(&ANY).is_none());
+    pool.release(taken.seat);
+    assert_eq!(slots(&mut pool), 1);
+    assert_eq!((pool.borrowed(), pool.iter().count()), (0, 0));
+}
+
+/// A leaving target gets no new work, whether its slots are own or borrowed.
+fn leaving_target(borrowed: bool) {
+    let now = Instant::now();
+    let mut pool = pool(if borrowed { 0 } else { 1 });
+    if borrowed {
+        pool.borrow(LENDER, plan(0, 8, 0), 2, now + Duration::from_secs(1));
+    }
+    assert!(pool.has_free(&ANY));
+    pool.close(&leaving(0));
+    assert!(!pool.has_free(&ANY) && pool.take(&ANY).is_none());
+}
+
+cases! { leaving_target:
+    own_slots(false);
+    borrowed_slots(true);
+}
+
+/// The list with the higher version counts, whoever brings it.
+fn list_versions(first: u64, second: u64, wanted: bool) {
+    let mut departures = Departures::default();
+    departures.offer(&Departures::new(first, BTreeSet::new()));
+    departures.offer(&Departures::new(second, BTreeSet::from([name(0)])));
+    assert_eq!(departures.contains(&name(0)), wanted);
+}
+
+cases! { list_versions:
+    newer(1, 2, true);
+    older(2, 1, false);
+    same(2, 2, false);
+}
+
+/// Tasks go only where there is what they need, fast targets first.
+#[test]
+fn needs_and_pace_decide() {
+    let mut pool = Pool::default();
+    let plans = [plan(0, 1, 0), plan(1, 1, 2), plan(2, 1, 0)];
+    pool.configure(&plans, &Departures::default());
+    let slow = pool.own(&name(0)).expect("it is there");
+    for _ in 0..30 {
+        pool.learn(slow, Duration::from_millis(300), Duration::from_millis(100));
+    }
+    let needs = Resources { accelerators: 1, ..ANY };
+    assert_eq!(pool.take(&needs).expect("one has them").plan.name, name(1));
+    assert!(pool.take(&needs).is_none());
+    assert_eq!(pool.take(&ANY).expect("a slot is free").plan.name, name(2), "the fast one first");
+    assert_eq!(pool.take(&ANY).expect("a slot is free").plan.name, name(0));
+}
