--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -83,6 +83,7 @@
     pub(super) stewarded: Option<(u64, bool)>,
     pub(super) next_round: Instant,
     pub(super) next_return: Instant,
+    pub(super) next_lend: Instant,
     pub(super) started: u64,
     pub(super) published: Snapshot,
     pub(super) successor: Option<Incarnation>,
@@ -120,6 +121,7 @@
             stewarded: None,
             next_round: now,
             next_return: now,
+            next_lend: now,
             started: 0,
             published: Snapshot::new(incarnation),
             successor: None,
@@ -174,6 +176,9 @@
         if self.pool.borrowed_spare() > 0 {
             wake = wake.min(self.next_return);
         }
+        if self.lender.has_wishes() && self.pool.own_free() > 0 {
+            wake = wake.min(self.next_lend);
+        }
         wake
     }
 
--- a/crates/entry/src/control/work.rs
+++ b/crates/entry/src/control/work.rs
@@ -13,8 +13,8 @@
 use crate::submission::{End, Verdict};
 use crate::target::{Offer, Refused, Report, Start, Taken};
 
-/// Time in which slots that go back are collected into one call.
-const RETURN_EVERY: Duration = Duration::from_millis(10);
+/// Time in which slots that change hands are collected into one call.
+const COLLECT: Duration = Duration::from_millis(10);
 /// Most slots asked of one peer at once.
 const MAX_WANT: usize = 256;
 
@@ -241,7 +241,15 @@
 
     /// Grants what could not be granted before, now that slots are free.
     pub(super) fn lend_to_wishes(&mut self, now: Instant, out: &mut Vec<Action>) {
-        while self.queue.is_empty() && self.pool.own_free() > 0 {
+        if !self.queue.is_empty() || self.pool.own_free() == 0 || !self.lender.has_wishes() {
+            self.next_lend = self.next_lend.max(now);
+            return;
+        }
+        if now < self.next_lend {
+            return;
+        }
+        self.next_lend = now + COLLECT;
+        while self.pool.own_free() > 0 {
             let Some(want) = self.lender.next_wish(now) else {
                 return;
             };
@@ -311,13 +319,13 @@
     /// Gives idle borrowed slots back where it is time.
     pub(super) fn give_back(&mut self, now: Instant, out: &mut Vec<Action>) {
         if self.pool.borrowed_spare() == 0 {
-            self.next_return = now + RETURN_EVERY;
+            self.next_return = now + COLLECT;
             return;
         }
         if now < self.next_return {
             return;
         }
-        self.next_return = now + RETURN_EVERY;
+        self.next_return = now + COLLECT;
         let has_work = !self.queue.is_empty() && !self.is_held();
         for loan in self.pool.loans(now) {
             if !self.borrower.returns(&loan, has_work, now) {
--- a/crates/entry/src/loan/borrower.rs
+++ b/crates/entry/src/loan/borrower.rs
@@ -5,10 +5,14 @@
 
 use coltsfootshunt_core::submission::Incarnation;
 
-/// Time before the same peer is asked again.
-const ASK_AGAIN: Duration = Duration::from_millis(50);
+use super::lender::WISH_LIFE;
+
+/// Time before the same peer is asked again; the wish stands there for as long.
+const ASK_AGAIN: Duration = WISH_LIFE;
 /// Time over which slots are collected before they go back, while their lender can do without.
 const COLLECT: Duration = Duration::from_millis(250);
+/// The same once the lender has asked for them.
+const COLLECT_RECALLED: Duration = Duration::from_millis(40);
 /// Peers that are asked where none is known to have a free slot.
 const BLIND: usize = 1;
 
@@ -126,7 +130,7 @@
         }
     }
 
-    /// Slots that were asked for and may still come.
+    /// Slots that were asked for and not answered; a wish that could not be met counts no more.
     #[must_use]
     pub fn pending(&self, now: Instant) -> u32 {
         let fresh = |asked: &&Asked| now.duration_since(asked.at) < ASK_AGAIN;
@@ -145,15 +149,15 @@
         if loan.spare == 0 {
             return false;
         }
-        if self.recalled.contains(&loan.lender) {
-            return !has_work || loan.over;
-        }
+        let free_to_go = !has_work || loan.over;
         if loan.spare == loan.slots {
-            return !has_work || loan.over;
+            return free_to_go;
         }
+        let recalled = self.recalled.contains(&loan.lender);
+        let collect = if recalled { COLLECT_RECALLED } else { COLLECT };
         let last = self.returned.get(&loan.lender);
-        let collected = last.is_none_or(|at| now.duration_since(*at) >= COLLECT);
-        loan.over && collected
+        let collected = last.is_none_or(|at| now.duration_since(*at) >= collect);
+        collected && if recalled { free_to_go } else { loan.over }
     }
 
     /// Notes that slots went back.
--- a/crates/entry/src/loan/lender.rs
+++ b/crates/entry/src/loan/lender.rs
@@ -12,7 +12,7 @@
 /// Time within which a borrower may start tasks on lent slots.
 pub const TERM: Duration = Duration::from_millis(250);
 /// Time for which an unmet wish stands.
-const WISH_LIFE: Duration = Duration::from_millis(250);
+pub(super) const WISH_LIFE: Duration = Duration::from_millis(250);
 /// Time after a grant before the borrower's own word on what it holds counts.
 const SETTLE: Duration = Duration::from_secs(2);
 
--- a/crates/entry/src/loan/tests.rs
+++ b/crates/entry/src/loan/tests.rs
@@ -103,7 +103,8 @@
 fn goes_back(spare: u32, over: bool, recalled: bool, has_work: bool, wanted: bool) {
     let mut borrower = Borrower::default();
     let now = Instant::now();
-    borrower.returned(PEER, false, now);
+    let earlier = Duration::from_millis(50);
+    borrower.returned(PEER, false, now - earlier);
     if recalled {
         borrower.recall(PEER);
     }
@@ -117,6 +118,7 @@
     all_idle(4, false, false, false, true);
     all_idle_but_work_waits(4, false, false, true, false);
     recalled(2, false, true, false, true);
-    term_over_but_collected_just_now(2, true, false, false, false);
+    recalled_but_work_waits(2, false, true, true, false);
+    term_over_but_collected_a_moment_ago(2, true, false, false, false);
     term_over_and_all_idle(4, true, false, true, true);
 }
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -219,6 +219,41 @@
         let _ = signal::kill(Pid::from_raw(pid), what);
     }
 
+    /// Processor time that the process has used.
+    ///
+    /// # Panics
+    /// The process is gone.
+    #[must_use]
+    pub fn processor_time(&self) -> Duration {
+        /// Length of a tick in the kernel's accounts.
+        const TICK: Duration = Duration::from_millis(10);
+        /// Places of the fields after the program's name.
+        const USER: usize = 11;
+        const SYSTEM: usize = 12;
+        let text = self.account("stat");
+        let (_, fields) = text.rsplit_once(')').expect("the name is in brackets");
+        let fields: Vec<_> = fields.split_whitespace().collect();
+        let ticks = |place: usize| fields[place].parse::<u32>().expect("a number");
+        TICK * (ticks(USER) + ticks(SYSTEM))
+    }
+
+    /// Memory of the process that is resident, in bytes.
+    ///
+    /// # Panics
+    /// The process is gone.
+    #[must_use]
+    pub fn resident_bytes(&self) -> usize {
+        const PAGE: usize = 4_096;
+        let text = self.account("statm");
+        let pages = text.split(' ').nth(1).and_then(|pages| pages.parse::<usize>().ok());
+        pages.expect("a number") * PAGE
+    }
+
+    fn account(&self, name: &str) -> String {
+        let path = format!("/proc/{}/{name}", self.child.id());
+        std::fs::read_to_string(path).expect("the process lives")
+    }
+
     /// Waits for the end of the process and returns its exit code, if it had one.
     pub async fn exit(&mut self) -> Option<i32> {
         let child = std::cell::RefCell::new(&mut self.child);
