fix(caller): spread submissions over entries; wait at the owner; let lost targets go

A short wait through an entry that was not the owner ended as 'unknown' (the forwarding side gave up first). Seats of targets that an entry lost stayed in its pool for ever. Change: identifiers in hand are kept apart for each entry and taken in turn; the owner waits as long as the caller does and says 'pending'; a lost target's seat goes once idle. Lending has files of its own, how an identifier stands is worked out in one place, answers no code gave are gone from the types.

--- a/crates/caller/src/caller.rs
+++ b/crates/caller/src/caller.rs
@@ -45,12 +45,8 @@
 #[derive(Debug, Display, Error)]
 pub enum Failure {
     /// No entry gave an identifier; nothing was submitted.
-    #[display("no entry gives an identifier: {reason}")]
-    NoIdentifier {
-        /// The last entry's reason.
-        #[error(not(source))]
-        reason: String,
-    },
+    #[display("no entry gives an identifier: {_0}")]
+    NoIdentifier(#[error(source)] Unminted),
     /// The submission was sent and nobody answered for it.
     #[display("no answer for {id}; ask again under the same identifier")]
     NoAnswer {
@@ -60,6 +56,26 @@
     },
 }
 
+/// Why an entry gave no identifier.
+#[derive(Debug, Display, Error)]
+pub enum Unminted {
+    /// No entry is known.
+    #[display("no entry is known")]
+    NoEntry,
+    /// It gave no response.
+    #[display("{_0}")]
+    Broken(#[error(source)] Broken),
+    /// It refused.
+    #[display("{detail}")]
+    Refused {
+        /// Its words.
+        detail: String,
+    },
+    /// Its response can't be read.
+    #[display("{_0}")]
+    Garbled(#[error(source)] serde_json::Error),
+}
+
 #[derive(Deserialize)]
 struct Minted {
     identifiers: Vec<Id>,
@@ -99,19 +115,26 @@
         }
     }
 
-    /// An identifier, from those in hand or fresh.
+    /// An identifier of the entry whose turn it is, from those in hand or fresh.
     ///
     /// # Errors
     /// [`Failure::NoIdentifier`].
     pub async fn identifier(&self) -> Result<Held, Failure> {
-        if let Some(held) = self.hand().take(Instant::now()) {
-            return Ok(held);
+        let mut cause = Unminted::NoEntry;
+        for _ in 0..self.settings.entries.len() {
+            let entry = self.next_entry();
+            if let Some(held) = self.hand().take(entry, Instant::now()) {
+                return Ok(held);
+            }
+            match self.mint(entry).await {
+                Ok(fresh) => self.hand().add(fresh),
+                Err(unminted) => cause = unminted,
+            }
+            if let Some(held) = self.hand().take(entry, Instant::now()) {
+                return Ok(held);
+            }
         }
-        let fresh = self.mint().await?;
-        let mut hand = self.hand();
-        hand.add(fresh);
-        let none = || Failure::NoIdentifier { reason: "an empty list".to_owned() };
-        hand.take(Instant::now()).ok_or_else(none)
+        Err(Failure::NoIdentifier(cause))
     }
 
     /// Submits a job under an identifier until there is an answer. Doing so again is safe.
@@ -173,28 +196,21 @@
         }
     }
 
-    async fn mint(&self) -> Result<Vec<Held>, Failure> {
+    /// Fresh identifiers of one entry.
+    async fn mint(&self, entry: SocketAddr) -> Result<Vec<Held>, Unminted> {
         let body = json!({ "count": self.settings.batch }).to_string().into_bytes();
-        let mut reason = String::new();
-        for _ in 0..self.settings.entries.len() {
-            let to = self.next_entry();
-            let call = Call {
-                method: Method::POST,
-                to,
-                path: "/v1/identifiers",
-                body: body.clone(),
-                within: MINT_WITHIN,
-            };
-            match self.client.send(call).await {
-                Ok((StatusCode::OK, body)) => match serde_json::from_slice::<Minted>(&body) {
-                    Ok(minted) => return Ok(hold(minted, to)),
-                    Err(error) => reason = error.to_string(),
-                },
-                Ok((_, body)) => reason = String::from_utf8_lossy(&body).into_owned(),
-                Err(broken) => reason = reason_of(broken),
+        let path = "/v1/identifiers";
+        let call = Call { method: Method::POST, to: entry, path, body, within: MINT_WITHIN };
+        match self.client.send(call).await {
+            Ok((StatusCode::OK, body)) => match serde_json::from_slice::<Minted>(&body) {
+                Ok(minted) => Ok(hold(minted, entry)),
+                Err(error) => Err(Unminted::Garbled(error)),
+            },
+            Ok((_, body)) => {
+                Err(Unminted::Refused { detail: String::from_utf8_lossy(&body).into_owned() })
             }
+            Err(broken) => Err(Unminted::Broken(broken)),
         }
-        Err(Failure::NoIdentifier { reason })
     }
 
     fn next_entry(&self) -> SocketAddr {
@@ -212,10 +228,6 @@
     minted.identifiers.into_iter().map(|id| Held { id, entry, since }).collect()
 }
 
-fn reason_of(broken: Broken) -> String {
-    broken.to_string()
-}
-
 /// Whether another entry may take the job: this one said that it did not, and why is its own.
 fn moves_on(answer: &Answer) -> bool {
     matches!(
--- a/crates/caller/src/hand.rs
+++ b/crates/caller/src/hand.rs
@@ -1,6 +1,6 @@
 //! Identifiers in hand.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -20,16 +20,18 @@
     pub since: Instant,
 }
 
-/// Identifiers that were given out and not used.
+/// Identifiers that were given out and not used, apart for each entry, so that submissions can be
+/// spread over entries one by one.
 #[derive(Debug, Default)]
 pub struct Hand {
-    held: VecDeque<Held>,
+    held: BTreeMap<SocketAddr, VecDeque<Held>>,
 }
 
 impl Hand {
-    /// Takes the oldest identifier that is fresh enough.
-    pub fn take(&mut self, now: Instant) -> Option<Held> {
-        while let Some(held) = self.held.pop_front() {
+    /// Takes the oldest identifier of an entry that is fresh enough.
+    pub fn take(&mut self, entry: SocketAddr, now: Instant) -> Option<Held> {
+        let of_entry = self.held.get_mut(&entry)?;
+        while let Some(held) = of_entry.pop_front() {
             if now.duration_since(held.since) < LIFE {
                 return Some(held);
             }
@@ -39,23 +41,25 @@
 
     /// Adds fresh identifiers.
     pub fn add(&mut self, held: impl IntoIterator<Item = Held>) {
-        self.held.extend(held);
+        for held in held {
+            self.held.entry(held.entry).or_default().push_back(held);
+        }
     }
 
     /// Throws away those of an entry that takes no more work.
     pub fn drop_of(&mut self, entry: SocketAddr) {
-        self.held.retain(|held| held.entry != entry);
+        self.held.remove(&entry);
     }
 
     /// Number of identifiers in hand.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.held.len()
+        self.held.values().map(VecDeque::len).sum()
     }
 
     /// Whether none is in hand.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.held.is_empty()
+        self.len() == 0
     }
 }
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -6,6 +6,6 @@
 mod caller;
 mod hand;
 
-pub use caller::{Caller, Failure, Settings};
+pub use caller::{Caller, Failure, Settings, Unminted};
 pub use coltsfootshunt_core as core;
 pub use hand::{Hand, Held};
--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -102,9 +102,6 @@
     /// Targets refused and the budget for another attempt is spent.
     #[display("the targets refused")]
     TargetsRefused,
-    /// The identifier is too old to be used and was never used.
-    #[display("the identifier has expired")]
-    IdentifierExpired,
 }
 
 /// Why a job is not whole.
@@ -182,9 +179,6 @@
     /// The record is past its retention.
     #[display("the record of this submission is no longer kept")]
     TooOld,
-    /// The entry is overloaded and could not ask.
-    #[display("the entry could not ask the owner")]
-    Overloaded,
 }
 
 /// The JSON form of an answer.
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod act;
 mod dump;
 mod fleet;
+mod lending;
 mod message;
 mod note;
 mod snapshot;
--- a/crates/entry/src/control/submit.rs
+++ b/crates/entry/src/control/submit.rs
@@ -9,7 +9,7 @@
 
 use super::{Action, Note, Output, State};
 use crate::dispatch::{Demand, Lane, Shape, Supply};
-use crate::submission::{Open, Reply, Request, Stage, Standing, Ticket, Verdict};
+use crate::submission::{Open, Progress, Reply, Request, Stage, Standing, Ticket, Verdict};
 
 /// Most identifiers given out at once.
 pub const MAX_MINT: usize = 1_000;
@@ -57,11 +57,8 @@
         now: Instant,
         out: &mut Vec<Action>,
     ) -> Option<Reply> {
-        if !self.owns(id) {
-            return Some(self.inherited(id).into());
-        }
         let digest = job.digest();
-        match self.ledger.standing(id.sequence, Some(digest)) {
+        match self.standing(id, Some(digest)) {
             Standing::Done(answer) => Some(answer.into()),
             Standing::Open => {
                 let open = self.ledger.get_mut(id.sequence)?;
@@ -181,12 +178,9 @@
         wait: bool,
         out: &mut Vec<Action>,
     ) -> Option<Reply> {
-        if !self.owns(id) {
-            return Some(self.inherited(id).into());
-        }
-        match self.ledger.standing(id.sequence, None) {
+        match self.standing(id, None) {
             Standing::Done(answer) => Some(answer.into()),
-            Standing::Fresh => Some(Reply::Pending(Default::default())),
+            Standing::Fresh => Some(Reply::Pending(Progress::default())),
             Standing::Open => {
                 let open = self.ledger.get_mut(id.sequence)?;
                 if !wait {
@@ -205,10 +199,7 @@
         now: Instant,
         out: &mut Vec<Action>,
     ) -> Option<Reply> {
-        if !self.owns(id) {
-            return Some(self.inherited(id).into());
-        }
-        match self.ledger.standing(id.sequence, None) {
+        match self.standing(id, None) {
             Standing::Done(answer) => Some(answer.into()),
             Standing::Fresh => {
                 // A later copy of the job meets this record and does not run.
@@ -228,15 +219,11 @@
     }
 
     fn course(&self, id: &Id) -> Reply {
-        if !self.owns(id) {
-            return self.inherited(id).into();
-        }
-        match self.ledger.course(id.sequence) {
-            Some(course) => Reply::Course(course.clone()),
-            None => match self.ledger.standing(id.sequence, None) {
-                Standing::Done(answer) => answer.into(),
-                Standing::Fresh | Standing::Open => Reply::Pending(Default::default()),
-            },
+        let known = self.ledger.course(id.sequence).filter(|_| self.owns(id));
+        match (known, self.standing(id, None)) {
+            (Some(course), _) => Reply::Course(course.clone()),
+            (None, Standing::Done(answer)) => answer.into(),
+            (None, Standing::Fresh | Standing::Open) => Reply::Pending(Progress::default()),
         }
     }
 
@@ -267,14 +254,18 @@
         }
     }
 
-    fn owns(&self, id: &Id) -> bool {
-        id.owner == self.roster.myself().incarnation && id.zone == self.roster.myself().zone
-    }
-
-    fn inherited(&self, id: &Id) -> Answer {
-        match self.ledger.legacy(id.owner) {
+    /// How an identifier stands here, be it this entry's own or one that was left to it.
+    fn standing(&self, id: &Id, digest: Option<u128>) -> Standing {
+        if self.owns(id) {
+            return self.ledger.standing(id.sequence, digest);
+        }
+        Standing::Done(match self.ledger.legacy(id.owner) {
             Some(legacy) => legacy.answer(id.sequence),
             None => Doubt::OwnerGone.into(),
-        }
+        })
+    }
+
+    fn owns(&self, id: &Id) -> bool {
+        id.owner == self.roster.myself().incarnation && id.zone == self.roster.myself().zone
     }
 }
--- a/crates/entry/src/control/thread.rs
+++ b/crates/entry/src/control/thread.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use coltsfootshunt_core::clock::Clock;
@@ -12,7 +13,7 @@
 
 use super::{Action, Event, Hands, Output, Setup, Snapshot, State};
 use crate::peer::{Call, Response};
-use crate::submission::{Reply, Request, Ticket};
+use crate::submission::{Progress, Reply, Request, Ticket};
 
 /// Events that wait for the control thread; senders wait beyond that.
 const CHANNEL: usize = 8_192;
@@ -55,6 +56,17 @@
         }
     }
 
+    /// Asks on behalf of a caller that waits no longer than `within`.
+    ///
+    /// # Errors
+    /// [`Gone`] if the thread has ended.
+    pub async fn request_within(&self, request: Request, within: Duration) -> Result<Reply, Gone> {
+        match tokio::time::timeout(within, self.request(request)).await {
+            Ok(reply) => reply,
+            Err(_) => Ok(Reply::Pending(Progress::default())),
+        }
+    }
+
     /// Passes a peer's call on.
     ///
     /// # Errors
--- a/crates/entry/src/front/callers.rs
+++ b/crates/entry/src/front/callers.rs
@@ -75,13 +75,9 @@
     Path(id): Path<String>,
     Query(wait): Query<Wait>,
 ) -> Response {
-    let id = match read_id(&id) {
-        Ok(id) => id,
-        Err(refusal) => return respond(refusal.into()),
-    };
     let waits = wait.wait_ms.is_some_and(|ms| ms > 0);
     let within = if waits { wait.within(AT_ONCE) } else { AT_ONCE };
-    respond(front.ask(&id.clone(), Request::Answer { id, wait: waits }, within).await)
+    front.ask_about(&id, within, |id| Request::Answer { id, wait: waits }).await
 }
 
 async fn cancel(
@@ -89,20 +85,11 @@
     Path(id): Path<String>,
     Query(wait): Query<Wait>,
 ) -> Response {
-    let id = match read_id(&id) {
-        Ok(id) => id,
-        Err(refusal) => return respond(refusal.into()),
-    };
-    let within = wait.within(MAX_TIME);
-    respond(front.ask(&id.clone(), Request::Cancel { id }, within).await)
+    front.ask_about(&id, wait.within(MAX_TIME), |id| Request::Cancel { id }).await
 }
 
 async fn course(State(front): State<Front>, Path(id): Path<String>) -> Response {
-    let id = match read_id(&id) {
-        Ok(id) => id,
-        Err(refusal) => return respond(refusal.into()),
-    };
-    respond(front.ask(&id.clone(), Request::Course { id }, AT_ONCE).await)
+    front.ask_about(&id, AT_ONCE, |id| Request::Course { id }).await
 }
 
 impl Wait {
@@ -112,6 +99,19 @@
 }
 
 impl Front {
+    /// Asks about the submission that a path names.
+    async fn ask_about(
+        &self,
+        id: &str,
+        within: Duration,
+        request: impl FnOnce(Id) -> Request,
+    ) -> Response {
+        match read_id(id) {
+            Ok(id) => respond(self.ask(&id.clone(), request(id), within).await),
+            Err(refusal) => respond(refusal.into()),
+        }
+    }
+
     /// Asks the submission's owner, here or elsewhere.
     async fn ask(&self, id: &Id, request: Request, within: Duration) -> Reply {
         match self.control.snapshot().route(id.owner) {
@@ -122,19 +122,18 @@
     }
 
     async fn here(&self, request: Request, within: Duration) -> Reply {
-        match tokio::time::timeout(within, self.control.request(request)).await {
-            Ok(Ok(reply)) => reply,
-            Ok(Err(_)) => unknown(Doubt::OwnerGone),
-            Err(_) => Reply::Pending(Default::default()),
+        match self.control.request_within(request, within).await {
+            Ok(reply) => reply,
+            Err(_) => unknown(Doubt::OwnerGone),
         }
     }
 
     async fn there(&self, to: std::net::SocketAddr, request: &Request, within: Duration) -> Reply {
-        let Some(forward) = Forward::of(request) else {
+        let Some(forward) = Forward::of(request, within) else {
             return unknown(Doubt::OwnerUnreachable);
         };
         metrics::counter!("coltsfootshunt_messages_total", "kind" => "forward").increment(1);
-        match self.link.forward(to, forward, within).await {
+        match self.link.forward(to, forward).await {
             Ok(reply) => reply,
             Err(_) => unknown(Doubt::OwnerUnreachable),
         }
--- a/crates/entry/src/front/status.rs
+++ b/crates/entry/src/front/status.rs
@@ -42,8 +42,7 @@
         }
         Refusal::NeverMinted => StatusCode::NOT_FOUND,
         Refusal::Mismatch => StatusCode::CONFLICT,
-        Refusal::Cancelled => StatusCode::GONE,
-        Refusal::Retired | Refusal::IdentifierExpired => StatusCode::GONE,
+        Refusal::Cancelled | Refusal::Retired => StatusCode::GONE,
         Refusal::Late { .. }
         | Refusal::Expired
         | Refusal::Full
--- a/crates/entry/src/log/json.rs
+++ b/crates/entry/src/log/json.rs
@@ -177,6 +177,5 @@
         Refusal::Cancelled => "cancelled",
         Refusal::Retired => "retired",
         Refusal::TargetsRefused => "targets_refused",
-        Refusal::IdentifierExpired => "identifier_expired",
     }
 }
--- a/crates/entry/src/peer/link.rs
+++ b/crates/entry/src/peer/link.rs
@@ -1,7 +1,6 @@
 //! Border to other entries.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use async_trait::async_trait;
 use derive_more::{Display, Error};
@@ -26,11 +25,6 @@
     /// Calls a peer's control state.
     async fn call(&self, to: SocketAddr, call: Call) -> Result<Response, Unreachable>;
 
-    /// Passes a caller's request on; waits for the reply up to `within`.
-    async fn forward(
-        &self,
-        to: SocketAddr,
-        forward: Forward,
-        within: Duration,
-    ) -> Result<Reply, Unreachable>;
+    /// Passes a caller's request on and waits for the reply as long as the request says.
+    async fn forward(&self, to: SocketAddr, forward: Forward) -> Result<Reply, Unreachable>;
 }
--- a/crates/entry/src/peer/rpc.rs
+++ b/crates/entry/src/peer/rpc.rs
@@ -27,6 +27,8 @@
 const FORWARD: &str = "entry_forward";
 /// Time for a control call.
 const CALL_WITHIN: Duration = Duration::from_millis(900);
+/// Time for a forwarded request's way there and back.
+const ROUND_TRIP: Duration = Duration::from_secs(1);
 /// Time to connect.
 const CONNECT_WITHIN: Duration = Duration::from_millis(800);
 /// Time between pings on a connection.
@@ -83,8 +85,9 @@
     module
         .register_async_method(FORWARD, |params, control, _| async move {
             let forward: Forward = params.one()?;
+            let within = forward.within();
             let request = Request::try_from(forward).map_err(|error| invalid(&error))?;
-            control.request(request).await.map_err(|_| gone())
+            control.request_within(request, within).await.map_err(|_| gone())
         })
         .expect("the method has one name");
     module
@@ -119,12 +122,8 @@
         self.ask(to, Lane::Control, CALL, &call, CALL_WITHIN).await
     }
 
-    async fn forward(
-        &self,
-        to: SocketAddr,
-        forward: Forward,
-        within: Duration,
-    ) -> Result<Reply, Unreachable> {
+    async fn forward(&self, to: SocketAddr, forward: Forward) -> Result<Reply, Unreachable> {
+        let within = forward.within() + ROUND_TRIP;
         self.ask(to, Lane::Traffic, FORWARD, &forward, within).await
     }
 }
--- a/crates/entry/src/target/mod.rs
+++ b/crates/entry/src/target/mod.rs
@@ -6,6 +6,7 @@
 mod departures;
 mod health;
 mod http;
+mod lending;
 mod pool;
 mod runner;
 mod seat;
--- a/crates/entry/src/target/pool.rs
+++ b/crates/entry/src/target/pool.rs
@@ -10,7 +10,6 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Departures, Gate, Rates, Seat};
-use crate::loan::Loan;
 
 /// Largest part of the targets that may be ejected at once, as a divisor.
 const EJECT_ONE_IN: usize = 3;
@@ -52,9 +51,9 @@
 /// The slots.
 #[derive(Debug, Default)]
 pub struct Pool {
-    seats: HashMap<SeatId, Seat>,
-    by_target: HashMap<(Target, Option<Incarnation>), SeatId>,
-    by_lender: BTreeMap<Incarnation, BTreeSet<SeatId>>,
+    pub(super) seats: HashMap<SeatId, Seat>,
+    pub(super) by_target: HashMap<(Target, Option<Incarnation>), SeatId>,
+    pub(super) by_lender: BTreeMap<Incarnation, BTreeSet<SeatId>>,
     free: BTreeMap<Resources, BTreeSet<Place>>,
     places: HashMap<SeatId, Place>,
     rates: Rates,
@@ -76,14 +75,15 @@
         let keep: HashMap<_, _> = targets.iter().map(|plan| (plan.name.clone(), plan)).collect();
         for id in self.own_ids() {
             let plan = keep.get(&self.seats[&id].plan.name);
-            self.change(id, |seat| match plan {
-                Some(plan) => {
-                    seat.closed = departures.contains(&plan.name);
+            self.change(id, |seat| {
+                seat.retired = plan.is_none();
+                seat.closed = seat.retired || departures.contains(&seat.plan.name);
+                if let Some(plan) = plan {
                     seat.slots = plan.slots;
                     seat.plan = Arc::clone(plan);
                 }
-                None => seat.closed = true,
             });
+            self.sweep(id);
         }
         for plan in targets {
             if self.by_target.contains_key(&(plan.name.clone(), None)) {
@@ -186,93 +186,6 @@
         probed
     }
 
-    /// Lends up to `count` free own slots that cover `needs`.
-    pub fn lend(&mut self, needs: &Resources, count: u32) -> Vec<Offer> {
-        let mut offers: BTreeMap<Target, u32> = BTreeMap::new();
-        for _ in 0..count {
-            let Some(id) = self.best(needs, Whose::Own) else {
-                break;
-            };
-            self.change(id, |seat| seat.lent += 1);
-            *offers.entry(self.seats[&id].plan.name.clone()).or_default() += 1;
-        }
-        offers.into_iter().map(|(target, slots)| Offer { target, slots }).collect()
-    }
-
-    /// Takes back slots that were lent.
-    pub fn restore(&mut self, target: &Target, slots: u32) {
-        let Some(id) = self.own(target) else {
-            return;
-        };
-        self.change(id, |seat| seat.lent = seat.lent.saturating_sub(slots));
-        self.sweep(id);
-    }
-
-    /// Adds slots that a peer lends.
-    pub fn borrow(
-        &mut self,
-        lender: Incarnation,
-        plan: Arc<TargetPlan>,
-        slots: u32,
-        until: Instant,
-    ) {
-        let key = (plan.name.clone(), Some(lender));
-        match self.by_target.get(&key).copied() {
-            Some(id) => self.change(id, |seat| {
-                seat.slots += slots;
-                seat.until = Some(until);
-            }),
-            None => self.add(Seat::borrowed(plan, lender, slots, until)),
-        }
-    }
-
-    /// The loans, by lender.
-    #[must_use]
-    pub fn loans(&self, now: Instant) -> Vec<Loan> {
-        let loan = |(lender, ids): (&Incarnation, &BTreeSet<SeatId>)| {
-            let seats = ids.iter().filter_map(|id| self.seats.get(id));
-            let mut loan = Loan { lender: *lender, slots: 0, spare: 0, over: false };
-            for seat in seats {
-                loan.slots += seat.slots;
-                loan.spare += seat.slots - seat.busy;
-                loan.over |= seat.closed || seat.until.is_some_and(|until| until <= now);
-            }
-            loan
-        };
-        self.by_lender.iter().map(loan).collect()
-    }
-
-    /// Takes out the slots of one lender that no task uses.
-    pub fn give_back(&mut self, lender: Incarnation) -> Vec<Offer> {
-        let ids = self.by_lender.get(&lender).cloned().unwrap_or_default();
-        let mut offers = Vec::new();
-        for id in ids {
-            let seat = &self.seats[&id];
-            let slots = seat.slots - seat.busy;
-            if slots == 0 {
-                continue;
-            }
-            offers.push(Offer { target: seat.plan.name.clone(), slots });
-            self.change(id, |seat| seat.slots -= slots);
-            self.sweep(id);
-        }
-        offers
-    }
-
-    /// Who lends a seat; none where this entry is the steward.
-    #[must_use]
-    pub fn lender(&self, id: SeatId) -> Option<Incarnation> {
-        self.seats.get(&id).and_then(|seat| seat.lender)
-    }
-
-    /// Slots borrowed from one lender.
-    #[must_use]
-    pub fn holding(&self, lender: Incarnation) -> Vec<Offer> {
-        let from = |seat: &&Seat| seat.lender == Some(lender);
-        let offer = |seat: &Seat| Offer { target: seat.plan.name.clone(), slots: seat.slots };
-        self.seats.values().filter(from).map(offer).collect()
-    }
-
     /// Own slots that are free.
     #[must_use]
     pub fn own_free(&self) -> u32 {
@@ -314,7 +227,7 @@
         self.seats.values()
     }
 
-    fn best(&self, needs: &Resources, whose: Whose) -> Option<SeatId> {
+    pub(super) fn best(&self, needs: &Resources, whose: Whose) -> Option<SeatId> {
         let classes = self.free.iter().filter(|(has, _)| has.cover(needs));
         // Own places come before borrowed ones, so the first of a class tells enough.
         let heads = classes.filter_map(|(_, places)| places.first());
@@ -326,7 +239,7 @@
         self.seats.iter().filter(|(_, seat)| seat.lender.is_none()).map(|(id, _)| *id).collect()
     }
 
-    fn add(&mut self, seat: Seat) {
+    pub(super) fn add(&mut self, seat: Seat) {
         let id = SeatId(self.next);
         self.next = self.next.wrapping_add(1);
         self.by_target.insert((seat.plan.name.clone(), seat.lender), id);
@@ -340,7 +253,7 @@
     }
 
     /// Changes a seat and keeps counts and index true.
-    fn change(&mut self, id: SeatId, change: impl FnOnce(&mut Seat)) {
+    pub(super) fn change(&mut self, id: SeatId, change: impl FnOnce(&mut Seat)) {
         let Some(mut seat) = self.seats.remove(&id) else {
             return;
         };
@@ -388,14 +301,19 @@
     }
 
     /// Drops a seat that is of no more use.
-    fn sweep(&mut self, id: SeatId) {
+    pub(super) fn sweep(&mut self, id: SeatId) {
         let Some(seat) = self.seats.get(&id) else {
             return;
         };
         let returned = seat.lender.is_some() && seat.slots == 0;
-        if !returned || !seat.is_idle() {
+        if !(returned || seat.retired) || !seat.is_idle() {
             return;
         }
+        if seat.lender.is_none() {
+            self.own_seats -= 1;
+            let ejected = matches!(seat.health.gate, Gate::Ejected { .. });
+            self.ejected -= usize::from(ejected);
+        }
         let key = (seat.plan.name.clone(), seat.lender);
         let class = seat.plan.has;
         if let Some(place) = self.places.remove(&id)
--- a/crates/entry/src/target/seat.rs
+++ b/crates/entry/src/target/seat.rs
@@ -30,8 +30,10 @@
     pub until: Option<Instant>,
     /// Fitness for work.
     pub health: Health,
-    /// Whether the target leaves, or is this entry's no more.
+    /// Whether it gets no new work: the target leaves, or is this entry's no more.
     pub closed: bool,
+    /// Whether it goes once nothing uses it.
+    pub retired: bool,
     pace: f64,
 }
 
@@ -61,7 +63,18 @@
         until: Option<Instant>,
     ) -> Self {
         let health = Health::new(plan.slots);
-        Self { plan, lender, slots, busy: 0, lent: 0, until, health, closed: false, pace: 1.0 }
+        Self {
+            plan,
+            lender,
+            slots,
+            busy: 0,
+            lent: 0,
+            until,
+            health,
+            closed: false,
+            retired: false,
+            pace: 1.0,
+        }
     }
 
     /// Slots that may be given work, used or not.
--- a/crates/entry/src/target/tests.rs
+++ b/crates/entry/src/target/tests.rs
@@ -156,6 +156,18 @@
     borrowed_slots(true);
 }
 
+/// A target that is this entry's no more goes once nothing uses it.
+#[test]
+fn lost_targets_leave_nothing_behind() {
+    let mut pool = pool(3);
+    let taken = pool.take(&ANY, Whose::Any).expect("a slot is free");
+    pool.configure(&[], &Departures::default());
+    assert_eq!(pool.iter().count(), 1, "one is in use");
+    assert!(!pool.has_free(&ANY, Whose::Any));
+    pool.release(taken.seat);
+    assert_eq!((pool.iter().count(), pool.own_usable(), pool.busy()), (0, 0, 0));
+}
+
 /// The list with the higher version counts, whoever brings it.
 fn list_versions(first: u64, second: u64, wanted: bool) {
     let mut departures = Departures::default();
--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -162,3 +162,23 @@
     assert!(matches!(late, Answer::NotRun { refusal: Refusal::Cancelled }), "it stays cancelled");
     assert_eq!(cluster.most_starts(), (1, 10));
 }
+
+#[tokio::test]
+async fn short_wait_through_another_entry_is_no_doubt() {
+    let (cluster, north, south) = two_zones().await;
+    let id = mint(&cluster, &north).await;
+    let path = format!("/v1/submissions/{id}");
+    let body = json!({
+        "team": "team", "kind": "once", "deadline_ms": 20_000, "tasks": [{ "ms": 1_500 }],
+    });
+    let submit = format!("{path}?wait_ms=100");
+    let first = cluster.send(Method::PUT, south.callers, &submit, &body.to_string()).await;
+    let (status, answer) = first.expect("the entry answers");
+    assert_eq!((status, &answer["outcome"]), (202, &json!("pending")));
+    let later = format!("{path}?wait_ms=20000");
+    let (status, _) = cluster
+        .send(Method::GET, south.callers, &later, "")
+        .await
+        .expect("the entry answers");
+    assert_eq!(status, 200);
+}
