fix(front): let the sender of an oversized body hear its refusal

Ruled out: the test's time limit (the connection broke at once). Change: what is over the limit is thrown away as it comes, up to 64 MiB, and then refused; no more than the limit is kept.

--- a/crates/entry/src/front/callers.rs
+++ b/crates/entry/src/front/callers.rs
@@ -3,15 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use axum::body::Bytes;
-use axum::extract::rejection::BytesRejection;
-use axum::extract::{DefaultBodyLimit, Path, Query, State};
+use axum::body::Body;
+use axum::extract::{Path, Query, State};
 use axum::response::Response;
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use coltsfootshunt_core::answer::{Answer, Doubt, Refusal};
 use coltsfootshunt_core::job::{Draft, Job, MAX_BODY_BYTES, MAX_TIME};
 use coltsfootshunt_core::submission::Id;
+use futures_util::StreamExt;
 use serde::Deserialize;
 
 use super::status::respond;
@@ -21,6 +21,8 @@
 
 /// Time beyond a job's own that an answer is waited for.
 const MARGIN: Duration = Duration::from_secs(2);
+/// Bytes of an oversized body after which the connection is dropped.
+const MAX_DISCARDED_BYTES: usize = 64 << 20;
 /// Time for requests that have their answer at once.
 const AT_ONCE: Duration = Duration::from_secs(2);
 
@@ -47,7 +49,6 @@
         .route("/v1/identifiers", post(mint))
         .route("/v1/submissions/{id}", get(answer).put(submit).delete(cancel))
         .route("/v1/submissions/{id}/course", get(course))
-        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
         .with_state(Front { control, link })
 }
 
@@ -60,9 +61,9 @@
     State(front): State<Front>,
     Path(id): Path<String>,
     Query(wait): Query<Wait>,
-    body: Result<Bytes, BytesRejection>,
+    body: Body,
 ) -> Response {
-    let (id, job) = match read(&id, body) {
+    let (id, job) = match read(&id, body).await {
         Ok(read) => read,
         Err(refusal) => return respond(refusal.into()),
     };
@@ -140,14 +141,36 @@
     }
 }
 
-fn read(id: &str, body: Result<Bytes, BytesRejection>) -> Result<(Id, Job), Refusal> {
+async fn read(id: &str, body: Body) -> Result<(Id, Job), Refusal> {
+    let body = read_body(body).await?;
     let id = read_id(id)?;
-    let body = body.map_err(|_| Refusal::BodyTooLarge { limit: MAX_BODY_BYTES })?;
     let draft: Draft = serde_json::from_slice(&body).map_err(|error| malformed(&error))?;
     let job = Job::try_from(draft).map_err(|error| malformed(&error))?;
     Ok((id, job))
 }
 
+/// Reads a body up to the limit. The rest of a larger one is thrown away as it comes, since a caller
+/// that is still sending would lose the refusal.
+async fn read_body(body: Body) -> Result<Vec<u8>, Refusal> {
+    let mut chunks = body.into_data_stream();
+    let mut kept = Vec::new();
+    let mut seen = 0;
+    while let Some(chunk) = chunks.next().await {
+        let chunk = chunk.map_err(|error| malformed(&error))?;
+        seen += chunk.len();
+        if seen > MAX_DISCARDED_BYTES {
+            break;
+        }
+        if seen <= MAX_BODY_BYTES {
+            kept.extend_from_slice(&chunk);
+        }
+    }
+    if seen > MAX_BODY_BYTES {
+        return Err(Refusal::BodyTooLarge { limit: MAX_BODY_BYTES });
+    }
+    Ok(kept)
+}
+
 fn read_id(text: &str) -> Result<Id, Refusal> {
     Id::try_from(text).map_err(|error| malformed(&error))
 }
