perf(dispatch): one look at each team's account and each kind for the next task

Cause: ending a task and starting the next took 24 to 32 us with 69 teams waiting, at any number of targets and queued tasks: for each lane three tree look-ups of its team and several of its kind. Change: a team's share and holding are one account in a hash map, looked up once a lane; a kind's verdict is asked once. Gauges of the load; the load tool sends from 32 callers chosen at random.

--- a/crates/cli/src/command/load.rs
+++ b/crates/cli/src/command/load.rs
@@ -1,7 +1,6 @@
 //! `load`: open-loop load on an embedded fleet, with figures.
 
 use std::process::ExitCode;
-use std::sync::Arc;
 use std::time::Duration;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
@@ -9,7 +8,9 @@
 use coltsfootshunt_entry::settings::{Admitting, Ordering, Policy, Sharing};
 
 use crate::fleet::{Fleet, Size};
-use crate::load::{Class, Crest, Faults, Report, Shape, Source, direct, run as send, through};
+use crate::load::{
+    Class, Crest, Crowd, Faults, Report, Shape, Source, direct, run as send, through,
+};
 use crate::problem::Problem;
 
 /// Work unless stated: jobs of 40 tasks of about 0.2 s.
@@ -48,14 +49,14 @@
     let shape = shape(matches, &mix, &size);
     let arrivals = shape.draw();
     let fleet = Fleet::start(&size).await?;
-    let caller =
-        Arc::new(Caller::new(Settings { entries: fleet.callers(), ..Settings::default() }));
+    let caller = Caller::new(Settings { entries: fleet.callers(), ..Settings::default() });
     let direct = direct(fleet.targets[0].address).await;
     let through = through(&caller, &mix[0].kind).await;
     break_targets(&fleet, faults(matches));
     let before = fleet.metrics.render();
     let deadline = millis(matches, "deadline-ms");
-    let ended = send(Arc::clone(&caller), &mix, &arrivals, deadline, size.teams).await;
+    let crowd = Crowd::new(&fleet.callers(), shape.seed);
+    let ended = send(crowd, &mix, &arrivals, deadline, size.teams).await;
     let after = fleet.metrics.render();
     let report = Report::new(&Source {
         mix: &mix,
--- a/crates/cli/src/load/mod.rs
+++ b/crates/cli/src/load/mod.rs
@@ -11,4 +11,4 @@
 
 pub use arrivals::{Arrival, Class, Crest, Shape};
 pub use report::{Report, Source};
-pub use run::{Faults, direct, run, through};
+pub use run::{Crowd, Faults, direct, run, through};
--- a/crates/cli/src/load/run.rs
+++ b/crates/cli/src/load/run.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use coltsfootshunt_caller::Caller;
+use coltsfootshunt_caller::{Caller, Settings};
 use coltsfootshunt_core::answer::{Answer, Outcome};
 use coltsfootshunt_core::job::{Draft, Job, Payload};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use serde_json::value::RawValue;
 
 use super::{Arrival, Class};
@@ -31,9 +33,37 @@
     pub outcome: Option<Outcome>,
 }
 
+/// Many callers, so that entries are chosen as behind a balancer and not in turn.
+pub struct Crowd {
+    callers: Vec<Arc<Caller>>,
+    random: StdRng,
+}
+
+impl Crowd {
+    /// Callers that each begin with another entry.
+    #[must_use]
+    pub fn new(entries: &[SocketAddr], seed: u64) -> Self {
+        const CALLERS: usize = 32;
+        let caller = |number: usize| {
+            let mut entries = entries.to_vec();
+            let count = entries.len();
+            entries.rotate_left(number % count);
+            Arc::new(Caller::new(Settings { entries, ..Settings::default() }))
+        };
+        let callers = (0..CALLERS).map(caller).collect();
+        Self { callers, random: StdRng::seed_from_u64(seed) }
+    }
+
+    /// Any caller.
+    pub fn any(&mut self) -> Arc<Caller> {
+        let number = self.random.random_range(0..self.callers.len());
+        Arc::clone(&self.callers[number])
+    }
+}
+
 /// Sends all arrivals at their times, whatever becomes of earlier ones.
 pub async fn run(
-    caller: Arc<Caller>,
+    mut crowd: Crowd,
     mix: &[Class],
     arrivals: &[Arrival],
     deadline: Duration,
@@ -46,7 +76,7 @@
         let job = job(&mix[arrival.class], arrival, deadline, team);
         let due = began + arrival.at;
         tokio::time::sleep_until(due).await;
-        let caller = Arc::clone(&caller);
+        let caller = crowd.any();
         tasks.spawn(async move {
             let outcome = caller.submit(&job).await.ok().map(|(_, answer)| answer.outcome());
             Ended { arrival: number, response: due.elapsed(), outcome }
--- a/crates/entry/src/control/act.rs
+++ b/crates/entry/src/control/act.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 
 use coltsfootshunt_core::submission::Incarnation;
+use metrics::gauge;
 use tokio::runtime;
 use tokio::sync::watch;
 
-use super::{Attempt, Event, Handle, Note};
+use super::{Attempt, Event, Handle, Load, Note};
 use crate::drain::Exit;
 use crate::log::Log;
 use crate::peer::{Call, Link};
@@ -57,6 +58,17 @@
         });
     }
 
+    /// Shows the load to operators.
+    pub fn measure(&self, load: Load) {
+        gauge!("coltsfootshunt_open_submissions").set(load.open as f64);
+        gauge!("coltsfootshunt_waiting_tasks").set(load.waiting as f64);
+        gauge!("coltsfootshunt_running_tasks").set(f64::from(load.busy));
+        gauge!("coltsfootshunt_usable_slots").set(f64::from(load.usable));
+        gauge!("coltsfootshunt_free_slots").set(f64::from(load.free));
+        gauge!("coltsfootshunt_borrowed_slots").set(f64::from(load.borrowed));
+        gauge!("coltsfootshunt_peers").set(load.peers as f64);
+    }
+
     /// Ends the process.
     pub fn exit(&self, exit: Exit) {
         self.exit.send_replace(Some(exit));
--- a/crates/entry/src/control/lending.rs
+++ b/crates/entry/src/control/lending.rs
@@ -31,7 +31,7 @@
         let Some(pick) = self.next_to_borrow_for() else {
             return;
         };
-        let needs = self.needs(&pick.lane);
+        let needs = self.needs(&pick.lane.kind);
         let mut candidates = self.roster.candidates();
         candidates.retain(|candidate| self.borrower.may_ask(candidate.peer, now));
         let wanted = u32::try_from(wanted).unwrap_or(u32::MAX);
--- a/crates/entry/src/control/message.rs
+++ b/crates/entry/src/control/message.rs
@@ -61,12 +61,33 @@
     },
     /// Show this to the traffic threads.
     Publish(Snapshot),
+    /// Show this to operators.
+    Measure(Load),
     /// End the process.
     Exit(Exit),
     /// Write this to the log and count it.
     Note(Note),
 }
 
+/// How much an entry has to do.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Load {
+    /// Submissions without an answer.
+    pub open: usize,
+    /// Tasks that wait.
+    pub waiting: usize,
+    /// Tasks that targets have.
+    pub busy: u32,
+    /// Own slots that may be given work.
+    pub usable: u32,
+    /// Own slots that are free.
+    pub free: u32,
+    /// Slots on loan from peers.
+    pub borrowed: u32,
+    /// Peers that live.
+    pub peers: usize,
+}
+
 /// What a requester gets.
 #[derive(Debug)]
 pub enum Output {
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -20,7 +20,7 @@
 mod tests;
 
 pub use act::Hands;
-pub use message::{Action, Attempt, Event, Output};
+pub use message::{Action, Attempt, Event, Load, Output};
 pub use note::Note;
 pub use snapshot::{Route, Snapshot};
 pub use state::{Policy, Setup, State};
--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -9,7 +9,7 @@
 use coltsfootshunt_core::name::Target;
 use coltsfootshunt_core::submission::Incarnation;
 
-use super::{Action, Event, Note, Snapshot};
+use super::{Action, Event, Load, Note, Snapshot};
 use crate::config::Holder;
 use crate::dispatch::{Admission, Budget, Order, Queue, Reserve};
 use crate::drain;
@@ -88,6 +88,7 @@
     pub(super) published: Snapshot,
     pub(super) successor: Option<Incarnation>,
     pub(super) held: Option<Hold>,
+    measured: Load,
     last: Instant,
     next_tick: Instant,
     exited: bool,
@@ -126,6 +127,7 @@
             published: Snapshot::new(incarnation),
             successor: None,
             held: None,
+            measured: Load::default(),
             last: now,
             next_tick: now,
             exited: false,
@@ -232,10 +234,28 @@
         if self.departures.forget(now) {
             self.stewarded = None;
         }
+        self.measure(out);
         let probed = self.pool.probe(now);
         out.extend(probed.into_iter().map(|target| Action::Note(Note::Probed { target })));
     }
 
+    /// Tells the load if it has changed.
+    fn measure(&mut self, out: &mut Vec<Action>) {
+        let load = Load {
+            open: self.ledger.open_count(),
+            waiting: self.queue.len(),
+            busy: self.pool.busy(),
+            usable: self.pool.own_usable(),
+            free: self.pool.own_free(),
+            borrowed: self.pool.borrowed(),
+            peers: self.roster.iter().count(),
+        };
+        if load != self.measured {
+            self.measured = load;
+            out.push(Action::Measure(load));
+        }
+    }
+
     fn publish(&mut self, out: &mut Vec<Action>) {
         let snapshot = self.snapshot();
         if snapshot != self.published {
--- a/crates/entry/src/control/submit.rs
+++ b/crates/entry/src/control/submit.rs
@@ -139,7 +139,7 @@
         }
         let plan = self.book.plan(&job.kind).ok_or(Refusal::UnknownKind)?;
         let profile = self.book.profile(&job.kind).ok_or(Refusal::UnknownKind)?;
-        if !self.shares.knows(&job.team) {
+        if !self.shares.account(&job.team).known {
             return Err(Refusal::UnknownTeam);
         }
         if !self.classes.iter().any(|has| has.cover(&plan.needs)) {
--- /dev/null
+++ b/crates/entry/src/control/tests/fixture.rs
@@ -0,0 +1,79 @@
+//! Names, jobs and configurations of the world.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use coltsfootshunt_core::config::{
+    Document, Draft as Plan, KindDraft, Resources, Revision, TargetDraft, TeamDraft,
+};
+use coltsfootshunt_core::job::{Draft, Job};
+use coltsfootshunt_core::name::{Target, Zone};
+use coltsfootshunt_core::submission::Id;
+use serde_json::value::RawValue;
+use uuid::Uuid;
+
+/// Targets of the world; the entries' zone is theirs.
+pub const TARGETS: usize = 3;
+/// Slots of each.
+pub const SLOTS: u32 = 2;
+
+pub fn zone() -> Zone {
+    Zone::try_from("zone").expect("a name")
+}
+
+pub fn target_name(number: usize) -> Target {
+    Target::try_from(format!("target-{number}")).expect("a name")
+}
+
+/// A configuration with one team, a kind that is never run again and one that may be.
+pub fn document(revision: u64) -> Document {
+    let kind = |name: &str, idempotent, rerun_lost| KindDraft {
+        name: name.to_owned(),
+        idempotent,
+        rerun_lost,
+        expected_ms: 50,
+        needs: Resources::default(),
+    };
+    let target = |number: usize| TargetDraft {
+        name: target_name(number).to_string(),
+        zone: zone().to_string(),
+        address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 9_000 + number as u16),
+        slots: SLOTS,
+        connections: 64,
+        has: Resources::default(),
+    };
+    let draft = Plan {
+        teams: vec![TeamDraft { name: "team".to_owned(), share: 1 }],
+        kinds: vec![kind("plain", true, false), kind("once", false, false)],
+        targets: (0..TARGETS).map(target).collect(),
+    };
+    let plan = draft.try_into().expect("the draft is whole");
+    let mut document = Document::after(None, Uuid::from_u128(u128::from(revision)), plan);
+    document.mark.revision = Revision(revision);
+    document
+}
+
+pub fn job(kind: &str, tasks: usize, ms: u64) -> Job {
+    let input = RawValue::from_string("{}".to_owned()).expect("JSON");
+    let input: Arc<RawValue> = input.into();
+    let draft = Draft {
+        team: "team".to_owned(),
+        kind: kind.to_owned(),
+        deadline_ms: Some(ms),
+        tasks: vec![input; tasks],
+    };
+    Job::try_from(draft).expect("the draft is whole")
+}
+
+pub fn address_of(number: usize) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 8_000 + number as u16)
+}
+
+pub fn output(label: &str) -> Arc<RawValue> {
+    RawValue::from_string(format!("\"{label}\"")).expect("JSON").into()
+}
+
+pub fn parse(label: &str) -> (Id, usize) {
+    let (id, task) = label.split_once('/').expect("a label has two parts");
+    (Id::try_from(id).expect("an identifier"), task.parse().expect("a number"))
+}
--- a/crates/entry/src/control/tests/promises.rs
+++ b/crates/entry/src/control/tests/promises.rs
@@ -6,7 +6,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
-use super::world::{How, TARGETS, World};
+use super::fixture::TARGETS;
+use super::world::{How, World};
 
 /// Entries of the world.
 const ENTRIES: usize = 3;
--- a/crates/entry/src/control/tests/work.rs
+++ b/crates/entry/src/control/tests/work.rs
@@ -4,7 +4,8 @@
 
 use coltsfootshunt_testkit::cases;
 
-use super::world::{How, SLOTS, TARGETS, World};
+use super::fixture::{SLOTS, TARGETS};
+use super::world::{How, World};
 
 const ALL: usize = TARGETS * SLOTS as usize;
 
--- a/crates/entry/src/control/thread.rs
+++ b/crates/entry/src/control/thread.rs
@@ -214,6 +214,7 @@
                 Action::Start(attempt, start) => self.hands.start(attempt, start),
                 Action::Call { to, peer, call } => self.hands.call(to, peer, call),
                 Action::Note(note) => self.hands.note(&note),
+                Action::Measure(load) => self.hands.measure(load),
             }
         }
         ends
--- a/crates/entry/src/control/work.rs
+++ b/crates/entry/src/control/work.rs
@@ -4,10 +4,11 @@
 use std::time::Instant;
 
 use coltsfootshunt_core::config::Resources;
+use coltsfootshunt_core::name::Kind;
 use coltsfootshunt_core::submission::Incarnation;
 
 use super::{Action, Attempt, Note, State};
-use crate::dispatch::{Lane, Pick};
+use crate::dispatch::Pick;
 use crate::loan::Usage;
 use crate::submission::{End, Verdict};
 use crate::target::{Refused, Report, Start, Taken, Whose};
@@ -121,8 +122,8 @@
                 self.give_up(&pick, now, out);
                 continue;
             }
-            let needs = self.needs(&pick.lane);
-            let Some(taken) = self.pool.take(&needs, self.whose(&pick.lane)) else {
+            let needs = self.needs(&pick.lane.kind);
+            let Some(taken) = self.pool.take(&needs, self.whose(&pick.lane.kind)) else {
                 return;
             };
             self.queue.take(&pick);
@@ -132,16 +133,19 @@
 
     /// The next task that has a slot to go to.
     fn next_with_slot(&self) -> Option<Pick> {
+        if self.pool.is_full() {
+            return None;
+        }
         let long_may = self.reserve.allows_long(self.pool.own_usable());
-        self.queue.peek(&self.shares, self.slots(), |lane| {
-            let allowed = long_may || !self.book.is_long(&lane.kind);
-            allowed && self.pool.has_free(&self.needs(lane), self.whose(lane))
+        self.queue.peek(&self.shares, self.slots(), |kind| {
+            let allowed = long_may || !self.book.is_long(kind);
+            allowed && self.pool.has_free(&self.needs(kind), self.whose(kind))
         })
     }
 
     /// The next task that a borrowed slot would do for.
     pub(super) fn next_to_borrow_for(&self) -> Option<Pick> {
-        self.queue.peek(&self.shares, self.slots(), |lane| self.whose(lane) == Whose::Any)
+        self.queue.peek(&self.shares, self.slots(), |kind| self.whose(kind) == Whose::Any)
     }
 
     fn slots(&self) -> u32 {
@@ -149,8 +153,8 @@
     }
 
     /// Long work stays on own slots, where the reserve for short work bounds it.
-    fn whose(&self, lane: &Lane) -> Whose {
-        if self.book.is_long(&lane.kind) { Whose::Own } else { Whose::Any }
+    fn whose(&self, kind: &Kind) -> Whose {
+        if self.book.is_long(kind) { Whose::Own } else { Whose::Any }
     }
 
     /// Whether the job can't be whole by its deadline even if this task starts now. A job of which
@@ -218,8 +222,8 @@
         out.push(Action::Start(attempt, start));
     }
 
-    /// What a lane's kind needs of a target.
-    pub(super) fn needs(&self, lane: &Lane) -> Resources {
-        self.book.plan(&lane.kind).map(|plan| plan.needs).unwrap_or_default()
+    /// What a kind needs of a target.
+    pub(super) fn needs(&self, kind: &Kind) -> Resources {
+        self.book.plan(kind).map(|plan| plan.needs).unwrap_or_default()
     }
 }
--- a/crates/entry/src/dispatch/queue.rs
+++ b/crates/entry/src/dispatch/queue.rs
@@ -67,23 +67,34 @@
         self.work += job.mean * u32::try_from(added).unwrap_or(u32::MAX);
     }
 
-    /// The task that goes next: teams under their quota first, then by rank. Only lanes that
-    /// `open` lets through are looked at.
+    /// The task that goes next: teams under their quota first, then by rank. Only kinds that
+    /// `open` lets through are looked at; it is asked once for each kind.
     #[must_use]
     pub fn peek(
         &self,
         shares: &Shares,
         slots: u32,
-        mut open: impl FnMut(&Lane) -> bool,
+        mut open: impl FnMut(&Kind) -> bool,
     ) -> Option<Pick> {
-        let active = self.active_shares(shares);
-        let lanes = self.lanes.iter().filter(|(lane, _)| open(lane));
-        let heads = lanes.filter_map(|(lane, jobs)| jobs.first().map(|head| (lane, head)));
-        let best = heads.min_by_key(|(lane, head)| {
-            let over = shares.is_over(&lane.team, active, slots);
+        let mut asked: Vec<(&Kind, bool)> = Vec::new();
+        let mut active = 0;
+        let mut last = None;
+        let mut heads = Vec::with_capacity(self.lanes.len());
+        for (lane, jobs) in &self.lanes {
+            let account = shares.account(&lane.team);
+            // Lanes of one team are neighbours; its share counts once.
+            if last.replace(&lane.team) != Some(&lane.team) {
+                active += account.share;
+            }
+            if is_open(&mut asked, &lane.kind, &mut open) {
+                heads.extend(jobs.first().map(|head| (lane, head, account)));
+            }
+        }
+        let best = heads.into_iter().min_by_key(|(_, head, account)| {
+            let over = account.is_over(active, slots);
             (over, **head)
         });
-        let (lane, (rank, sequence)) = best?;
+        let (lane, (rank, sequence), _) = best?;
         let task = *self.jobs.get(sequence)?.tasks.front()?;
         Some(Pick { lane: lane.clone(), sequence: *sequence, task, rank: *rank })
     }
@@ -137,28 +148,22 @@
         self.work
     }
 
-    /// The earliest rank of all.
-    #[must_use]
-    pub fn head(&self) -> Option<Instant> {
-        self.lanes.values().filter_map(|jobs| jobs.first()).map(|(rank, _)| *rank).min()
-    }
-
     /// Number of waiting jobs in each lane.
     pub fn lanes(&self) -> impl Iterator<Item = (&Lane, usize)> {
         self.lanes.iter().map(|(lane, jobs)| (lane, jobs.len()))
     }
+}
 
-    /// Sum of the shares of teams that have work waiting.
-    fn active_shares(&self, shares: &Shares) -> u32 {
-        let mut sum = 0;
-        let mut last = None;
-        for lane in self.lanes.keys() {
-            if last == Some(&lane.team) {
-                continue;
-            }
-            sum += shares.share(&lane.team);
-            last = Some(&lane.team);
-        }
-        sum
+/// The verdict on a kind, which is asked for once.
+fn is_open<'a>(
+    asked: &mut Vec<(&'a Kind, bool)>,
+    kind: &'a Kind,
+    open: impl FnOnce(&Kind) -> bool,
+) -> bool {
+    if let Some((_, known)) = asked.iter().find(|(other, _)| *other == kind) {
+        return *known;
     }
+    let verdict = open(kind);
+    asked.push((kind, verdict));
+    verdict
 }
--- a/crates/entry/src/dispatch/tests.rs
+++ b/crates/entry/src/dispatch/tests.rs
@@ -113,12 +113,12 @@
     queue.push(lane("a", "x"), 1, now, MS * 3, 0..50);
     queue.push(lane("a", "y"), 2, now, MS, 0..2);
     let shares = shares(&[("a", 1)]);
-    let pick = queue.peek(&shares, 1, |lane| &*lane.kind == "x").expect("work waits");
+    let pick = queue.peek(&shares, 1, |kind| **kind == *"x").expect("work waits");
     queue.take(&pick);
     queue.remove(1);
     assert_eq!((queue.len(), queue.work(), queue.lanes().count()), (2, MS * 2, 1));
     queue.remove(2);
-    assert!(queue.is_empty() && queue.head().is_none() && queue.work().is_zero());
+    assert!(queue.is_empty() && queue.lanes().count() == 0 && queue.work().is_zero());
 }
 
 /// Long work may take another of 100 slots while short work usually holds `short` of them.
--- a/crates/entry/src/quota/mod.rs
+++ b/crates/entry/src/quota/mod.rs
@@ -7,4 +7,4 @@
 #[cfg(test)]
 mod tests;
 
-pub use shares::Shares;
+pub use shares::{Account, Shares};
--- a/crates/entry/src/quota/shares.rs
+++ b/crates/entry/src/quota/shares.rs
@@ -1,67 +1,89 @@
 //! Shares of teams and what each holds.
 
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 
 use coltsfootshunt_core::config::TeamPlan;
 use coltsfootshunt_core::name::Team;
 
-/// Shares and slots held.
+/// One team's share and the slots that it holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Account {
+    /// Weight among teams that have work waiting.
+    pub share: u32,
+    /// Slots that its tasks hold.
+    pub held: u32,
+    /// Whether the configuration names it.
+    pub known: bool,
+}
+
+impl Default for Account {
+    /// A team that the configuration has dropped keeps the least weight while it holds slots.
+    fn default() -> Self {
+        Self { share: 1, held: 0, known: false }
+    }
+}
+
+impl Account {
+    /// Whether the team holds its part of `slots` already, where the teams with work waiting have
+    /// shares that add up to `active`.
+    #[must_use]
+    pub fn is_over(&self, active: u32, slots: u32) -> bool {
+        u64::from(self.held) * u64::from(active) >= u64::from(self.share) * u64::from(slots)
+    }
+}
+
+/// The accounts of all teams.
 #[derive(Debug, Default)]
 pub struct Shares {
-    teams: BTreeMap<Team, u32>,
-    held: BTreeMap<Team, u32>,
+    accounts: HashMap<Team, Account>,
 }
 
 impl Shares {
     /// Takes the teams of a new configuration.
     pub fn configure(&mut self, teams: &[TeamPlan]) {
-        self.teams = teams.iter().map(|team| (team.name.clone(), team.share)).collect();
-    }
-
-    /// Whether the configuration names this team.
-    #[must_use]
-    pub fn knows(&self, team: &Team) -> bool {
-        self.teams.contains_key(team)
+        for account in self.accounts.values_mut() {
+            account.known = false;
+            account.share = Account::default().share;
+        }
+        for team in teams {
+            let account = self.accounts.entry(team.name.clone()).or_default();
+            account.known = true;
+            account.share = team.share;
+        }
+        self.accounts.retain(|_, account| account.known || account.held > 0);
     }
 
-    /// Weight of a team; one where the configuration has dropped it meanwhile.
+    /// The account of a team.
     #[must_use]
-    pub fn share(&self, team: &Team) -> u32 {
-        self.teams.get(team).copied().unwrap_or(1)
+    pub fn account(&self, team: &Team) -> Account {
+        self.accounts.get(team).copied().unwrap_or_default()
     }
 
     /// A task of this team took a slot.
     pub fn take(&mut self, team: &Team) {
-        *self.held.entry(team.clone()).or_default() += 1;
+        match self.accounts.get_mut(team) {
+            Some(account) => account.held += 1,
+            None => {
+                let account = Account { held: 1, ..Account::default() };
+                self.accounts.insert(team.clone(), account);
+            }
+        }
     }
 
     /// A task of this team left its slot.
     pub fn leave(&mut self, team: &Team) {
-        let Some(held) = self.held.get_mut(team) else {
+        let Some(account) = self.accounts.get_mut(team) else {
             return;
         };
-        *held = held.saturating_sub(1);
-        if *held == 0 {
-            self.held.remove(team);
+        account.held = account.held.saturating_sub(1);
+        if account.held == 0 && !account.known {
+            self.accounts.remove(team);
         }
     }
 
-    /// Slots that a team holds.
-    #[must_use]
-    pub fn held(&self, team: &Team) -> u32 {
-        self.held.get(team).copied().unwrap_or_default()
-    }
-
-    /// Whether a team holds its part of `slots` already, where the teams with work waiting have
-    /// shares that add up to `active`.
-    #[must_use]
-    pub fn is_over(&self, team: &Team, active: u32, slots: u32) -> bool {
-        let share = u64::from(self.share(team));
-        u64::from(self.held(team)) * u64::from(active) >= share * u64::from(slots)
-    }
-
     /// Teams that hold slots.
     pub fn iter(&self) -> impl Iterator<Item = (&Team, u32)> {
-        self.held.iter().map(|(team, held)| (team, *held))
+        let holding = self.accounts.iter().filter(|(_, account)| account.held > 0);
+        holding.map(|(team, account)| (team, account.held))
     }
 }
--- a/crates/entry/src/quota/tests.rs
+++ b/crates/entry/src/quota/tests.rs
@@ -18,7 +18,7 @@
     for _ in 0..held {
         shares.take(&team("team"));
     }
-    assert_eq!(shares.is_over(&team("team"), active, 100), wanted);
+    assert_eq!(shares.account(&team("team")).is_over(active, 100), wanted);
 }
 
 cases! { is_over:
@@ -37,6 +37,6 @@
     shares.take(&team("a"));
     shares.leave(&team("a"));
     shares.leave(&team("a"));
-    assert_eq!(shares.held(&team("a")), 0);
+    assert_eq!(shares.account(&team("a")).held, 0);
     assert_eq!(shares.iter().count(), 0);
 }
--- a/crates/entry/src/target/pool.rs
+++ b/crates/entry/src/target/pool.rs
@@ -105,6 +105,12 @@
         }
     }
 
+    /// Whether no slot is free at all.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.places.is_empty()
+    }
+
     /// Whether a slot is free that covers `needs`.
     #[must_use]
     pub fn has_free(&self, needs: &Resources, whose: Whose) -> bool {
--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -176,9 +176,7 @@
     let (status, answer) = first.expect("the entry answers");
     assert_eq!((status, &answer["outcome"]), (202, &json!("pending")));
     let later = format!("{path}?wait_ms=20000");
-    let (status, _) = cluster
-        .send(Method::GET, south.callers, &later, "")
-        .await
-        .expect("the entry answers");
+    let (status, _) =
+        cluster.send(Method::GET, south.callers, &later, "").await.expect("the entry answers");
     assert_eq!(status, 200);
 }
