--- a/crates/entry/src/member/beat.rs
+++ b/crates/entry/src/member/beat.rs
@@ -56,10 +56,17 @@
 }
 
 impl Brief {
-    /// Whether `other` says the same but for loads.
+    /// Whether `other` says the same but for loads and the revision, which travels with each
+    /// entry's own heartbeats.
     #[must_use]
     pub fn is_like(&self, other: &Self) -> bool {
-        let still = |brief: &Self| Self { slots: 0, idle: 0, waiting: 0, ..brief.clone() };
+        let still = |brief: &Self| Self {
+            slots: 0,
+            idle: 0,
+            waiting: 0,
+            revision: Revision::default(),
+            ..brief.clone()
+        };
         still(self) == still(other)
     }
 }
--- a/crates/entry/src/peer/mod.rs
+++ b/crates/entry/src/peer/mod.rs
@@ -5,6 +5,9 @@
 mod link;
 mod rpc;
 
+#[cfg(test)]
+mod tests;
+
 pub use call::{Call, Response};
 pub use forward::Forward;
 pub use link::{Link, Unreachable};
