perf(loan): recall loans only when no peer is known to have a free slot

Cause: recalled loans are taken apart slot by slot; with 40 tasks a job at 70% there were 667 recalls and 2,519 returns for 11,920 tasks. Change: an entry that is short asks for its lent slots back only if no peer has any free.

--- a/crates/entry/src/control/lending.rs
+++ b/crates/entry/src/control/lending.rs
@@ -131,6 +131,10 @@
         if !short || (self.shortage() == 0 && !self.lender.has_wishes()) {
             return;
         }
+        // Slots that are idle elsewhere cost fewer messages than loans taken apart.
+        if self.roster.iter().any(|peer| peer.brief.idle > 0 && !peer.brief.draining) {
+            return;
+        }
         let lender = self.roster.myself().incarnation;
         for borrower in self.lender.recall(now) {
             let Some(to) = self.roster.get(borrower).map(|peer| peer.brief.address) else {
