fix(peer): tell a refused connection from silence; keep the peers' socket

The peers' socket was closed and bound again at the start, so that another process could have taken its port. Change: the handshake's own error type is asked; the bound socket goes to the server; starting an entry is split into steps; the dump's rows come from typed summaries; the operators' page is tested against the example that has every option.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -106,7 +106,7 @@
     /// Where the entries listen for callers.
     #[must_use]
     pub fn callers(&self) -> Vec<SocketAddr> {
-        self.entries.iter().map(|entry| entry.callers).collect()
+        self.entries.iter().map(|entry| entry.addresses.callers).collect()
     }
 
     async fn ready(&self) {
@@ -120,8 +120,8 @@
 
     /// Whether an entry is ready and knows all others.
     async fn knows_all(&self, entry: &App) -> bool {
-        let ready = ask(entry.operators, "/readyz").await;
-        let dump = ask(entry.operators, "/dump").await;
+        let ready = ask(entry.addresses.operators, "/readyz").await;
+        let dump = ask(entry.addresses.operators, "/dump").await;
         let is_ready = ready.is_ok_and(|(status, _)| status.is_success());
         let members = dump.ok().and_then(|(_, dump)| dump["members"].as_array().map(Vec::len));
         is_ready && members == Some(self.entries.len() - 1)
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -19,7 +19,7 @@
 use crate::member::Myself;
 use crate::peer::{self, Link, Rpc};
 use crate::platform::{Agent, Http, Platform, Registration};
-use crate::settings::Settings;
+use crate::settings::{Listen, Settings};
 use crate::target;
 
 /// Time in which responses are still written after the control thread ended.
@@ -37,6 +37,13 @@
         #[error(source)]
         cause: std::io::Error,
     },
+    /// A socket does not tell its address.
+    #[display("a socket does not tell its address: {cause}")]
+    Socket {
+        /// Why.
+        #[error(source)]
+        cause: std::io::Error,
+    },
     /// The control thread did not start.
     #[display("can't start the control thread: {cause}")]
     Thread {
@@ -50,12 +57,8 @@
 pub struct App {
     /// This run.
     pub incarnation: Incarnation,
-    /// Where it listens for callers.
-    pub callers: SocketAddr,
-    /// Where it listens for operators.
-    pub operators: SocketAddr,
-    /// Where it listens for peers.
-    pub peers: SocketAddr,
+    /// Where it listens.
+    pub addresses: Listen,
     control: Handle,
     exit: watch::Receiver<Option<Exit>>,
     servers: Mutex<Vec<tokio::task::JoinHandle<()>>>,
@@ -74,54 +77,31 @@
         log: MakeLog,
         metrics: PrometheusHandle,
     ) -> Result<Self, Failure> {
-        let listen = settings.listen;
-        let callers = bind(listen.callers).await?;
-        let operators = bind(listen.operators).await?;
-        // The peers' address is needed before the server that uses it can start.
-        let peers = bind(listen.peers).await?;
-        let peers_address = address(&peers, listen.peers)?;
-        drop(peers);
-        let incarnation = Incarnation(rand::random());
-        let myself = Myself {
-            host: settings.host.clone(),
-            zone: settings.zone.clone(),
-            incarnation,
-            address: settings.advertise_peers.unwrap_or(peers_address),
-            weight: settings.weight,
-        };
+        let sockets = Sockets::bind(settings.listen).await?;
+        let addresses = sockets.addresses()?;
+        let myself = myself(&settings, addresses);
         let link: Arc<dyn Link> = Arc::new(Rpc::default());
         let (exit_sender, exit) = watch::channel(None);
         let control = spawn_control(&settings, &myself, log(&myself), &link, exit_sender)?;
-        let rpc = peer::serve(peers_address, control.clone())
-            .await
-            .map_err(|cause| Failure::Listen { address: peers_address, cause })?;
-        let callers_address = address(&callers, listen.callers)?;
-        let operators_address = address(&operators, listen.operators)?;
+        let rpc = peer::serve(sockets.peers, control.clone())
+            .map_err(|cause| Failure::Listen { address: addresses.peers, cause })?;
         let registration = Registration {
             host: settings.host,
             zone: settings.zone,
-            incarnation,
+            incarnation: myself.incarnation,
             peers: myself.address,
-            operators: operators_address,
+            operators: addresses.operators,
         };
         let platform: Arc<dyn Platform> = Arc::new(Http::new(settings.platform));
         tokio::spawn(Agent { platform, control: control.clone(), registration }.run());
         let caller_routes = front::callers(control.clone(), link);
         let operator_routes = front::operators(control.clone(), metrics);
         let servers = Mutex::new(vec![
-            serve(callers, caller_routes, exit.clone()),
-            serve(operators, operator_routes, exit.clone()),
+            serve(sockets.callers, caller_routes, exit.clone()),
+            serve(sockets.operators, operator_routes, exit.clone()),
             hold(rpc, exit.clone()),
         ]);
-        Ok(Self {
-            incarnation,
-            callers: callers_address,
-            operators: operators_address,
-            peers: peers_address,
-            control,
-            exit,
-            servers,
-        })
+        Ok(Self { incarnation: myself.incarnation, addresses, control, exit, servers })
     }
 
     /// Asks for a planned stop; asked twice, the entry stops at once.
@@ -172,12 +152,48 @@
     Ok(control)
 }
 
+/// Sockets that listen; nothing is served on them yet.
+struct Sockets {
+    callers: TcpListener,
+    operators: TcpListener,
+    peers: TcpListener,
+}
+
+impl Sockets {
+    async fn bind(listen: Listen) -> Result<Self, Failure> {
+        Ok(Self {
+            callers: bind(listen.callers).await?,
+            operators: bind(listen.operators).await?,
+            peers: bind(listen.peers).await?,
+        })
+    }
+
+    /// Where they listen; the system may have chosen the ports.
+    fn addresses(&self) -> Result<Listen, Failure> {
+        Ok(Listen {
+            callers: address(&self.callers)?,
+            operators: address(&self.operators)?,
+            peers: address(&self.peers)?,
+        })
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, Failure> {
     TcpListener::bind(address).await.map_err(|cause| Failure::Listen { address, cause })
 }
 
-fn address(listener: &TcpListener, asked: SocketAddr) -> Result<SocketAddr, Failure> {
-    listener.local_addr().map_err(|cause| Failure::Listen { address: asked, cause })
+fn address(listener: &TcpListener) -> Result<SocketAddr, Failure> {
+    listener.local_addr().map_err(|cause| Failure::Socket { cause })
+}
+
+fn myself(settings: &Settings, addresses: Listen) -> Myself {
+    Myself {
+        host: settings.host.clone(),
+        zone: settings.zone.clone(),
+        incarnation: Incarnation(rand::random()),
+        address: settings.advertise_peers.unwrap_or(addresses.peers),
+        weight: settings.weight,
+    }
 }
 
 fn serve(
--- a/crates/entry/src/control/dump.rs
+++ b/crates/entry/src/control/dump.rs
@@ -5,6 +5,7 @@
 use serde_json::{Value, json};
 
 use super::{Action, Output, State};
+use crate::kind::Summary;
 use crate::member::Peer;
 use crate::submission::Ticket;
 use crate::target::{Gate, Seat};
@@ -20,7 +21,7 @@
                 "host": myself.host,
                 "zone": myself.zone,
                 "incarnation": myself.incarnation,
-                "stage": stage_name(&self.stage),
+                "stage": self.stage.name(),
                 "held": self.is_held(),
                 "tasks_started": self.started,
             },
@@ -48,17 +49,15 @@
     }
 
     fn dump_kinds(&self) -> Vec<Value> {
-        let kinds = self.book.iter().take(MAX_ROWS);
-        let row = |(kind, mean, high): (&coltsfootshunt_core::name::Kind, _, _)| {
-            let (mean, high): (std::time::Duration, std::time::Duration) = (mean, high);
+        let row = |summary: Summary<'_>| {
             json!({
-                "kind": kind,
-                "mean_ms": mean.as_secs_f64() * 1e3,
-                "p90_ms": high.as_secs_f64() * 1e3,
-                "long": self.book.is_long(kind),
+                "kind": summary.kind,
+                "mean_ms": summary.mean.as_secs_f64() * 1e3,
+                "p90_ms": summary.high.as_secs_f64() * 1e3,
+                "long": summary.long,
             })
         };
-        kinds.map(row).collect()
+        self.book.iter().take(MAX_ROWS).map(row).collect()
     }
 
     fn dump_submissions(&self, now: Instant) -> Value {
@@ -93,17 +92,6 @@
     }
 }
 
-fn stage_name(stage: &crate::drain::Stage) -> &'static str {
-    use crate::drain::Stage;
-    match stage {
-        Stage::Serving => "serving",
-        Stage::Grace { .. } => "grace",
-        Stage::Finishing { .. } => "finishing",
-        Stage::HandingOver { .. } => "handing_over",
-        Stage::Over(_) => "over",
-    }
-}
-
 fn dump_seat(seat: &Seat) -> Value {
     let gate = match seat.health.gate {
         _ if seat.closed => "closed",
--- a/crates/entry/src/drain/stage.rs
+++ b/crates/entry/src/drain/stage.rs
@@ -145,6 +145,18 @@
         }
     }
 
+    /// Name of the stage, as a dump shows it.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Serving => "serving",
+            Self::Grace { .. } => "grace",
+            Self::Finishing { .. } => "finishing",
+            Self::HandingOver { .. } => "handing_over",
+            Self::Over(_) => "over",
+        }
+    }
+
     /// How the process ends, once it may.
     #[must_use]
     pub fn exit(&self) -> Option<Exit> {
--- a/crates/entry/src/kind/book.rs
+++ b/crates/entry/src/kind/book.rs
@@ -21,6 +21,19 @@
     runs: f64,
 }
 
+/// A kind in short.
+#[derive(Clone, Copy, Debug)]
+pub struct Summary<'a> {
+    /// The kind.
+    pub kind: &'a Kind,
+    /// Mean run time.
+    pub mean: Duration,
+    /// Run time that nine in ten runs stay under.
+    pub high: Duration,
+    /// Whether it counts as long.
+    pub long: bool,
+}
+
 #[derive(Debug)]
 struct Entry {
     plan: KindPlan,
@@ -81,12 +94,15 @@
         self.kinds.get(kind).is_some_and(|entry| entry.long)
     }
 
-    /// Name, mean and 90% quantile of each kind's run time.
-    pub fn iter(&self) -> impl Iterator<Item = (&Kind, Duration, Duration)> {
+    /// What is known about each kind, in short.
+    pub fn iter(&self) -> impl Iterator<Item = Summary<'_>> {
         const HIGH: f64 = 0.9;
-        self.kinds
-            .iter()
-            .map(|(kind, entry)| (kind, entry.profile.mean(), entry.profile.quantile(HIGH)))
+        self.kinds.iter().map(|(kind, entry)| Summary {
+            kind,
+            mean: entry.profile.mean(),
+            high: entry.profile.quantile(HIGH),
+            long: entry.long,
+        })
     }
 
     fn halve(&mut self) {
--- a/crates/entry/src/kind/mod.rs
+++ b/crates/entry/src/kind/mod.rs
@@ -8,5 +8,5 @@
 #[cfg(test)]
 mod tests;
 
-pub use book::Book;
+pub use book::{Book, Summary};
 pub use profile::Profile;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -77,8 +77,8 @@
 fn announcement(app: &App) -> serde_json::Value {
     serde_json::json!({
         "incarnation": app.incarnation,
-        "callers": app.callers,
-        "operators": app.operators,
-        "peers": app.peers,
+        "callers": app.addresses.callers,
+        "operators": app.addresses.operators,
+        "peers": app.addresses.peers,
     })
 }
--- a/crates/entry/src/peer/rpc.rs
+++ b/crates/entry/src/peer/rpc.rs
@@ -7,7 +7,8 @@
 
 use async_trait::async_trait;
 use jsonrpsee::RpcModule;
-use jsonrpsee::core::client::ClientT;
+use jsonrpsee::client_transport::ws::WsHandshakeError;
+use jsonrpsee::core::client::{ClientT, Error as ClientError};
 use jsonrpsee::core::params::ArrayParams;
 use jsonrpsee::server::{ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
@@ -15,6 +16,7 @@
 use jsonrpsee::ws_client::{PingConfig, WsClient, WsClientBuilder};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::net::TcpListener;
 use tokio::sync::Mutex;
 
 use super::{Call, Forward, Link, Response, Unreachable};
@@ -57,19 +59,20 @@
     }
 }
 
-/// Starts the server.
+/// Starts the server on a socket that listens.
 ///
 /// # Errors
-/// The address can't be listened on.
-pub async fn serve(address: SocketAddr, control: Handle) -> std::io::Result<Server> {
+/// The socket can't be used.
+pub fn serve(listener: TcpListener, control: Handle) -> std::io::Result<Server> {
     let config = ServerConfig::builder()
         .max_request_body_size(MAX_MESSAGE_BYTES)
         .max_response_body_size(MAX_MESSAGE_BYTES)
         .max_connections(MAX_CONNECTIONS)
         .ws_only()
         .build();
-    let server = jsonrpsee::server::Server::builder().set_config(config).build(address).await?;
-    let address = server.local_addr()?;
+    let address = listener.local_addr()?;
+    let builder = jsonrpsee::server::Server::builder().set_config(config);
+    let server = builder.build_from_tcp(listener.into_std()?)?;
     let handle = server.start(module(control));
     Ok(Server { address, handle })
 }
@@ -195,8 +198,12 @@
         )
 }
 
-fn is_refusal(error: &(dyn std::error::Error + 'static)) -> bool {
-    let sources = std::iter::successors(Some(error), |error| error.source());
-    let io = sources.filter_map(|error| error.downcast_ref::<std::io::Error>());
-    io.into_iter().any(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
+fn is_refusal(error: &ClientError) -> bool {
+    let ClientError::Transport(transport) = error else {
+        return false;
+    };
+    match transport.downcast_ref::<WsHandshakeError>() {
+        Some(WsHandshakeError::Io(io)) => io.kind() == std::io::ErrorKind::ConnectionRefused,
+        _ => false,
+    }
 }
--- a/crates/entry/src/settings/tests.rs
+++ b/crates/entry/src/settings/tests.rs
@@ -61,3 +61,24 @@
     );
     no_json("\"zone\":", "\"zone\"", "syntax", "\"");
 }
+
+/// The operators' page names every option of the example, which has them all.
+#[test]
+fn page_names_every_option() {
+    let text = include_str!("../../../../examples/entry-riga-centrs.jsonc");
+    let page = include_str!("../../../../docs/OPERATING.md");
+    let options = jsonc_parser::ParseOptions::default();
+    let example: serde_json::Value =
+        jsonc_parser::parse_to_serde_value(text, &options).expect("the example is whole");
+    let mut named = 0;
+    for (key, value) in example.as_object().expect("it is an object") {
+        let inner = value.as_object().into_iter().flatten().map(|(k, _)| format!("{key}.{k}"));
+        let inner: Vec<_> = inner.collect();
+        let names = if inner.is_empty() { vec![key.clone()] } else { inner };
+        for name in names {
+            assert!(page.contains(&format!("`{name}`")), "{name} is not on the page");
+            named += 1;
+        }
+    }
+    assert_eq!(named, 19, "a new option belongs into the example and on the page");
+}
