--- a/crates/cli/src/command/load.rs
+++ b/crates/cli/src/command/load.rs
@@ -20,6 +20,12 @@
     Command::new("load")
         .about("Load an embedded fleet with open-loop arrivals and print response time over ideal")
         .arg(number("load", "0.7", "Work that arrives against all slots"))
+        .arg(
+            Arg::new("rate")
+                .long("rate")
+                .help("Jobs a second, in place of the load")
+                .value_parser(value_parser!(f64)),
+        )
         .arg(number("seconds", "20", "Length of the run"))
         .arg(number("deadline-ms", "10000", "Deadline of each job"))
         .arg(number("crest", "1", "Factor of a swing in the middle third of the run"))
@@ -122,6 +128,7 @@
     Shape {
         mix: mix.to_vec(),
         load: float(matches, "load"),
+        rate: matches.get_one::<f64>("rate").copied(),
         slots: size.targets * size.slots as usize,
         lasts,
         crest: (factor > 1.0).then_some(Crest { factor, from: third, lasts: third }),
--- a/crates/cli/src/load/arrivals.rs
+++ b/crates/cli/src/load/arrivals.rs
@@ -68,6 +68,8 @@
     pub mix: Vec<Class>,
     /// Mean work that arrives in each second, against all slots.
     pub load: f64,
+    /// Usual rate of jobs, if it is not to follow from the load.
+    pub rate: Option<f64>,
     /// Slots of all targets.
     pub slots: usize,
     /// Length of the run.
@@ -111,6 +113,9 @@
     /// Usual rate of jobs.
     #[must_use]
     pub fn jobs_per_second(&self) -> f64 {
+        if let Some(rate) = self.rate {
+            return rate;
+        }
         let weight: f64 = self.mix.iter().map(|class| class.weight).sum();
         let work: f64 = self.mix.iter().map(|class| class.weight * class.work_ms()).sum();
         self.load * self.slots as f64 * 1e3 / (work / weight)
--- a/crates/cli/src/load/tests.rs
+++ b/crates/cli/src/load/tests.rs
@@ -9,7 +9,7 @@
 fn shape(load: f64, crest: Option<Crest>) -> Shape {
     let class = Class::try_from("short:100:0.5:1:10").expect("it has the form");
     let lasts = Duration::from_secs(60);
-    Shape { mix: vec![class], load, slots: 400, lasts, crest, seed: 1 }
+    Shape { mix: vec![class], load, rate: None, slots: 400, lasts, crest, seed: 1 }
 }
 
 /// Arrivals bring the work that was asked for, and the same again from the same seed.
@@ -32,6 +32,14 @@
     with_a_crest(0.3, 4.0, 0.6);
 }
 
+/// A rate that is given goes before the load.
+#[test]
+fn given_rate_counts() {
+    let shape = Shape { rate: Some(50.0), ..shape(0.7, None) };
+    let jobs = shape.draw().len();
+    assert!((2_800..3_200).contains(&jobs), "{jobs} in 60 s");
+}
+
 /// Response of the last of some jobs, given as (at, tasks), in milliseconds, on so many slots.
 fn waits(slots: usize, jobs: &[(u64, &[f64])], wanted_ms: u64) {
     let arrival = |(at, tasks_ms): &(u64, &[f64])| Arrival {
