fix(drain): a stopping entry keeps its targets while accepted work waits

Cause: once new work was refused, a stopping entry gave up its stewardship, so accepted tasks that still waited had slots only on loan; alone, it left them to their deadline. Found in the log of a trial run by hand ('stewardship settled', targets 0, before the end). Ruled out: the hand-over (it begins only when nothing is in progress). Change: it counts itself as a steward until the queue is empty; peers share its targets meanwhile.

--- a/crates/entry/src/control/fleet.rs
+++ b/crates/entry/src/control/fleet.rs
@@ -22,13 +22,19 @@
             self.bury(now, out);
             self.beat(out);
         }
-        let wanted = Some((self.roster.changes(), self.stage.accepts()));
+        let wanted = Some((self.roster.changes(), self.keeps_targets()));
         if self.stewarded != wanted {
             self.stewarded = wanted;
             self.restaff(out);
         }
     }
 
+    /// Whether this entry counts as a steward for itself: a stopping one keeps its targets until
+    /// the last accepted task has its slot, though peers share them already.
+    fn keeps_targets(&self) -> bool {
+        self.stage.accepts() || !self.queue.is_empty()
+    }
+
     pub(super) fn call(&mut self, ticket: Ticket, call: Call, now: Instant, out: &mut Vec<Action>) {
         let response = match call {
             Call::Beat(beat) => {
@@ -211,7 +217,7 @@
         let Some(document) = self.holder.document().cloned() else {
             return;
         };
-        let draining = !self.stage.accepts();
+        let draining = !self.keeps_targets();
         let me = self.roster.myself().incarnation;
         let mut zones: BTreeMap<_, Vec<_>> = BTreeMap::new();
         for target in &document.plan.targets {
--- a/crates/entry/src/control/tests/fleet.rs
+++ b/crates/entry/src/control/tests/fleet.rs
@@ -118,3 +118,20 @@
     }
     assert_eq!(world.outcomes.get("complete"), Some(&4), "{:?}", world.outcomes);
 }
+
+/// A planned stop also finishes accepted work that still waits for slots.
+fn stop_finishes_waiting_work(entries: usize) {
+    let mut world = World::new(entries);
+    world.submit(0, "once", 40, 30_000).expect("the entry is ready");
+    world.stop(0);
+    // Nothing ends before new work is refused.
+    world.pass(Duration::from_millis(300));
+    run_out(&mut world);
+    assert_eq!(world.outcomes.get("complete"), Some(&1), "{:?}", world.outcomes);
+    assert_eq!(world.entries[0].exit, Some(Exit::Clean));
+}
+
+cases! { stop_finishes_waiting_work:
+    alone(1);
+    with_a_peer(2);
+}
