--- a/crates/entry/tests/failure.rs
+++ b/crates/entry/tests/failure.rs
@@ -1,40 +1,39 @@
 //! Promises under failure, with real processes: kills, freezes, stops, outages and cuts.
 
+mod common;
+
 use std::time::Duration;
 
 use coltsfootshunt_caller::{Caller, Held};
 use coltsfootshunt_core::answer::{Answer, Doubt, Outcome};
-use coltsfootshunt_core::config::{Draft, Plan};
+use coltsfootshunt_core::job::Job;
 use coltsfootshunt_entry::platform::{Http, Rejected, accept, fetch};
 use coltsfootshunt_standin::cut::Relay;
 use coltsfootshunt_testkit::{Cluster, Entry, Signal, job, until};
+use common::{plan, put_in_force};
 use serde_json::json;
+use tokio::task::JoinHandle;
 use uuid::Uuid;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_coltsfootshunt-entry");
 const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
 const WAIT: Duration = Duration::from_secs(5);
 
-fn plan(cluster: &Cluster) -> Plan {
-    let draft: Draft =
-        serde_json::from_value(cluster.configuration(&["zone"])).expect("the form is right");
-    draft.try_into().expect("the configuration is right")
-}
-
-async fn put_in_force(cluster: &Cluster) {
-    let platform = Http::new(cluster.platform.address);
-    accept(&platform, plan(cluster), None, Uuid::new_v4()).await.expect("the platform is up");
-}
-
 async fn cluster(entries: usize) -> (Cluster, Vec<Entry>) {
     let cluster = Cluster::start(PROGRAM, FOLDER, 3).await;
-    put_in_force(&cluster).await;
+    put_in_force(&cluster, &["zone"]).await;
     let start = |number| cluster.entry(&format!("entry-{number}"), "zone", &json!({}));
     let entries: Vec<_> = (0..entries).map(start).collect();
     cluster.ready(&entries.iter().collect::<Vec<_>>()).await;
     (cluster, entries)
 }
 
+/// Submits a job while the test goes on.
+fn in_background(caller: Caller, held: &Held, work: &Job) -> JoinHandle<Option<Answer>> {
+    let (held, work) = (held.clone(), work.clone());
+    tokio::spawn(async move { caller.submit_under(&held, &work).await.ok() })
+}
+
 async fn started(cluster: &Cluster, tasks: usize) {
     until("tasks start", || async { (cluster.most_starts().1 >= tasks).then_some(()) }).await;
 }
@@ -54,11 +53,7 @@
     let held = cluster.caller(&[&entries[0]]).identifier().await.expect("an identifier");
     let others = cluster.caller(&[&entries[1], &entries[2]]);
     let work = job("once", 40, 300, 20_000);
-    let first = {
-        let caller = cluster.caller(&[&entries[1]]);
-        let (held, work) = (held.clone(), work.clone());
-        tokio::spawn(async move { caller.submit_under(&held, &work).await })
-    };
+    let first = in_background(cluster.caller(&[&entries[1]]), &held, &work);
     started(&cluster, 10).await;
     entries[0].tell(Signal::Kill);
     entries[0].exit().await;
@@ -78,11 +73,7 @@
     let (cluster, entries) = cluster(2).await;
     let held = cluster.caller(&[&entries[0]]).identifier().await.expect("an identifier");
     let work = job("once", 60, 100, 40_000);
-    let first = {
-        let caller = cluster.caller(&[&entries[0]]);
-        let (held, work) = (held.clone(), work.clone());
-        tokio::spawn(async move { caller.submit_under(&held, &work).await })
-    };
+    let first = in_background(cluster.caller(&[&entries[0]]), &held, &work);
     started(&cluster, 10).await;
     entries[0].tell(Signal::Freeze);
     let other = cluster.caller(&[&entries[1]]);
@@ -104,11 +95,7 @@
     let (cluster, mut entries) = cluster(2).await;
     let held = cluster.caller(&[&entries[0]]).identifier().await.expect("an identifier");
     let work = job("once", 30, 300, 30_000);
-    let first = {
-        let caller = cluster.caller(&[&entries[0]]);
-        let (held, work) = (held.clone(), work.clone());
-        tokio::spawn(async move { caller.submit_under(&held, &work).await })
-    };
+    let first = in_background(cluster.caller(&[&entries[0]]), &held, &work);
     started(&cluster, 5).await;
     entries[0].tell(Signal::Terminate);
     let (status, _) = until("readiness goes off", || async {
@@ -205,11 +192,11 @@
     let (cluster, entries) = cluster(1).await;
     let platform = Http::new(cluster.platform.address);
     cluster.platform.lose_answers(1);
-    let revision = accept(&platform, plan(&cluster), None, Uuid::new_v4()).await;
+    let revision = accept(&platform, plan(&cluster, &["zone"]), None, Uuid::new_v4()).await;
     let revision = revision.expect("the write took effect, and that is found out");
     let based_on = Some(revision);
-    let first = accept(&platform, plan(&cluster), based_on, Uuid::new_v4());
-    let second = accept(&platform, plan(&cluster), based_on, Uuid::new_v4());
+    let first = accept(&platform, plan(&cluster, &["zone"]), based_on, Uuid::new_v4());
+    let second = accept(&platform, plan(&cluster, &["zone"]), based_on, Uuid::new_v4());
     let (first, second) = tokio::join!(first, second);
     let (winner, loser) = match (first, second) {
         (Ok(revision), Err(rejected)) | (Err(rejected), Ok(revision)) => (revision, rejected),
@@ -231,11 +218,7 @@
 #[tokio::test]
 async fn zones_cut_from_each_other_go_on_and_meet_again() {
     let cluster = Cluster::start(PROGRAM, FOLDER, 4).await;
-    let draft: Draft = serde_json::from_value(cluster.configuration(&["north", "south"]))
-        .expect("the form is right");
-    let platform = Http::new(cluster.platform.address);
-    let plan = draft.try_into().expect("the configuration is right");
-    accept(&platform, plan, None, Uuid::new_v4()).await.expect("the platform is up");
+    put_in_force(&cluster, &["north", "south"]).await;
     let (mut north_relay, mut south_relay) =
         (Relay::start().await.expect("a port"), Relay::start().await.expect("a port"));
     let behind = |relay: &Relay| json!({ "advertise_peers": relay.address });
--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/path.rs
@@ -1,27 +1,20 @@
 //! The whole path, through separate processes.
 
+mod common;
+
 use coltsfootshunt_core::answer::{Answer, Outcome, Refusal};
 use coltsfootshunt_http::Method;
 use coltsfootshunt_testkit::{Cluster, Entry, job};
+use common::put_in_force;
 use serde_json::{Value, json};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_coltsfootshunt-entry");
 const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
 
-async fn accept(cluster: &Cluster, zones: &[&str]) {
-    let draft: coltsfootshunt_core::config::Draft =
-        serde_json::from_value(cluster.configuration(zones)).expect("the form is right");
-    let plan = draft.try_into().expect("the configuration is right");
-    let platform = coltsfootshunt_entry::platform::Http::new(cluster.platform.address);
-    coltsfootshunt_entry::platform::accept(&platform, plan, None, uuid::Uuid::new_v4())
-        .await
-        .expect("the platform is up");
-}
-
 /// Two zones with an entry each.
 async fn two_zones() -> (Cluster, Entry, Entry) {
     let cluster = Cluster::start(PROGRAM, FOLDER, 4).await;
-    accept(&cluster, &["north", "south"]).await;
+    put_in_force(&cluster, &["north", "south"]).await;
     let north = cluster.entry("north-1", "north", &json!({}));
     let south = cluster.entry("south-1", "south", &json!({}));
     cluster.ready(&[&north, &south]).await;
--- a/crates/entry/tests/random.rs
+++ b/crates/entry/tests/random.rs
@@ -1,17 +1,17 @@
 //! Processes that fail at random moments, from a fixed seed, while jobs run.
 
+mod common;
+
 use std::time::Duration;
 
 use coltsfootshunt_core::answer::{Answer, Outcome};
-use coltsfootshunt_core::config::Draft;
 use coltsfootshunt_core::submission::Id;
-use coltsfootshunt_entry::platform::{Http, accept};
 use coltsfootshunt_testkit::{Cluster, Entry, Signal, job};
+use common::put_in_force;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::json;
 use tokio::task::JoinSet;
-use uuid::Uuid;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_coltsfootshunt-entry");
 const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
@@ -43,7 +43,7 @@
 async fn random_failures_start_nothing_twice() {
     let mut random = StdRng::seed_from_u64(SEED);
     let cluster = Cluster::start(PROGRAM, FOLDER, 3).await;
-    put_in_force(&cluster).await;
+    put_in_force(&cluster, &["zone"]).await;
     let mut entries: Vec<_> = (0..ENTRIES).map(|number| start(&cluster, number)).collect();
     cluster.ready(&entries.iter().collect::<Vec<_>>()).await;
     let mut jobs = JoinSet::new();
@@ -68,14 +68,6 @@
     std::env::var(ROUNDS_VARIABLE).ok().and_then(|text| text.parse().ok()).unwrap_or(ROUNDS)
 }
 
-async fn put_in_force(cluster: &Cluster) {
-    let draft: Draft =
-        serde_json::from_value(cluster.configuration(&["zone"])).expect("the form is right");
-    let plan = draft.try_into().expect("the configuration is right");
-    let platform = Http::new(cluster.platform.address);
-    accept(&platform, plan, None, Uuid::new_v4()).await.expect("the platform is up");
-}
-
 fn start(cluster: &Cluster, number: usize) -> Entry {
     cluster.entry(&format!("entry-{number}"), "zone", &json!({}))
 }
