fix(lease): an order for a target's earlier life may run in its next one

Cause: whole hosts against targets that keep to the protocol, under random failures (new tests of control), showed a task running twice when a target had crashed: a start that reached the next life was taken for lost with the earlier one. Learned speeds fade only while a target has no ends; long jobs are tried while targets are free. Two properties (freezes, all of it) still fail at 400 cases; they are traced next.

--- a/crates/fleet/src/admission/gate.rs
+++ b/crates/fleet/src/admission/gate.rs
@@ -4,9 +4,13 @@
 
 use crate::job::{Outcome, Refusal};
 
-/// Share of a job's expected time that is asked for: predictions are medians, and a job that may
-/// well end in time is not turned away.
-const OPTIMISM: f64 = 0.7;
+/// Share of a job's expected run time that is asked for where targets are free: trying costs nobody
+/// else anything, and declared times are off by tens of per cent and made for an average target.
+const OPTIMISM_FREE: f64 = 0.48;
+/// Share of a job's expected time that is asked for where work waits.
+const OPTIMISM_BUSY: f64 = 0.7;
+/// Expected wait from which work counts as waiting.
+const BUSY_FROM: Duration = Duration::from_millis(20);
 /// Shortest time after which coming back makes sense: the resolution of the header is a second.
 const SHORTEST_RETRY: Duration = Duration::from_secs(1);
 
@@ -24,7 +28,8 @@
 /// Whether the job is turned away, and with which answer.
 #[must_use]
 pub fn judge(prospect: &Prospect) -> Option<Outcome> {
-    let expected = (prospect.wait + prospect.run).mul_f64(OPTIMISM);
+    let optimism = if prospect.wait < BUSY_FROM { OPTIMISM_FREE } else { OPTIMISM_BUSY };
+    let expected = (prospect.wait + prospect.run).mul_f64(optimism);
     if expected <= prospect.patience {
         return None;
     }
--- a/crates/fleet/src/admission/tests.rs
+++ b/crates/fleet/src/admission/tests.rs
@@ -16,6 +16,8 @@
 cases! { judges:
     what_has_time(0, 760, true);
     what_may_just_end_in_time(900, 760, true);
+    what_may_end_in_time_on_a_fast_target_while_one_is_free(0, 2_500, true);
+    not_that_while_work_waits(100, 2_500, false);
     what_will_not_end_in_time(2_000, 760, false);
     what_is_too_long_by_itself(0, 8_000, false);
 }
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -1,6 +1,6 @@
 //! The state and its entry points.
 
-use std::collections::{BTreeSet, HashSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -51,7 +51,7 @@
     pub(super) directory: directory::List,
     pub(super) jobs: job::Book,
     /// Jobs with tasks that have found no steward.
-    pub(super) stalled: HashSet<Id>,
+    pub(super) stalled: BTreeSet<Id>,
     pub(super) steward: Steward,
     pub(super) speeds: speed::Book,
     pub(super) mint: Mint,
@@ -80,10 +80,10 @@
             holder: config::Holder::default(),
             directory: directory::List::default(),
             jobs: job::Book::default(),
-            stalled: HashSet::new(),
+            stalled: BTreeSet::new(),
             steward: Steward::new(settings.steward),
             speeds: speed::Book::default(),
-            mint: Mint::default(),
+            mint: Mint::new(settings.card.incarnation),
             contacts: settings.seeds.iter().copied().collect(),
             beaten: None,
             contacted: None,
--- /dev/null
+++ b/crates/fleet/src/control/tests/mod.rs
@@ -0,0 +1,6 @@
+//! Whole hosts against targets that keep to the published protocol, under random failures.
+
+mod jobs;
+mod safety;
+mod target;
+mod world;
--- /dev/null
+++ b/crates/fleet/src/control/tests/safety.rs
@@ -0,0 +1,102 @@
+use coltsfootshunt_testkit::cases;
+use proptest::prelude::*;
+
+use super::jobs::settled;
+use super::world::{Chances, World};
+use crate::job::Outcome;
+
+/// Cases of each property; more by `COLTSFOOTSHUNT_CASES`.
+const CASES: u32 = 12;
+
+fn cases() -> u32 {
+    std::env::var("COLTSFOOTSHUNT_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(CASES)
+}
+
+fn disturb(world: &mut World, kinds: &[u8]) {
+    let host = world.pick(world.hosts());
+    match kinds[world.pick(kinds.len())] {
+        0 => world.kill(host),
+        1 => {
+            let for_ms = 200 + world.pick(4_000) as u64;
+            world.freeze(host, for_ms);
+        }
+        2 => world.stop(host),
+        3 => {
+            let target = world.pick(world.targets.len());
+            world.crash(target);
+        }
+        4 => {
+            let other = world.pick(world.hosts());
+            let cut = world.chance(0.5);
+            if other != host {
+                world.set_cut(host, other, cut);
+            }
+        }
+        _ => {
+            let killed: Vec<usize> = (0..world.hosts()).filter(|one| !world.is_up(*one)).collect();
+            killed.into_iter().for_each(|one| world.start(one));
+        }
+    }
+}
+
+/// Random work and random failures; nothing that must never happen happens.
+fn keeps_promises(seed: u64, chances: Chances, kinds: &[u8]) {
+    let mut world = settled(seed);
+    world.chances = chances;
+    for _ in 0..120 {
+        let width = 1 + world.pick(5) as u32;
+        let cpu = 9_000 + world.pick(8_000) as u64;
+        let takes_ms = 30 + world.pick(600) as u64;
+        world.submit(width, cpu, takes_ms);
+        let gap_ms = 20 + world.pick(120) as u64;
+        world.run_for(gap_ms);
+        if !kinds.is_empty() && world.chance(0.08) {
+            disturb(&mut world, kinds);
+        }
+    }
+    world.run_for(15_000);
+    assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+    for (id, outcomes) in world.all() {
+        let refused = |one: &Option<Outcome>| matches!(one, Some(Outcome::Refused { .. }));
+        let started = world.starts.keys().any(|task| task.job == *id);
+        let all = !outcomes.is_empty() && outcomes.iter().all(refused);
+        assert!(!(all && started), "seed {seed}: {id} was refused and ran");
+    }
+}
+
+fn property(chances: Chances, kinds: &'static [u8]) {
+    let config = ProptestConfig { cases: cases(), failure_persistence: None, ..Default::default() };
+    let mut runner = proptest::test_runner::TestRunner::new_with_rng(
+        config,
+        proptest::test_runner::TestRng::deterministic_rng(
+            proptest::test_runner::RngAlgorithm::ChaCha,
+        ),
+    );
+    let run = runner.run(&any::<u64>(), |seed| {
+        keeps_promises(seed, chances, kinds);
+        Ok(())
+    });
+    run.unwrap_or_else(|error| panic!("{error}"));
+}
+
+fn replays(seed: u64, chances: Chances, kinds: &[u8]) {
+    keeps_promises(seed, chances, kinds);
+}
+
+cases! { replays:
+    seed_twice_under_freezes(18_114_288_459_833_302_785, CALM, &[1]);
+    seed_twice_under_all(2_861_584_284_503_328_599, LATE, &[0, 1, 2, 3, 4, 5, 5]);
+}
+
+const LATE: Chances = Chances { call_lost: 0.05, answer_lost: 0.05, late: 0.8, fails: 0.02 };
+const CALM: Chances = Chances { call_lost: 0.0, answer_lost: 0.0, late: 0.0, fails: 0.02 };
+
+cases! { property:
+    under_calls_that_are_lost_or_carried_out_late(LATE, &[]);
+    under_killed_hosts(CALM, &[0, 5]);
+    under_frozen_hosts(CALM, &[1]);
+    under_planned_stops(CALM, &[2, 5]);
+    under_crashed_targets(CALM, &[3]);
+    under_cuts_between_hosts(CALM, &[4]);
+    under_all_of_it(LATE, &[0, 1, 2, 3, 4, 5, 5]);
+}
--- /dev/null
+++ b/crates/fleet/src/control/tests/world.rs
@@ -0,0 +1,571 @@
+//! Hosts, targets, the network between them and callers, in one thread with one clock.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime};
+
+use coltsfootshunt_core::clock::Clock;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::target::{LEASE_MS, Target, Work};
+use crate::config::tests::{document, route};
+use crate::control::{Action, Event, Output, Request, Settings, State};
+use crate::directory;
+use crate::job::{Id, Need, Outcome, Plan, Room, Step, Submission, Task, Ticket};
+use crate::lease::{Answer, Call, Order};
+use crate::member::Card;
+use crate::peer::{Ack, Batch, Message};
+use crate::steward;
+use crate::store::News;
+
+/// Zones of the world; each has two hosts and some targets.
+pub(super) const ZONES: [&str; 2] = ["a", "b"];
+const TARGETS_PER_ZONE: usize = 3;
+const CAPACITY: u64 = 32_000;
+/// Time after which a caller that got no answer sends its job again, in milliseconds.
+const RESEND_MS: u64 = 1_300;
+const PATIENCE_MS: u64 = 1_500;
+
+struct Time {
+    start: Instant,
+    now_ms: Mutex<u64>,
+}
+
+impl Time {
+    fn now_ms(&self) -> u64 {
+        *self.now_ms.lock().unwrap()
+    }
+}
+
+impl Clock for Time {
+    fn now(&self) -> Instant {
+        self.start + Duration::from_millis(self.now_ms())
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000) + self.uptime()
+    }
+
+    fn uptime(&self) -> Duration {
+        Duration::from_millis(self.now_ms())
+    }
+}
+
+enum Happening {
+    /// A host looks around.
+    Wake(usize, u64),
+    /// Something reaches a host; the number names the run of its process.
+    Event(usize, u64, Event),
+    /// A call reaches a target; whether its answer gets back.
+    Call { host: usize, run: u64, call: Call, answered: bool },
+    /// A waiting renewal is looked at again.
+    Hold { host: usize, run: u64, call: Call, until_ms: u64 },
+    /// A caller sends its job.
+    Send(Id),
+    /// A caller gives up waiting.
+    GiveUp(Id, u32),
+}
+
+struct Due(u64, u64, Happening);
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+
+impl Eq for Due {}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+struct Host {
+    card: Card,
+    state: Option<State>,
+    run: u64,
+    frozen_until: u64,
+    sessions: BTreeMap<SocketAddr, (u64, u64)>,
+    held: Vec<Event>,
+}
+
+struct Caller {
+    host: usize,
+    attempt: u32,
+    sent: u32,
+    open: bool,
+    outcomes: Vec<Option<Outcome>>,
+    plan: Arc<Plan>,
+    takes_ms: u64,
+}
+
+/// Chances of failures, each for one call or message.
+#[derive(Clone, Copy, Default)]
+pub(super) struct Chances {
+    pub(super) call_lost: f64,
+    pub(super) answer_lost: f64,
+    pub(super) late: f64,
+    pub(super) fails: f64,
+}
+
+pub(super) struct World {
+    time: Arc<Time>,
+    hosts: Vec<Host>,
+    pub(super) targets: BTreeMap<coltsfootshunt_core::name::Target, Target>,
+    due: BinaryHeap<Reverse<Due>>,
+    order: u64,
+    callers: BTreeMap<Id, Caller>,
+    tickets: BTreeMap<(usize, Ticket), Id>,
+    next_ticket: u64,
+    rng: StdRng,
+    pub(super) chances: Chances,
+    cut: BTreeSet<(usize, usize)>,
+    pub(super) starts: BTreeMap<Task, u32>,
+    pub(super) broken: Vec<String>,
+    /// Whether what hosts do is printed; by `COLTSFOOTSHUNT_TRACE`.
+    traced: bool,
+}
+
+impl World {
+    pub(super) fn new(seed: u64) -> Self {
+        let time = Arc::new(Time { start: Instant::now(), now_ms: Mutex::new(0) });
+        let mut world = Self {
+            time,
+            hosts: Vec::new(),
+            targets: BTreeMap::new(),
+            due: BinaryHeap::new(),
+            order: 0,
+            callers: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            next_ticket: 1,
+            rng: StdRng::seed_from_u64(seed),
+            chances: Chances::default(),
+            cut: BTreeSet::new(),
+            starts: BTreeMap::new(),
+            broken: Vec::new(),
+            traced: std::env::var_os("COLTSFOOTSHUNT_TRACE").is_some(),
+        };
+        for (number, zone) in ZONES.iter().flat_map(|zone| [zone, zone]).enumerate() {
+            let card = Card {
+                address: format!("10.0.0.{}:1", number + 1).parse().unwrap(),
+                ..crate::member::tests::card(&format!("h{number}"), zone, 250)
+            };
+            let sessions = BTreeMap::new();
+            let held = Vec::new();
+            let host = Host { card, state: None, run: 0, frozen_until: 0, sessions, held };
+            world.hosts.push(host);
+        }
+        for (number, zone) in ZONES.iter().enumerate() {
+            for each in 0..TARGETS_PER_ZONE {
+                let mut entry = directory::tests::entry(&format!("t{number}{each}"), zone);
+                entry.capacity.cpu_millis = CAPACITY;
+                world.targets.insert(entry.name.clone(), Target::new(entry, 0));
+            }
+        }
+        (0..world.hosts.len()).for_each(|host| world.start(host));
+        world
+    }
+
+    pub(super) fn now_ms(&self) -> u64 {
+        self.time.now_ms()
+    }
+
+    pub(super) fn hosts(&self) -> usize {
+        self.hosts.len()
+    }
+
+    pub(super) fn chance(&mut self, chance: f64) -> bool {
+        self.rng.random_bool(chance)
+    }
+
+    pub(super) fn pick(&mut self, below: usize) -> usize {
+        self.rng.random_range(0..below)
+    }
+
+    /// Starts a host's process, or starts it again.
+    pub(super) fn start(&mut self, host: usize) {
+        let seeds = self.hosts.iter().map(|one| one.card.address).collect();
+        let one = &mut self.hosts[host];
+        one.run += 1;
+        one.card.incarnation = one.run * 16 + host as u64;
+        one.sessions.clear();
+        one.held.clear();
+        let lease = Duration::from_millis(LEASE_MS);
+        let settings = Settings {
+            card: one.card.clone(),
+            seeds,
+            steward: steward::Settings { lease, remote_factor: 1.5 },
+            stop_within: Duration::from_secs(5),
+            patience: Duration::from_secs(30),
+        };
+        let clock: Arc<dyn Clock> = Arc::clone(&self.time) as _;
+        one.state = Some(State::new(settings, clock));
+        let run = one.run;
+        let news = News::Document(Arc::new(document(1, vec![route("cut", "/a/")])));
+        self.happen(1, Happening::Event(host, run, Event::Store(news)));
+        self.read_targets(host);
+        self.happen(1, Happening::Wake(host, run));
+    }
+
+    /// A host reads the list of targets.
+    fn read_targets(&mut self, host: usize) {
+        let entries = self.targets.values().map(|target| target.entry.clone()).collect();
+        let run = self.hosts[host].run;
+        let news = Event::Store(News::Targets(entries));
+        self.happen(2, Happening::Event(host, run, news));
+    }
+
+    pub(super) fn kill(&mut self, host: usize) {
+        self.hosts[host].state = None;
+        let open: Vec<Id> = self
+            .callers
+            .iter()
+            .filter(|(_, caller)| caller.host == host && caller.open)
+            .map(|(id, _)| id.clone())
+            .collect();
+        open.iter().for_each(|id| self.answered(id, None));
+    }
+
+    pub(super) fn freeze(&mut self, host: usize, for_ms: u64) {
+        self.hosts[host].frozen_until = self.now_ms() + for_ms;
+    }
+
+    pub(super) fn stop(&mut self, host: usize) {
+        let run = self.hosts[host].run;
+        self.happen(0, Happening::Event(host, run, Event::Stop));
+    }
+
+    pub(super) fn is_up(&self, host: usize) -> bool {
+        self.hosts[host].state.is_some()
+    }
+
+    pub(super) fn set_cut(&mut self, one: usize, other: usize, cut: bool) {
+        let pair = (one.min(other), one.max(other));
+        if cut {
+            self.cut.insert(pair)
+        } else {
+            self.cut.remove(&pair)
+        };
+    }
+
+    pub(super) fn crash(&mut self, target: usize) {
+        let now_ms = self.now_ms();
+        if let Some(target) = self.targets.values_mut().nth(target) {
+            target.crash(now_ms);
+        }
+    }
+
+    /// A caller hands a job of some tasks in, at a host that is up.
+    pub(super) fn submit(&mut self, width: u32, cpu: u64, takes_ms: u64) -> Id {
+        let id = Id::try_from(format!("{:016x}", self.callers.len() + 1)).unwrap();
+        let room = Room { cpu_millis: cpu, memory_mb: 1, accelerators: 0 };
+        let need = Need { room, estimate_ms: takes_ms, ..Need::default() };
+        let step = Step { count: width, need, after: Vec::new() };
+        let plan = Arc::new(Plan::new("work".into(), vec![step]).unwrap());
+        let outcomes = Vec::new();
+        let caller = Caller { host: 0, attempt: 0, sent: 0, open: false, outcomes, plan, takes_ms };
+        self.callers.insert(id.clone(), caller);
+        self.happen(0, Happening::Send(id.clone()));
+        id
+    }
+
+    pub(super) fn outcomes(&self, id: &Id) -> &[Option<Outcome>] {
+        &self.callers[id].outcomes
+    }
+
+    /// All that callers heard.
+    pub(super) fn all(&self) -> impl Iterator<Item = (&Id, &[Option<Outcome>])> {
+        self.callers.iter().map(|(id, caller)| (id, caller.outcomes.as_slice()))
+    }
+
+    /// Lets time pass.
+    pub(super) fn run_for(&mut self, for_ms: u64) {
+        let end = self.now_ms() + for_ms;
+        while self.due.peek().is_some_and(|Reverse(due)| due.0 <= end) {
+            let Some(Reverse(Due(at, _, happening))) = self.due.pop() else {
+                break;
+            };
+            *self.time.now_ms.lock().unwrap() = at;
+            self.pass();
+            self.act(happening);
+            self.check();
+        }
+        *self.time.now_ms.lock().unwrap() = end;
+    }
+
+    fn pass(&mut self) {
+        let now_ms = self.now_ms();
+        for target in self.targets.values_mut() {
+            target.pass(now_ms);
+        }
+    }
+
+    fn check(&mut self) {
+        if !self.broken.is_empty() {
+            return;
+        }
+        let now_ms = self.now_ms();
+        let mut seen: BTreeSet<&Task> = BTreeSet::new();
+        for target in self.targets.values() {
+            if !target.entry.capacity.holds(&target.used()) {
+                let name = &target.entry.name;
+                self.broken.push(format!("{now_ms} ms: {name} is over its room"));
+            }
+            for task in target.running.keys() {
+                if !seen.insert(task) {
+                    self.broken.push(format!("{now_ms} ms: {task} runs twice"));
+                }
+            }
+        }
+    }
+
+    fn happen(&mut self, in_ms: u64, happening: Happening) {
+        self.order += 1;
+        self.due.push(Reverse(Due(self.now_ms() + in_ms, self.order, happening)));
+    }
+
+    fn act(&mut self, happening: Happening) {
+        match happening {
+            Happening::Wake(host, run) => {
+                if self.hosts[host].run == run && self.is_up(host) {
+                    self.happen(50, Happening::Wake(host, run));
+                    if self.now_ms() / 700 != (self.now_ms() + 50) / 700 {
+                        self.read_targets(host);
+                    }
+                    self.settle(host, None);
+                }
+            }
+            Happening::Event(host, run, event) => {
+                if self.hosts[host].run == run && self.is_up(host) {
+                    self.settle(host, Some(event));
+                }
+            }
+            Happening::Call { host, run, call, answered } => self.call(host, run, call, answered),
+            Happening::Hold { host, run, call, until_ms } => self.hold(host, run, call, until_ms),
+            Happening::Send(id) => self.send(&id),
+            Happening::GiveUp(id, attempt) => {
+                let caller = &self.callers[&id];
+                if caller.open && caller.attempt == attempt {
+                    self.answered(&id, None);
+                }
+            }
+        }
+    }
+
+    /// Lets a host work, unless it is frozen: then what comes waits for it.
+    fn settle(&mut self, host: usize, event: Option<Event>) {
+        if self.now_ms() < self.hosts[host].frozen_until {
+            self.hosts[host].held.extend(event);
+            return;
+        }
+        let held = std::mem::take(&mut self.hosts[host].held);
+        let Some(state) = &mut self.hosts[host].state else {
+            return;
+        };
+        state.look();
+        held.into_iter().chain(event).for_each(|event| state.handle(event));
+        for action in state.settle() {
+            self.carry_out(host, action);
+        }
+    }
+
+    fn carry_out(&mut self, host: usize, action: Action) {
+        let run = self.hosts[host].run;
+        if self.traced {
+            println!("{} ms h{host}: {action:?}", self.now_ms());
+        }
+        match action {
+            Action::Answer(ticket, Output::Outcome(outcome)) => {
+                if let Some(id) = self.tickets.remove(&(host, ticket)) {
+                    self.answered(&id, Some(outcome));
+                }
+            }
+            Action::Call(call) => {
+                if self.rng.random_bool(self.chances.call_lost) {
+                    let late = self.rng.random_bool(self.chances.late);
+                    if late {
+                        let after = self.rng.random_range(2_000..12_000);
+                        let call = call.clone();
+                        self.happen(after, Happening::Call { host, run, call, answered: false });
+                    }
+                    let within = call.within.as_millis() as u64;
+                    let event = Event::Called(Box::new(call), Answer::Silent);
+                    return self.happen(within, Happening::Event(host, run, event));
+                }
+                let answered = !self.rng.random_bool(self.chances.answer_lost);
+                let delay = self.rng.random_range(1..4);
+                self.happen(delay, Happening::Call { host, run, call, answered });
+            }
+            Action::Send(to, message) => self.deliver(host, to, message),
+            Action::Reset(to) => {
+                let session = self.hosts[host].sessions.entry(to).or_insert((1, 0));
+                *session = (session.0 + 1, 0);
+            }
+            Action::Exit => self.kill(host),
+            Action::Answer(..) | Action::Publish(_) | Action::Note(_) => {}
+        }
+    }
+
+    fn deliver(&mut self, host: usize, to: SocketAddr, message: Message) {
+        let Some(other) = self.hosts.iter().position(|one| one.card.address == to) else {
+            return;
+        };
+        let run = self.hosts[host].run;
+        let session = self.hosts[host].sessions.entry(to).or_insert((1, 0));
+        session.1 += 1;
+        let (session, number) = *session;
+        let refused = !self.is_up(other);
+        let frozen = self.now_ms() < self.hosts[other].frozen_until;
+        if refused || frozen || self.cut.contains(&(host.min(other), host.max(other))) {
+            let lost = self.hosts[host].sessions.entry(to).or_insert((1, 0));
+            *lost = (session + 1, 0);
+            let event = Event::LinkLost { address: to, refused };
+            let after = if refused { 1 } else { 700 };
+            return self.happen(after, Happening::Event(host, run, event));
+        }
+        let from = self.hosts[host].card.clone();
+        let batch = Batch { from, session, number, messages: vec![message] };
+        let ticket = self.ticket();
+        let other_run = self.hosts[other].run;
+        let event = Event::Request(ticket, Request::Deliver(batch));
+        self.happen(1, Happening::Event(other, other_run, event));
+        // The acknowledgement is always positive here: sessions only break with a sign to the sender.
+        let _ = Ack::Taken;
+    }
+
+    fn call(&mut self, host: usize, run: u64, call: Call, answered: bool) {
+        let now_ms = self.now_ms();
+        let takes = self.takes(&call.order);
+        let fails = self.rng.random_bool(self.chances.fails);
+        if self.traced && !matches!(call.order, Order::Renew { .. }) {
+            println!("{now_ms} ms at {}: {:?}", call.target, call.order);
+        }
+        let Some(target) = self.targets.get_mut(&call.target) else {
+            return;
+        };
+        let before = target.running.len();
+        let answer = target.take(call.token, &call.order, now_ms, |_| {
+            let (room, takes_ms) = takes.unwrap_or_default();
+            Work { room, takes_ms, fails }
+        });
+        if let Order::Start { task, .. } = &call.order
+            && target.running.len() > before
+        {
+            *self.starts.entry(task.clone()).or_default() += 1;
+        }
+        let waits = match &call.order {
+            Order::Renew { seen, wait, .. } if !wait.is_zero() => {
+                let has_news = target.has_news(*seen);
+                (!has_news && matches!(answer, Answer::Report(_))).then_some(*wait)
+            }
+            _ => None,
+        };
+        if !answered {
+            let within = call.within.as_millis() as u64;
+            let event = Event::Called(Box::new(call), Answer::Silent);
+            return self.happen(within, Happening::Event(host, run, event));
+        }
+        if let Some(wait) = waits {
+            let until_ms = now_ms + wait.as_millis() as u64;
+            return self.happen(5, Happening::Hold { host, run, call, until_ms });
+        }
+        let event = Event::Called(Box::new(call), answer);
+        self.happen(1, Happening::Event(host, run, event));
+    }
+
+    fn hold(&mut self, host: usize, run: u64, call: Call, until_ms: u64) {
+        let Order::Renew { seen, .. } = call.order else {
+            return;
+        };
+        let over = self.now_ms() >= until_ms;
+        let news = self.targets.get(&call.target).is_some_and(|target| target.has_news(seen));
+        if !over && !news {
+            return self.happen(5, Happening::Hold { host, run, call, until_ms });
+        }
+        // It renews nothing a second time.
+        let look = Order::Renew { lease_until_ms: None, seen, wait: Duration::ZERO };
+        let now_ms = self.now_ms();
+        let Some(target) = self.targets.get_mut(&call.target) else {
+            return;
+        };
+        let answer = target.take(call.token, &look, now_ms, |_| unreachable!("it starts nothing"));
+        self.happen(1, Happening::Event(host, run, Event::Called(Box::new(call), answer)));
+    }
+
+    /// Room and run time of a start.
+    fn takes(&self, order: &Order) -> Option<(Room, u64)> {
+        let Order::Start { task, .. } = order else {
+            return None;
+        };
+        let caller = &self.callers[&task.job];
+        Some((caller.plan.steps[0].need.room, caller.takes_ms))
+    }
+
+    fn send(&mut self, id: &Id) {
+        let up: Vec<usize> = (0..self.hosts.len()).filter(|host| self.is_up(*host)).collect();
+        if up.is_empty() {
+            return self.happen(500, Happening::Send(id.clone()));
+        }
+        let host = up[self.pick(up.len())];
+        let ticket = self.ticket();
+        let Some(caller) = self.callers.get_mut(id) else {
+            return;
+        };
+        caller.host = host;
+        caller.open = true;
+        caller.attempt += 1;
+        caller.sent += 1;
+        let submission = Submission {
+            id: id.clone(),
+            kind: coltsfootshunt_core::name::Kind::try_from("cut").unwrap(),
+            plan: Arc::clone(&caller.plan),
+            patience: Duration::from_millis(PATIENCE_MS),
+        };
+        let attempt = caller.attempt;
+        self.tickets.insert((host, ticket), id.clone());
+        let run = self.hosts[host].run;
+        let event = Event::Request(ticket, Request::Submit(submission));
+        self.happen(1, Happening::Event(host, run, event));
+        self.happen(PATIENCE_MS + 50, Happening::GiveUp(id.clone(), attempt));
+    }
+
+    /// A caller heard its answer, or that its connection broke.
+    fn answered(&mut self, id: &Id, outcome: Option<Outcome>) {
+        let Some(caller) = self.callers.get_mut(id) else {
+            return;
+        };
+        if !caller.open {
+            return;
+        }
+        caller.open = false;
+        caller.outcomes.push(outcome);
+        let again = matches!(outcome, None | Some(Outcome::Unknown)) && caller.sent < 3;
+        let host = caller.host;
+        let gone = self.tickets.iter().find(|((at, _), job)| *at == host && *job == id);
+        let gone = gone.map(|((_, ticket), _)| *ticket);
+        if let Some(ticket) = gone {
+            self.tickets.remove(&(host, ticket));
+            let run = self.hosts[host].run;
+            self.happen(1, Happening::Event(host, run, Event::Left(id.clone(), ticket)));
+        }
+        if again {
+            self.happen(RESEND_MS, Happening::Send(id.clone()));
+        }
+    }
+
+    fn ticket(&mut self) -> Ticket {
+        self.next_ticket += 1;
+        Ticket(self.next_ticket)
+    }
+}
--- a/crates/fleet/src/directory/list.rs
+++ b/crates/fleet/src/directory/list.rs
@@ -1,6 +1,6 @@
 //! The list of targets, and how a missing entry is judged.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use coltsfootshunt_core::name::Target;
@@ -21,7 +21,7 @@
 /// The targets known to this host.
 #[derive(Debug, Default)]
 pub struct List {
-    rows: HashMap<Target, Row>,
+    rows: BTreeMap<Target, Row>,
     read: Option<Instant>,
 }
 
--- a/crates/fleet/src/job/book.rs
+++ b/crates/fleet/src/job/book.rs
@@ -1,6 +1,6 @@
 //! Open jobs of this host's callers.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -16,7 +16,7 @@
 const REMEMBERED: usize = 20_000;
 
 /// Stands for a caller that waits for an answer.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Ticket(pub u64);
 
 /// What a kind's route says of its jobs.
@@ -204,8 +204,8 @@
 /// Open jobs and the outcomes of recent ones.
 #[derive(Debug, Default)]
 pub struct Book {
-    open: HashMap<Id, Open>,
-    ended: HashMap<Id, (Outcome, Instant)>,
+    open: BTreeMap<Id, Open>,
+    ended: BTreeMap<Id, (Outcome, Instant)>,
 }
 
 impl Book {
--- a/crates/fleet/src/lease/picture.rs
+++ b/crates/fleet/src/lease/picture.rs
@@ -1,6 +1,6 @@
 //! What a steward knows of one target.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -66,6 +66,7 @@
     /// Whether nobody wants it any more.
     pub unwanted: bool,
     status: Status,
+    token: Token,
     stop_sent: Option<Instant>,
 }
 
@@ -107,9 +108,9 @@
     pub entry: Entry,
     /// Whose orders it takes.
     pub phase: Phase,
-    attempts: HashMap<Task, Attempt>,
+    attempts: BTreeMap<Task, Attempt>,
     /// Attempts that others started; their room is not known.
-    orphans: HashMap<Task, Orphan>,
+    orphans: BTreeMap<Task, Orphan>,
     lease: Duration,
     /// The target's clock, in milliseconds, and when that was heard.
     clock: Option<(u64, Instant)>,
@@ -134,8 +135,8 @@
         Self {
             entry,
             phase: Phase::Free,
-            attempts: HashMap::new(),
-            orphans: HashMap::new(),
+            attempts: BTreeMap::new(),
+            orphans: BTreeMap::new(),
             lease,
             clock: None,
             seen: 0,
@@ -248,7 +249,7 @@
         let lease_until_ms = self.lease_until(now).unwrap_or_default();
         self.leased_at = Some(now);
         let run = attempt.run;
-        self.attempts.insert(task.clone(), attempt);
+        self.attempts.insert(task.clone(), Attempt { token, ..attempt });
         let order = Order::Start { task: task.clone(), run, spec, lease_until_ms };
         self.call(token, order, ANSWER_WITHIN)
     }
@@ -323,10 +324,10 @@
             }
             Answer::Rejected(Rejection::Fenced) => self.fenced(call.token, found),
             Answer::Rejected(_) | Answer::Taken { .. } => {
-                self.abandon(End::Lost, "it is another life", now, found);
+                self.abandon("it is another life", now, found);
             }
             Answer::Unsent { refused: true } => {
-                self.abandon(End::Lost, "nothing listens there", now, found);
+                self.abandon("nothing listens there", now, found);
             }
             Answer::Unsent { refused: false } | Answer::Silent => {
                 self.silent(claim, now, found);
@@ -342,7 +343,7 @@
             now.duration_since(at) > self.lease + self.lease / 50 + LAPSE_SLACK
         });
         if lapsed {
-            self.abandon(End::Lost, "it is silent and its lease has ended", now, found);
+            self.abandon("it is silent and its lease has ended", now, found);
         } else if claim {
             // The fate of orders is still open: claim again at once, with the next token.
             self.doubt = true;
@@ -358,7 +359,9 @@
         now: Instant,
         found: &mut Vec<Finding>,
     ) {
-        let Some(attempt) = self.attempts.get_mut(task).filter(|attempt| attempt.run == run) else {
+        // An answer to an earlier order may come after the task was sent here anew.
+        let same = |attempt: &&mut Attempt| attempt.run == run && attempt.token == call.token;
+        let Some(attempt) = self.attempts.get_mut(task).filter(same) else {
             return;
         };
         match answer {
@@ -380,7 +383,7 @@
                         self.fenced(call.token, found);
                     }
                     Rejection::OtherLife => {
-                        self.abandon(End::Lost, "it is another life", now, found);
+                        self.abandon("it is another life", now, found);
                     }
                     // The picture of its room was wrong: look again.
                     Rejection::NoRoom => self.doubt = true,
@@ -391,7 +394,7 @@
             Answer::Unsent { refused } => {
                 self.finish(task, End::NotRun, found);
                 if refused {
-                    self.abandon(End::Lost, "nothing listens there", now, found);
+                    self.abandon("nothing listens there", now, found);
                 } else {
                     self.doubt = true;
                 }
@@ -409,15 +412,19 @@
     }
 
     fn reconcile(&mut self, report: &Report, claim: bool, now: Instant, found: &mut Vec<Finding>) {
-        if let Some(born) = report.born.filter(|born| *born != self.entry.born) {
-            // Another life under the same name runs nothing of the earlier one and counts anew.
-            self.entry.born = born;
-            self.abandon(End::Lost, "it has started again", now, found);
+        let another = report.born.is_some_and(|born| born != self.entry.born);
+        if another {
+            // Another life under the same name counts anew. It obeys every token at first, so an
+            // order for the earlier life may run in it: only a new token shows what does.
+            self.entry.born = report.born.unwrap_or_default();
             self.seen = 0;
             self.noted = 0;
             self.clock = None;
             self.closed_until = now;
-            return;
+            if !claim {
+                self.doubt = true;
+                return;
+            }
         }
         self.hear_clock(report.clock_ms, now);
         self.noted = self.noted.max(self.seen);
@@ -450,11 +457,11 @@
                 }
             }
         }
-        self.miss(report, claim, found);
+        self.miss(report, claim, another, found);
     }
 
     /// Ends attempts that a report should name and does not.
-    fn miss(&mut self, report: &Report, claim: bool, found: &mut Vec<Finding>) {
+    fn miss(&mut self, report: &Report, claim: bool, another: bool, found: &mut Vec<Finding>) {
         let listed = |task: &Task, run: u32| {
             report.running.iter().any(|row| row.task == *task && row.run == run)
         };
@@ -464,7 +471,7 @@
                 continue;
             }
             match attempt.status {
-                Status::Running(clock_ms) if report.clock_ms > clock_ms => {
+                Status::Running(clock_ms) if another || report.clock_ms > clock_ms => {
                     missed.push((task.clone(), End::Lost));
                 }
                 // The new token makes an order that has not arrived void.
@@ -488,8 +495,15 @@
         found.push(Finding::Fenced(token));
     }
 
-    fn abandon(&mut self, end: End, why: &'static str, now: Instant, found: &mut Vec<Finding>) {
-        self.release(end, found);
+    /// The target is down, or its lease is over.
+    fn abandon(&mut self, why: &'static str, now: Instant, found: &mut Vec<Finding>) {
+        let unanswered = self.attempts.iter().filter(|(_, one)| one.status == Status::Sent);
+        let unanswered: Vec<Task> = unanswered.map(|(task, _)| task.clone()).collect();
+        for task in unanswered {
+            // It may still reach the target's next life.
+            self.finish(&task, End::Adrift, found);
+        }
+        self.release(End::Lost, found);
         self.closed_until = now + RETRY_AFTER;
         found.push(Finding::Lost(why));
     }
@@ -551,6 +565,7 @@
             due: since,
             unwanted: false,
             status: Status::Sent,
+            token: Token::default(),
             stop_sent: None,
         }
     }
--- a/crates/fleet/src/lease/token.rs
+++ b/crates/fleet/src/lease/token.rs
@@ -5,9 +5,10 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-/// Random low bits, so that two hosts that mint in one millisecond differ. 41 bits of Unix
-/// milliseconds and these stay below 2^53, the largest whole number that every JSON reader keeps.
-const RANDOM_BITS: u32 = 12;
+/// Low bits that differ from process to process, so that two hosts that mint in one millisecond
+/// differ. 41 bits of Unix milliseconds and these stay below 2^53, the largest whole number that
+/// every JSON reader keeps.
+const SALT_BITS: u32 = 12;
 
 /// Rank of a host's orders at a target; the higher one wins.
 #[derive(
@@ -28,19 +29,25 @@
 
 /// Makes tokens that rise in this process and, by the time of day, over all processes. Needs no
 /// store, so a steward can be replaced while the store is away.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Mint {
+    salt: u64,
     last: Token,
 }
 
 impl Mint {
+    /// A mint of one run of a process.
+    #[must_use]
+    pub fn new(incarnation: u64) -> Self {
+        Self { salt: incarnation & ((1 << SALT_BITS) - 1), last: Token::default() }
+    }
+
     /// A token above all that this process made or heard of.
     pub fn next(&mut self, wall: SystemTime) -> Token {
         let since = wall.duration_since(UNIX_EPOCH).unwrap_or_default();
-        let millis = u64::try_from(since.as_millis()).unwrap_or(u64::MAX >> RANDOM_BITS);
-        let random = rand::random::<u64>() & ((1 << RANDOM_BITS) - 1);
-        let made = Token((millis << RANDOM_BITS) | random);
-        self.last = made.max(Token(self.last.0 + 1));
+        let millis = u64::try_from(since.as_millis()).unwrap_or(u64::MAX >> SALT_BITS);
+        let made = Token((millis << SALT_BITS) | self.salt);
+        self.last = if made > self.last { made } else { Token(self.last.0 + (1 << SALT_BITS)) };
         self.last
     }
 
--- a/crates/fleet/src/peer/inbox.rs
+++ b/crates/fleet/src/peer/inbox.rs
@@ -1,6 +1,6 @@
 //! The receiving side of sessions.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use coltsfootshunt_core::name::Host;
 
@@ -28,7 +28,7 @@
 /// Last batch of each sender.
 #[derive(Debug, Default)]
 pub struct Inbox {
-    rows: HashMap<Host, Row>,
+    rows: BTreeMap<Host, Row>,
 }
 
 impl Inbox {
--- a/crates/fleet/src/speed/book.rs
+++ b/crates/fleet/src/speed/book.rs
@@ -1,6 +1,6 @@
 //! Learned factors of kinds and targets.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use coltsfootshunt_core::name::{Kind, Target};
@@ -12,11 +12,17 @@
 const KIND_WEIGHT: f64 = 0.02;
 /// Bounds of one observation against the prediction, so that one straggler says little.
 const OBSERVED: (f64, f64) = (0.25, 4.0);
+/// Bound of a target's factor either way, as a natural logarithm: sixteen times.
+const SLOWNESS: f64 = 2.77;
 /// Weight of one end in a target's share of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
-/// Time in which what was learned of a target fades to a third, so that one that was slow or failing
-/// gets work again and is judged anew.
-const FADES_IN: Duration = Duration::from_secs(8);
+/// Weight of one end in what a target is like for good.
+const LASTING_WEIGHT: f64 = 0.03;
+/// Time without ends after which what was learned of a target begins to fade.
+const FRESH_FOR: Duration = Duration::from_secs(1);
+/// Time in which it then fades to a third of its distance from what the target is like for good, so
+/// that one that was slow or failing gets work again and is judged anew.
+const FADES_IN: Duration = Duration::from_secs(6);
 /// Share of failures from which a target counts as failing; kinds fail far below one in ten.
 const FAILING: f64 = 0.45;
 
@@ -24,15 +30,23 @@
 struct Score {
     /// Run time against what the kind needs on an average target, as a natural logarithm.
     slowness: f64,
+    /// The same over a long time.
+    lasting: f64,
     failures: f64,
     #[serde(skip)]
     at: Instant,
 }
 
 impl Score {
-    /// How much of it still counts.
-    fn weight(&self, now: Instant) -> f64 {
-        (-now.duration_since(self.at).as_secs_f64() / FADES_IN.as_secs_f64()).exp()
+    /// The score as it counts now.
+    fn faded(self, now: Instant) -> Self {
+        let idle = now.saturating_duration_since(self.at).saturating_sub(FRESH_FOR);
+        let weight = (-idle.as_secs_f64() / FADES_IN.as_secs_f64()).exp();
+        Self {
+            slowness: self.lasting + (self.slowness - self.lasting) * weight,
+            failures: self.failures * weight,
+            ..self
+        }
     }
 }
 
@@ -40,8 +54,8 @@
 #[derive(Debug, Default, Serialize)]
 pub struct Book {
     /// Run time against the declared one, as a natural logarithm.
-    kinds: HashMap<Kind, f64>,
-    targets: HashMap<Target, Score>,
+    kinds: BTreeMap<Kind, f64>,
+    targets: BTreeMap<Target, Score>,
 }
 
 impl Book {
@@ -67,14 +81,13 @@
     /// Run time on this target against the average one, as a natural logarithm.
     #[must_use]
     pub fn slowness(&self, target: &Target, now: Instant) -> f64 {
-        self.targets.get(target).map_or(0.0, |score| score.slowness * score.weight(now))
+        self.targets.get(target).map_or(0.0, |score| score.faded(now).slowness)
     }
 
     /// Whether the target fails much of what it starts.
     #[must_use]
     pub fn is_failing(&self, target: &Target, now: Instant) -> bool {
-        let failures = |score: &Score| score.failures * score.weight(now);
-        self.targets.get(target).is_some_and(|score| failures(score) > FAILING)
+        self.targets.get(target).is_some_and(|score| score.faded(now).failures > FAILING)
     }
 
     /// Learns from a task that ran to its end.
@@ -89,7 +102,8 @@
         let ratio = (took.as_secs_f64() / predicted).clamp(OBSERVED.0, OBSERVED.1).ln();
         *self.kinds.entry(kind.clone()).or_default() += ratio * KIND_WEIGHT;
         let score = self.score(target, now);
-        score.slowness += ratio * TARGET_WEIGHT;
+        score.slowness = (score.slowness + ratio * TARGET_WEIGHT).clamp(-SLOWNESS, SLOWNESS);
+        score.lasting += (score.slowness - score.lasting) * LASTING_WEIGHT;
         score.failures *= 1.0 - FAILURE_WEIGHT;
     }
 
@@ -110,11 +124,9 @@
 
     /// The target's score as it counts now.
     fn score(&mut self, target: &Target, now: Instant) -> &mut Score {
-        let blank = Score { slowness: 0.0, failures: 0.0, at: now };
+        let blank = Score { slowness: 0.0, lasting: 0.0, failures: 0.0, at: now };
         let score = self.targets.entry(target.clone()).or_insert(blank);
-        let weight = score.weight(now);
-        *score =
-            Score { slowness: score.slowness * weight, failures: score.failures * weight, at: now };
+        *score = Score { at: now, ..score.faded(now) };
         score
     }
 }
--- a/crates/fleet/src/speed/tests.rs
+++ b/crates/fleet/src/speed/tests.rs
@@ -60,3 +60,25 @@
     not_at_once(1, true);
     so_that_it_is_tried_again(9, false);
 }
+
+fn returns(after_s: u64, factor: f64) {
+    let now = Instant::now();
+    let mut book = Book::default();
+    let estimate = Duration::from_millis(100);
+    for _ in 0..200 {
+        book.done(&kind(), &target("plain"), (estimate, estimate), now);
+        book.done(&kind(), &target("fast"), (estimate, estimate / 2), now);
+    }
+    for _ in 0..12 {
+        let predicted = book.predict(&kind(), &target("fast"), estimate, now);
+        book.done(&kind(), &target("fast"), (estimate, predicted * 3), now);
+    }
+    let later = now + Duration::from_secs(after_s);
+    let slowness = book.slowness(&target("fast"), later) - book.slowness(&target("plain"), later);
+    assert!((slowness.exp() / factor - 1.0).abs() < 0.3, "{}", slowness.exp());
+}
+
+cases! { returns:
+    to_what_it_is_like_for_good(60, 0.7);
+    not_at_once(0, 1.9);
+}
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -288,8 +288,9 @@
             names.push(name);
         }
     }
-    if candidates.iter().all(|one| one.suspect) && fastest == Duration::MAX {
+    if fastest == Duration::MAX {
         // Nothing sound is left at all: a suspect target is better than none.
+        fastest = candidates.iter().map(|one| one.expected).min()?;
         candidates.iter_mut().for_each(|one| one.suspect = false);
     }
     match choose(one, &candidates, fastest, now) {
