feat(queue): refuse at once what would be late, give back what has become late

Change: stewards tell the wait by slack of the work ahead; a job whose expected wait is over its slack is refused at once; what has become late with nothing of its job run goes back as too late, and its job is refused, truthfully not run; slack is reckoned with a margin for long runs.

--- a/crates/fleet/src/admission/gate.rs
+++ b/crates/fleet/src/admission/gate.rs
@@ -11,6 +11,9 @@
 const OPTIMISM_BUSY: f64 = 0.7;
 /// Expected wait from which work counts as waiting.
 const BUSY_FROM: Duration = Duration::from_millis(20);
+/// Multiple of a job's slack that its expected wait may reach: what is behind that would be late and
+/// make others late. Waits are expected too long, since some of what waits is dropped.
+const TOLERANCE: f64 = 1.3;
 /// Shortest time after which coming back makes sense: the resolution of the header is a second.
 const SHORTEST_RETRY: Duration = Duration::from_secs(1);
 
@@ -21,6 +24,8 @@
     pub wait: Duration,
     /// Expected run time of its longest chain of steps.
     pub run: Duration,
+    /// Time in which its answer is on time.
+    pub objective: Duration,
     /// How long its caller waits.
     pub patience: Duration,
 }
@@ -28,11 +33,19 @@
 /// Whether the job is turned away, and with which answer.
 #[must_use]
 pub fn judge(prospect: &Prospect) -> Option<Outcome> {
+    let slack = prospect.objective.saturating_sub(prospect.run);
+    if prospect.wait >= BUSY_FROM && prospect.wait > slack.mul_f64(TOLERANCE) {
+        return Some(turn_away(prospect.wait - slack));
+    }
     let optimism = if prospect.wait < BUSY_FROM { OPTIMISM_FREE } else { OPTIMISM_BUSY };
     let expected = (prospect.wait + prospect.run).mul_f64(optimism);
     if expected <= prospect.patience {
         return None;
     }
-    let retry_after = prospect.wait.max(SHORTEST_RETRY);
-    Some(Outcome::Refused { refusal: Refusal::TooLate, retry_after })
+    Some(turn_away(prospect.wait))
+}
+
+fn turn_away(backlog: Duration) -> Outcome {
+    let retry_after = backlog.max(SHORTEST_RETRY);
+    Outcome::Refused { refusal: Refusal::TooLate, retry_after }
 }
--- a/crates/fleet/src/admission/tests.rs
+++ b/crates/fleet/src/admission/tests.rs
@@ -5,9 +5,11 @@
 use super::{Prospect, judge};
 
 fn judges(wait_ms: u64, run_ms: u64, taken: bool) {
+    let run = Duration::from_millis(run_ms);
     let prospect = Prospect {
         wait: Duration::from_millis(wait_ms),
-        run: Duration::from_millis(run_ms),
+        run,
+        objective: run.mul_f64(1.6) + Duration::from_millis(60),
         patience: Duration::from_millis(1_500),
     };
     assert_eq!(judge(&prospect).is_none(), taken);
@@ -15,7 +17,9 @@
 
 cases! { judges:
     what_has_time(0, 760, true);
-    what_may_just_end_in_time(900, 760, true);
+    what_may_just_be_on_time(500, 760, true);
+    what_would_be_late_behind_the_backlog(900, 760, false);
+    short_work_behind_a_long_backlog(200, 51, false);
     what_may_end_in_time_on_a_fast_target_while_one_is_free(0, 2_500, true);
     not_that_while_work_waits(100, 2_500, false);
     what_will_not_end_in_time(2_000, 760, false);
--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -9,6 +9,7 @@
 use crate::admission::{self, Prospect};
 use crate::job::{Bundle, Ending, Id, Open, Outcome, Part, Policy, Refusal, Submission, Ticket};
 use crate::peer::Message;
+use crate::queue::slack_level;
 use crate::report::Note;
 use crate::spread::{Offer, assign};
 
@@ -50,7 +51,9 @@
         let patience = submission.patience.min(route.timeout);
         let run = self.speeds.typical(&route.kind, plan.chain());
         let offers = self.offers(None);
-        let wait = offers.iter().map(Offer::delay).min().unwrap_or_default();
+        let objective = run.mul_f64(route.stretch) + route.allowance;
+        let level = slack_level(objective, run);
+        let wait = offers.iter().map(|offer| offer.delay(level)).min().unwrap_or_default();
         let refused = |outcome| Note::Refused {
             job: submission.id.clone(),
             kind: route.kind.clone(),
@@ -66,7 +69,7 @@
         } else if !self.fits_anywhere(&route.service, submission) {
             Some(Outcome::Failed)
         } else {
-            admission::judge(&Prospect { wait, run, patience })
+            admission::judge(&Prospect { wait, run, objective, patience })
         };
         if let Some(outcome) = outcome {
             self.note(refused(outcome));
@@ -86,8 +89,7 @@
             priority: route.priority,
             attempts: route.attempts,
         };
-        let objective = now + run.mul_f64(route.stretch) + route.allowance;
-        let moments = (now, objective, now + patience);
+        let moments = (now, now + objective, now + patience);
         Ok(Open::new(route.kind.clone(), plan.clone(), policy, moments))
     }
 
@@ -134,7 +136,9 @@
         }
         let mut offers = self.offers(None);
         let believed: Vec<_> = offers.iter().map(|offer| offer.load).collect();
-        let assigned = assign(ready.len(), &mut offers);
+        let run = ready[0].need.estimate();
+        let level = slack_level(open.objective.saturating_duration_since(now), run);
+        let assigned = assign(ready.len(), level, run, &mut offers);
         if assigned.len() < ready.len() {
             self.stalled.insert(id.clone());
         }
@@ -156,6 +160,7 @@
             spec: open.plan.spec.clone(),
             objective_in_ms: between(now, open.objective),
             due_in_ms: between(now, open.due),
+            begun: open.begun,
             parts: Vec::new(),
         };
         for (to, parts) in parts {
@@ -165,7 +170,7 @@
                 steward: offer.host.clone(),
                 tasks: parts.len(),
                 free: believed[to].free,
-                wait_ms: believed[to].wait_ms,
+                wait_ms: believed[to].waits_ms[level],
             };
             self.note(note);
             self.hand_over(offer, Bundle { parts, ..bundle.clone() }, now);
--- a/crates/fleet/src/job/book.rs
+++ b/crates/fleet/src/job/book.rs
@@ -6,12 +6,15 @@
 
 use coltsfootshunt_core::name::{Host, Kind, Service};
 
-use super::{End, Ending, Id, Need, Outcome, Plan};
+use super::{End, Ending, Id, Need, Outcome, Plan, Refusal};
 
 /// Attempts of one task that end without a verdict before its job is given up.
 const MAX_TRIES: u32 = 8;
 /// How long an outcome is remembered for repeats that come after the answer.
 const REMEMBER_FOR: Duration = Duration::from_secs(30);
+/// Time after which a caller whose job was given back as too late may come back; crests pass in
+/// seconds.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Remembered outcomes; the oldest go first beyond that.
 const REMEMBERED: usize = 20_000;
 
@@ -34,6 +37,8 @@
 enum State {
     /// Not with any steward.
     Waiting,
+    /// Given back as too late; the other tasks decide what that means.
+    Late,
     /// With this host's steward.
     Sent(Host),
     Done,
@@ -65,8 +70,10 @@
     pub objective: Instant,
     /// When its caller goes.
     pub due: Instant,
-    /// Whether anything of it may have run.
+    /// Whether anything of it went to a steward.
     pub touched: bool,
+    /// Whether anything of it has run.
+    pub begun: bool,
     /// Number of this opening.
     pub opening: u64,
     tickets: Vec<Ticket>,
@@ -116,6 +123,7 @@
             objective,
             due,
             touched: false,
+            begun: false,
             opening: 0,
             tickets: Vec::new(),
             parts,
@@ -189,12 +197,21 @@
         })?;
         part.run = part.run.max(run + 1);
         match *end {
-            End::Done => part.state = State::Done,
+            End::Done => {
+                part.state = State::Done;
+                self.begun = true;
+            }
             End::Failed => {
                 part.failures += 1;
                 part.state = State::Waiting;
+                self.begun = true;
+            }
+            End::Lost => {
+                part.state = State::Waiting;
+                self.begun = true;
             }
-            End::Lost | End::NotRun => part.state = State::Waiting,
+            End::NotRun => part.state = State::Waiting,
+            End::TooLate => part.state = State::Late,
             End::Adrift => return Some(Outcome::Unknown),
         }
         if part.failures >= self.policy.attempts {
@@ -203,9 +220,30 @@
         if part.tries >= MAX_TRIES && part.state != State::Done {
             return Some(Outcome::Unknown);
         }
+        if self.all_back() {
+            return self.settle_late();
+        }
         let whole = self.parts.iter().all(|part| part.state == State::Done);
         whole.then_some(Outcome::Completed)
     }
+
+    /// Whether some task was given back as too late and no task is with a steward.
+    fn all_back(&self) -> bool {
+        let with = |part: &Part| matches!(part.state, State::Sent(_));
+        self.parts.iter().any(|part| part.state == State::Late) && !self.parts.iter().any(with)
+    }
+
+    /// With nothing run, the job is turned away; else it goes on late.
+    fn settle_late(&mut self) -> Option<Outcome> {
+        if !self.begun {
+            let refusal = Refusal::TooLate;
+            return Some(Outcome::Refused { refusal, retry_after: RETRY_AFTER });
+        }
+        for part in self.parts.iter_mut().filter(|part| part.state == State::Late) {
+            part.state = State::Waiting;
+        }
+        None
+    }
 }
 
 /// Open jobs and the outcomes of recent ones.
--- a/crates/fleet/src/job/message.rs
+++ b/crates/fleet/src/job/message.rs
@@ -53,6 +53,8 @@
     pub objective_in_ms: i64,
     /// Time left until the caller goes, in milliseconds.
     pub due_in_ms: i64,
+    /// Whether anything of the job has run: it is then worth going on with when it is late.
+    pub begun: bool,
     /// The tasks.
     pub parts: Vec<Part>,
 }
@@ -87,6 +89,9 @@
     /// It provably did not run.
     #[display("not_run")]
     NotRun,
+    /// It provably did not run, since it could not have ended in time any more.
+    #[display("too_late")]
+    TooLate,
     /// It may run on until its lease ends.
     #[display("adrift")]
     Adrift,
--- a/crates/fleet/src/queue/line.rs
+++ b/crates/fleet/src/queue/line.rs
@@ -37,19 +37,42 @@
     pub since: Instant,
     /// Expected run time on an average target.
     pub typical: Duration,
+    /// Whether anything of its job has run.
+    pub begun: bool,
 }
 
+/// Share by which a run is taken to be longer than expected when its slack is reckoned: one run in
+/// five is longer than that.
+const MARGIN: f64 = 1.35;
+/// Slack up to which waiting work is summed up for owners, in milliseconds.
+pub const SLACK_LEVELS_MS: [u32; 6] = [40, 80, 160, 320, 640, u32::MAX];
+
 impl Waiting {
-    /// Last moment at which a start on an average target still ends on time.
+    /// Last moment at which a start on an average target should still end on time.
     fn latest_start(&self) -> Option<Instant> {
-        self.objective.checked_sub(self.typical)
+        self.objective.checked_sub(self.typical.mul_f64(MARGIN))
+    }
+
+    /// Whether it can't be expected to end on time.
+    #[must_use]
+    pub fn is_late(&self, now: Instant) -> bool {
+        now + self.typical > self.objective
     }
 
-    fn is_late(&self, now: Instant) -> bool {
-        self.latest_start().is_none_or(|latest| latest < now)
+    /// Core time that it takes, in thousandths of a core times seconds.
+    fn work(&self) -> f64 {
+        self.typical.as_secs_f64() * self.need.room.cpu_millis as f64
     }
 }
 
+/// Level of the slack of a job that has `left` until it is late and runs for `run`.
+#[must_use]
+pub fn slack_level(left: Duration, run: Duration) -> usize {
+    let slack = left.saturating_sub(run.mul_f64(MARGIN)).as_millis();
+    let within = |level: &u32| slack <= u128::from(*level);
+    SLACK_LEVELS_MS.iter().position(within).unwrap_or(SLACK_LEVELS_MS.len() - 1)
+}
+
 /// All tasks that wait at one steward.
 #[derive(Debug, Default)]
 pub struct Line {
@@ -74,14 +97,21 @@
         self.waiting.is_empty()
     }
 
-    /// Core time that waits, in thousandths of a core times seconds.
+    /// Core time that waits ahead of a task with slack up to each level, in thousandths of a core
+    /// times seconds.
     #[must_use]
-    pub fn work(&self) -> f64 {
-        let work = |one: &Waiting| {
-            one.typical.as_secs_f64()
-                * f64::from(u32::try_from(one.need.room.cpu_millis).unwrap_or(u32::MAX))
-        };
-        self.waiting.iter().map(work).sum()
+    pub fn work(&self, now: Instant) -> [f64; SLACK_LEVELS_MS.len()] {
+        let mut work = [0.0; SLACK_LEVELS_MS.len()];
+        for one in self.waiting.iter().filter(|one| !one.is_late(now)) {
+            let latest = one.latest_start().unwrap_or(now);
+            let slack = latest.saturating_duration_since(now).as_millis();
+            for (sum, level) in work.iter_mut().zip(SLACK_LEVELS_MS) {
+                if slack <= u128::from(level) {
+                    *sum += one.work();
+                }
+            }
+        }
+        work
     }
 
     /// Puts the line in order for this moment.
--- a/crates/fleet/src/queue/mod.rs
+++ b/crates/fleet/src/queue/mod.rs
@@ -9,4 +9,4 @@
 #[cfg(test)]
 pub(crate) mod tests;
 
-pub use line::{Line, Waiting};
+pub use line::{Line, SLACK_LEVELS_MS, Waiting, slack_level};
--- a/crates/fleet/src/queue/tests.rs
+++ b/crates/fleet/src/queue/tests.rs
@@ -28,6 +28,7 @@
         due: now + Duration::from_millis(due_ms),
         since: now,
         typical: Duration::from_millis(100),
+        begun: false,
     }
 }
 
@@ -50,3 +51,15 @@
     late_work_waits_for_work_that_can_be_on_time((0, 50), (2, 900), [SECOND, FIRST]);
     late_work_goes_by_priority((2, 10), (0, 50), [SECOND, FIRST]);
 }
+
+fn levels(left_ms: u64, run_ms: u64, level: usize) {
+    let (left, run) = (Duration::from_millis(left_ms), Duration::from_millis(run_ms));
+    assert_eq!(super::slack_level(left, run), level);
+}
+
+cases! { levels:
+    of_short_work(142, 51, 1);
+    of_long_work(1_276, 760, 3);
+    of_work_that_is_late(50, 100, 0);
+    of_work_with_all_time(9_000, 100, 5);
+}
--- a/crates/fleet/src/spread/load.rs
+++ b/crates/fleet/src/spread/load.rs
@@ -5,8 +5,7 @@
 use coltsfootshunt_core::name::Host;
 use serde::{Deserialize, Serialize};
 
-/// Extra expected wait for each task that was assigned beyond what was free.
-const QUEUED_COST: Duration = Duration::from_millis(12);
+use crate::queue::SLACK_LEVELS_MS;
 
 /// What a steward says of its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -15,8 +14,8 @@
     pub free: u32,
     /// Places for typical tasks, free or not.
     pub places: u32,
-    /// Expected wait of a task that comes now, in milliseconds.
-    pub wait_ms: u32,
+    /// Expected wait of a task that comes now, in milliseconds, by the level of its slack.
+    pub waits_ms: [u32; SLACK_LEVELS_MS.len()],
 }
 
 /// A steward that can be reached.
@@ -31,36 +30,39 @@
 }
 
 impl Offer {
-    /// Expected time until a task sent now starts.
+    /// Expected time until a task sent now starts, by the level of its slack.
     #[must_use]
-    pub fn delay(&self) -> Duration {
+    pub fn delay(&self, level: usize) -> Duration {
         if self.load.free > 0 {
             return self.distance;
         }
-        self.distance + Duration::from_millis(self.load.wait_ms.into())
+        self.distance + Duration::from_millis(self.load.waits_ms[level].into())
     }
 
-    /// Counts one more task as sent.
-    pub fn take(&mut self) {
+    /// Counts one more task as sent that runs for some time.
+    fn take(&mut self, level: usize, run: Duration) {
         if self.load.free > 0 {
             self.load.free -= 1;
-        } else {
-            // Many places work a queue off faster.
-            let cost = QUEUED_COST.as_millis() as u32 * 8 / self.load.places.clamp(1, 100);
-            self.load.wait_ms = self.load.wait_ms.saturating_add(cost.max(1));
+            return;
+        }
+        let cost = run.as_millis() as u32 / self.load.places.max(1);
+        for wait in &mut self.load.waits_ms[level..] {
+            *wait = wait.saturating_add(cost.max(1));
         }
     }
 }
 
-/// Assigns tasks one by one; for each the place of its steward in `offers`.
-pub fn assign(tasks: usize, offers: &mut [Offer]) -> Vec<usize> {
+/// Assigns tasks of a job one by one, by the level of its slack and their run time; for each the
+/// place of its steward in `offers`.
+pub fn assign(tasks: usize, level: usize, run: Duration, offers: &mut [Offer]) -> Vec<usize> {
     let mut assigned = Vec::with_capacity(tasks);
     for _ in 0..tasks {
         let best = offers.iter().enumerate().filter(|(_, offer)| offer.load.places > 0);
-        let Some((place, _)) = best.min_by_key(|(place, offer)| (offer.delay(), *place)) else {
+        let Some((place, _)) = best.min_by_key(|(place, offer)| (offer.delay(level), *place))
+        else {
             return assigned;
         };
-        offers[place].take();
+        offers[place].take(level, run);
         assigned.push(place);
     }
     assigned
--- a/crates/fleet/src/spread/tests.rs
+++ b/crates/fleet/src/spread/tests.rs
@@ -7,12 +7,12 @@
 
 fn offer(name: &str, distance_ms: u64, free: u32, wait_ms: u32) -> Offer {
     let host = Host::try_from(name).unwrap();
-    let load = Load { free, places: 10, wait_ms };
+    let load = Load { free, places: 10, waits_ms: [wait_ms; 6] };
     Offer { host, distance: Duration::from_millis(distance_ms), load }
 }
 
 fn spreads(tasks: usize, mut offers: Vec<Offer>, wanted: &[usize]) {
-    let assigned = assign(tasks, &mut offers);
+    let assigned = assign(tasks, 2, Duration::from_millis(100), &mut offers);
     let counts: Vec<usize> =
         (0..offers.len()).map(|place| assigned.iter().filter(|&&at| at == place).count()).collect();
     assert_eq!(counts, wanted);
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -1,6 +1,6 @@
 //! State of a steward.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::time::{Duration, Instant, SystemTime};
 
 use coltsfootshunt_core::name::{Host, Target};
@@ -24,6 +24,9 @@
 const FITLESS: usize = 24;
 /// Weight of one task in the running mean of what a task takes.
 const TYPICAL_WEIGHT: f64 = 0.02;
+/// Shortest wait after which a task is given back as late: what comes late already was sent on
+/// purpose.
+const LATE_AFTER: Duration = Duration::from_millis(30);
 /// Share of its expected time that a task is granted before it is given up: predictions are medians.
 const OPTIMISM: f64 = 0.6;
 
@@ -111,6 +114,7 @@
                 priority: bundle.priority,
                 run: part.run,
                 typical: speeds.typical(&bundle.kind, part.need.estimate()),
+                begun: bundle.begun,
                 need: part.need,
                 spec: bundle.spec.clone(),
                 objective,
@@ -259,14 +263,26 @@
         self.line.remove(&started);
     }
 
-    /// Returns tasks that would end after their caller has gone even on the fastest target.
+    /// Returns tasks that would end after their caller has gone even on the fastest target, and
+    /// those of jobs that have waited until they are late and of which nothing has run.
     fn drop_hopeless(&mut self, speeds: &Book, now: Instant, out: &mut Output) {
         let fastest = fastest(&self.pictures, speeds, now);
+        let begun: BTreeSet<Id> = self
+            .pictures
+            .values()
+            .flat_map(Picture::attempts)
+            .map(|(task, _)| task.job.clone())
+            .collect();
         let hopeless = self.line.take(|one| {
             let needed = one.typical.mul_f64(fastest * OPTIMISM);
-            now + needed > one.due
+            let late = one.is_late(now) && now.duration_since(one.since) > LATE_AFTER;
+            let fresh = !one.begun && !begun.contains(&one.task.job);
+            now + needed > one.due || (late && fresh)
         });
-        out.endings.extend(hopeless.into_iter().map(not_run));
+        for one in hopeless {
+            let (owner, ending) = not_run(one);
+            out.endings.push((owner, Ending { end: End::TooLate, ..ending }));
+        }
     }
 
     /// Load to tell other hosts.
@@ -286,7 +302,8 @@
             capacity += entry.capacity.cpu_millis as f64;
         }
         load.free = load.free.saturating_sub(u32::try_from(self.line.len()).unwrap_or(u32::MAX));
-        load.wait_ms = (self.line.work() / f64::max(capacity, 1.0) * 1_000.0) as u32;
+        let work = self.line.work(now);
+        load.waits_ms = work.map(|work| (work / f64::max(capacity, 1.0) * 1_000.0) as u32);
         load
     }
 }
