feat(placement): leave part of the fast targets to long work

Change: work that is on time elsewhere leaves the last half of the fast targets' room; stewards tell what is free on fast targets, and long jobs go there.

--- a/crates/fleet/src/control/fleet.rs
+++ b/crates/fleet/src/control/fleet.rs
@@ -227,7 +227,7 @@
             claims: self.roster.claims.clone(),
             held: self.steward.held(&self.roster),
             leaving: self.roster.leaving,
-            load: self.steward.load(&self.roster, now),
+            load: self.steward.load(&self.roster, &self.speeds, now),
             version: self.holder.version(),
             knows_targets: !self.directory.is_empty(),
         }
--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -11,12 +11,15 @@
 use crate::peer::Message;
 use crate::queue::slack_level;
 use crate::report::Note;
-use crate::spread::{Offer, assign};
+use crate::spread::{Offer, Shape, assign};
 
 /// Open jobs of one host; what it needs for each is far below its memory.
 const MAX_OPEN: usize = 4_000;
 /// Time after which a caller that was turned away for want of a steward may come back.
 const STEWARD_BACK_IN: Duration = Duration::from_secs(1);
+/// Multiple of a task's run time that must fit before its caller goes, if it may go to any target:
+/// targets differ in speed by a factor of two and more.
+const LONG: f64 = 2.0;
 /// Way to the steward in this process and back.
 const HERE: Duration = Duration::ZERO;
 /// Way to a host of this availability zone and back.
@@ -116,7 +119,7 @@
             })
             .collect();
         if !self.roster.claims.is_empty() {
-            let load = self.steward.load(&self.roster, self.clock.now());
+            let load = self.steward.load(&self.roster, &self.speeds, self.clock.now());
             offers.push(Offer { host: me.host.clone(), distance: HERE, load });
         }
         if offers.len() > 1 {
@@ -137,8 +140,10 @@
         let mut offers = self.offers(None);
         let believed: Vec<_> = offers.iter().map(|offer| offer.load).collect();
         let run = ready[0].need.estimate();
-        let level = slack_level(open.objective.saturating_duration_since(now), run);
-        let assigned = assign(ready.len(), level, run, &mut offers);
+        let left = open.objective.saturating_duration_since(now);
+        let level = slack_level(left, run);
+        let is_long = run.mul_f64(LONG) > open.due.saturating_duration_since(now);
+        let assigned = assign(ready.len(), &Shape { level, run, is_long }, &mut offers);
         if assigned.len() < ready.len() {
             self.stalled.insert(id.clone());
         }
--- a/crates/fleet/src/placement/choice.rs
+++ b/crates/fleet/src/placement/choice.rs
@@ -7,6 +7,15 @@
 
 /// Expected run times within this factor of the best count as equal.
 const ALIKE: f64 = 1.1;
+/// Run times within this factor of the fastest target's make a target fast.
+const FAST: f64 = 1.25;
+/// Share of the fast targets' room that is left to work that needs it.
+const RESERVE: f64 = 0.5;
+/// Factor on an expected run time that must still end before the caller goes: declared times are off
+/// by tens of per cent.
+const SURE: f64 = 1.4;
+/// Time by which an end must be expected before the job is late: the way there and back.
+const AHEAD: Duration = Duration::from_millis(15);
 
 /// A target that could have the task.
 #[derive(Clone, Copy, Debug)]
@@ -21,6 +30,23 @@
     pub suspect: bool,
 }
 
+/// Room of the fast targets, in tasks like the one at hand.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Fast {
+    /// Expected run time on the fastest target there is, free or not.
+    pub best: Duration,
+    /// Tasks that could start on them now.
+    pub free: u64,
+    /// Tasks that they hold when empty.
+    pub places: u64,
+}
+
+/// Whether a target is fast, by run times there and on the fastest one.
+#[must_use]
+pub fn is_fast(expected: Duration, best: Duration) -> bool {
+    expected <= best.mul_f64(FAST)
+}
+
 /// What to do with a task.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Choice {
@@ -30,21 +56,28 @@
     Wait,
 }
 
-/// Chooses a target. `fastest` is the expected run time on the fastest target there is, free or
-/// not.
+/// Chooses a target.
 #[must_use]
-pub fn choose(task: &Waiting, candidates: &[Candidate], fastest: Duration, now: Instant) -> Choice {
+pub fn choose(task: &Waiting, candidates: &[Candidate], fast: Fast, now: Instant) -> Choice {
     let on_time = |expected: Duration| now + expected <= task.objective;
     let in_time = |expected: Duration| now + expected <= task.due;
     let sound: Vec<&Candidate> = candidates.iter().filter(|one| !one.suspect).collect();
     let Some(best) = sound.iter().map(|one| one.expected).min() else {
         return Choice::Wait;
     };
-    let hopes = (on_time(fastest) && !on_time(best)) || (in_time(fastest) && !in_time(best));
+    let hopes = (on_time(fast.best) && !on_time(best)) || (in_time(fast.best) && !in_time(best));
     if hopes {
         return Choice::Wait;
     }
-    let alike = sound.iter().filter(|one| one.expected <= best.mul_f64(ALIKE));
-    let tightest = alike.min_by_key(|one| one.free.cpu_millis);
+    let scarce = fast.free as f64 <= fast.places as f64 * RESERVE;
+    let sure = |one: &&&Candidate| {
+        !is_fast(one.expected, fast.best)
+            && on_time(one.expected + AHEAD)
+            && in_time(one.expected.mul_f64(SURE))
+    };
+    let elsewhere = sound.iter().filter(sure).map(|one| one.expected).min();
+    let wanted = elsewhere.filter(|_| scarce && is_fast(best, fast.best)).unwrap_or(best);
+    let alike = |one: &&&Candidate| one.expected >= wanted && one.expected <= wanted.mul_f64(ALIKE);
+    let tightest = sound.iter().filter(alike).min_by_key(|one| one.free.cpu_millis);
     tightest.map_or(Choice::Wait, |one| Choice::Start(one.place))
 }
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -4,10 +4,13 @@
 //! to end first among the targets with room, never where it is expected to end late while another
 //! target could still have it on time. Among equals the fullest one is taken, so that wide gaps
 //! stay whole for large tasks.
+//!
+//! Answers long work that only fast targets end in time: part of their room is left to it. Work that
+//! is on time elsewhere goes elsewhere once no more than that part is free.
 
 mod choice;
 
 #[cfg(test)]
 mod tests;
 
-pub use choice::{Candidate, Choice, choose};
+pub use choice::{Candidate, Choice, Fast, choose, is_fast};
--- a/crates/fleet/src/placement/tests.rs
+++ b/crates/fleet/src/placement/tests.rs
@@ -2,7 +2,7 @@
 
 use coltsfootshunt_testkit::cases;
 
-use super::{Candidate, Choice, choose};
+use super::{Candidate, Choice, Fast, choose};
 use crate::job::Room;
 use crate::queue::tests::waiting;
 
@@ -14,8 +14,8 @@
 fn chooses(candidates: &[Candidate], fastest_ms: u64, wanted: Choice) {
     let now = Instant::now();
     let task = waiting("0000000000000001", 0, now, 200, 1_500);
-    let fastest = Duration::from_millis(fastest_ms);
-    assert_eq!(choose(&task, candidates, fastest, now), wanted);
+    let fast = Fast { best: Duration::from_millis(fastest_ms), free: 9, places: 10 };
+    assert_eq!(choose(&task, candidates, fast, now), wanted);
 }
 
 cases! { chooses:
@@ -28,3 +28,19 @@
     a_slow_one_when_none_is_faster(&[candidate(0, 300, 9, false)], 300, Choice::Start(0));
     to_wait_when_the_caller_would_be_gone(&[candidate(0, 2_000, 9, false)], 1_000, Choice::Wait);
 }
+
+/// A fast target of 50 ms and a slow one are free; `free` of ten fast places are.
+fn leaves(slow_ms: u64, objective_ms: u64, free: u64, wanted: usize) {
+    let now = Instant::now();
+    let task = waiting("0000000000000001", 0, now, objective_ms, 1_500);
+    let fast = Fast { best: Duration::from_millis(50), free, places: 10 };
+    let candidates = [candidate(0, 50, 9, false), candidate(1, slow_ms, 9, false)];
+    assert_eq!(choose(&task, &candidates, fast, now), Choice::Start(wanted));
+}
+
+cases! { leaves:
+    fast_targets_to_long_work_when_few_are_free(100, 200, 3, 1);
+    nothing_when_many_are_free(100, 200, 8, 0);
+    nothing_when_the_slow_one_would_make_it_late(190, 200, 3, 0);
+    nothing_when_the_caller_might_be_gone(1_200, 1_400, 3, 0);
+}
--- a/crates/fleet/src/spread/load.rs
+++ b/crates/fleet/src/spread/load.rs
@@ -7,11 +7,16 @@
 
 use crate::queue::SLACK_LEVELS_MS;
 
+/// Share of its run time that a long task loses on a slow target.
+const SLOW_COST: f64 = 0.3;
+
 /// What a steward says of its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
     /// Typical tasks that could start now.
     pub free: u32,
+    /// Typical tasks that could start now on fast targets.
+    pub free_fast: u32,
     /// Places for typical tasks, free or not.
     pub places: u32,
     /// Expected wait of a task that comes now, in milliseconds, by the level of its slack.
@@ -39,30 +44,47 @@
         self.distance + Duration::from_millis(self.load.waits_ms[level].into())
     }
 
+    /// What a task loses there: its delay, and the longer run of a long one on a slow target.
+    fn cost(&self, task: &Shape) -> Duration {
+        let slow = task.is_long && self.load.free_fast == 0;
+        self.delay(task.level) + if slow { task.run.mul_f64(SLOW_COST) } else { Duration::ZERO }
+    }
+
     /// Counts one more task as sent that runs for some time.
-    fn take(&mut self, level: usize, run: Duration) {
+    fn take(&mut self, task: &Shape) {
         if self.load.free > 0 {
             self.load.free -= 1;
+            let fast = u32::from(task.is_long || self.load.free < self.load.free_fast);
+            self.load.free_fast = self.load.free_fast.saturating_sub(fast);
             return;
         }
-        let cost = run.as_millis() as u32 / self.load.places.max(1);
-        for wait in &mut self.load.waits_ms[level..] {
+        let cost = task.run.as_millis() as u32 / self.load.places.max(1);
+        for wait in &mut self.load.waits_ms[task.level..] {
             *wait = wait.saturating_add(cost.max(1));
         }
     }
 }
 
-/// Assigns tasks of a job one by one, by the level of its slack and their run time; for each the
-/// place of its steward in `offers`.
-pub fn assign(tasks: usize, level: usize, run: Duration, offers: &mut [Offer]) -> Vec<usize> {
+/// What the tasks of a job are like.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// Level of the job's slack.
+    pub level: usize,
+    /// Expected run time on an average target.
+    pub run: Duration,
+    /// Whether a slow target may well end it too late.
+    pub is_long: bool,
+}
+
+/// Assigns tasks of a job one by one; for each the place of its steward in `offers`.
+pub fn assign(tasks: usize, shape: &Shape, offers: &mut [Offer]) -> Vec<usize> {
     let mut assigned = Vec::with_capacity(tasks);
     for _ in 0..tasks {
         let best = offers.iter().enumerate().filter(|(_, offer)| offer.load.places > 0);
-        let Some((place, _)) = best.min_by_key(|(place, offer)| (offer.delay(level), *place))
-        else {
+        let Some((place, _)) = best.min_by_key(|(place, offer)| (offer.cost(shape), *place)) else {
             return assigned;
         };
-        offers[place].take(level, run);
+        offers[place].take(shape);
         assigned.push(place);
     }
     assigned
--- a/crates/fleet/src/spread/mod.rs
+++ b/crates/fleet/src/spread/mod.rs
@@ -9,4 +9,4 @@
 #[cfg(test)]
 mod tests;
 
-pub use load::{Load, Offer, assign};
+pub use load::{Load, Offer, Shape, assign};
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -10,7 +10,7 @@
 use crate::job::{Bundle, End, Ending, Id, Task};
 use crate::lease::{Answer, Attempt, Call, Finding, Mint, Phase, Picture, Rejection};
 use crate::member::Roster;
-use crate::placement::{Candidate, Choice, choose};
+use crate::placement::{Candidate, Choice, Fast, choose, is_fast};
 use crate::queue::{Line, Waiting};
 use crate::report::Note;
 use crate::speed::Book;
@@ -287,8 +287,9 @@
 
     /// Load to tell other hosts.
     #[must_use]
-    pub fn load(&self, roster: &Roster, now: Instant) -> Load {
+    pub fn load(&self, roster: &Roster, speeds: &Book, now: Instant) -> Load {
         let mut load = Load::default();
+        let fastest = fastest(&self.pictures, speeds, now);
         let mut capacity = 0.0;
         for picture in self.pictures.values() {
             let entry = &picture.entry;
@@ -298,10 +299,17 @@
             };
             let each = self.typical.unwrap_or(entry.capacity.cpu_millis as f64 / 2.0).max(1.0);
             load.places += (entry.capacity.cpu_millis as f64 / each) as u32;
-            load.free += (free.cpu_millis as f64 / each) as u32;
+            let places = (free.cpu_millis as f64 / each) as u32;
+            load.free += places;
+            let factor = speeds.slowness(&entry.name, now).exp();
+            if is_fast(Duration::from_secs_f64(factor), Duration::from_secs_f64(fastest)) {
+                load.free_fast += places;
+            }
             capacity += entry.capacity.cpu_millis as f64;
         }
-        load.free = load.free.saturating_sub(u32::try_from(self.line.len()).unwrap_or(u32::MAX));
+        let waiting = u32::try_from(self.line.len()).unwrap_or(u32::MAX);
+        load.free = load.free.saturating_sub(waiting);
+        load.free_fast = load.free_fast.saturating_sub(waiting);
         let work = self.line.work(now);
         load.waits_ms = work.map(|work| (work / f64::max(capacity, 1.0) * 1_000.0) as u32);
         load
@@ -319,6 +327,7 @@
 ) -> Option<Target> {
     let mut candidates = Vec::new();
     let mut names = Vec::new();
+    let mut capacities = Vec::new();
     let mut fastest = Duration::MAX;
     for (name, picture) in pictures {
         if !suits(&picture.entry, one, roster) {
@@ -330,6 +339,7 @@
         let suspect = speeds.is_failing(name, now) || is_stuck(picture, now);
         if !suspect {
             fastest = fastest.min(expected);
+            capacities.push((expected, picture.entry.capacity.cpu_millis));
         }
         let spread = one.need.spread.is_none_or(|most| picture.of_step(&one.task) < most);
         let Some(free) = picture.free(now).filter(|free| free.holds(&one.need.room)) else {
@@ -345,7 +355,15 @@
         fastest = candidates.iter().map(|one| one.expected).min()?;
         candidates.iter_mut().for_each(|one| one.suspect = false);
     }
-    match choose(one, &candidates, fastest, now) {
+    let each = one.need.room.cpu_millis.max(1);
+    let places = capacities.iter().filter(|(expected, _)| is_fast(*expected, fastest));
+    let free = candidates.iter().filter(|one| is_fast(one.expected, fastest));
+    let fast = Fast {
+        best: fastest,
+        free: free.map(|one| one.free.cpu_millis / each).sum(),
+        places: places.map(|(_, capacity)| capacity / each).sum(),
+    };
+    match choose(one, &candidates, fast, now) {
         Choice::Start(place) => Some(names[place].clone()),
         Choice::Wait => None,
     }
