--- a/crates/fleet/src/placement/choice.rs
+++ b/crates/fleet/src/placement/choice.rs
@@ -10,10 +10,13 @@
 /// Run times within this factor of the fastest target's make a target fast.
 const FAST: f64 = 1.25;
 /// Share of the fast targets' room that is left to work that needs it.
-const RESERVE: f64 = 0.5;
+const RESERVE: f64 = 0.75;
 /// Factor on an expected run time that must still end before the caller goes: declared times are off
 /// by tens of per cent.
 const SURE: f64 = 1.4;
+/// Share of an expected run time that must still fit before the caller goes: a start that is bound to
+/// be in vain only keeps others out.
+const HOPE: f64 = 0.6;
 /// Time by which an end must be expected before the job is late: the way there and back.
 const AHEAD: Duration = Duration::from_millis(15);
 
@@ -66,7 +69,7 @@
         return Choice::Wait;
     };
     let hopes = (on_time(fast.best) && !on_time(best)) || (in_time(fast.best) && !in_time(best));
-    if hopes {
+    if hopes || !in_time(best.mul_f64(HOPE)) {
         return Choice::Wait;
     }
     let scarce = fast.free as f64 <= fast.places as f64 * RESERVE;
--- a/crates/fleet/src/placement/tests.rs
+++ b/crates/fleet/src/placement/tests.rs
@@ -26,6 +26,7 @@
     to_wait_when_only_suspects_are_free(&[candidate(0, 50, 9, true)], 50, Choice::Wait);
     to_wait_when_the_free_one_makes_it_late(&[candidate(0, 300, 9, false)], 100, Choice::Wait);
     a_slow_one_when_none_is_faster(&[candidate(0, 300, 9, false)], 300, Choice::Start(0));
+    to_wait_rather_than_start_in_vain(&[candidate(0, 3_000, 9, false)], 2_900, Choice::Wait);
     to_wait_when_the_caller_would_be_gone(&[candidate(0, 2_000, 9, false)], 1_000, Choice::Wait);
 }
 
