--- /dev/null
+++ b/crates/entry/tests/platform.rs
@@ -0,0 +1,234 @@
+//! Hosts as processes on stand-ins for the users' platform.
+
+use std::time::Duration;
+
+use coltsfootshunt_http::Method;
+use coltsfootshunt_platform_standin::process::{Fleet, Host, SERVICE, job};
+use coltsfootshunt_platform_standin::settings::configuration;
+use coltsfootshunt_platform_standin::store::{CONFIGURATION, Mode};
+use coltsfootshunt_testkit::{Signal, until};
+use serde_json::json;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_coltsfootshunt-entry");
+const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
+
+/// Two zones with two hosts each.
+async fn fleet() -> (Fleet, Vec<Host>) {
+    let fleet = Fleet::start(PROGRAM, FOLDER, &["a", "b"], 3).await;
+    let mut hosts: Vec<Host> = Vec::new();
+    for (name, zone) in [("a-1", "a"), ("a-2", "a"), ("b-1", "b"), ("b-2", "b")] {
+        let seeds: Vec<&Host> = hosts.iter().take(2).collect();
+        let mut host = fleet.host(name, zone, &seeds);
+        fleet.launch(&mut host);
+        hosts.push(host);
+    }
+    fleet.settled(&hosts.iter().collect::<Vec<_>>()).await;
+    (fleet, hosts)
+}
+
+fn id(number: u32) -> String {
+    format!("{number:016x}")
+}
+
+/// The host that gives a zone's targets their orders.
+async fn steward(fleet: &Fleet, hosts: &[Host], zone: &str) -> usize {
+    for (number, host) in hosts.iter().enumerate().filter(|(_, host)| host.is_up()) {
+        let state = fleet.state(host).await.expect("the host answers");
+        let claims = state["claims"].as_array().cloned().unwrap_or_default();
+        if claims.iter().any(|claim| claim["zone"] == zone) {
+            return number;
+        }
+    }
+    panic!("zone {zone} has no steward");
+}
+
+async fn serves(fleet: &Fleet, host: &Host, number: u32) {
+    until("a job is served", || async {
+        let (status, body) = fleet.submit(host, &id(number), (2, 14_000, 40)).await?;
+        (status == 200 && body["state"] == "completed").then_some(())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn jobs_are_answered_at_their_end_through_any_host() {
+    let (fleet, hosts) = fleet().await;
+    for (number, host) in (1..).zip(&hosts) {
+        let answer = fleet.submit(host, &id(number), (4, 14_000, 60)).await.expect("an answer");
+        assert_eq!(answer, (200, json!({ "state": "completed" })));
+        assert_eq!(fleet.ledger.starts(&id(number)), 4);
+        let state = fleet.call(Method::GET, host, &format!("/cut/{}", id(number)), "").await;
+        assert_eq!(state, Some((200, json!({ "state": "completed" }))));
+    }
+    assert_eq!(fleet.ledger.broken(), Vec::<String>::new());
+    let metrics = fleet.metrics(&hosts[0]).await.expect("metrics are served");
+    assert!(metrics.contains("coltsfootshunt_jobs_answered_total"), "{metrics}");
+}
+
+#[tokio::test]
+async fn what_is_not_served_is_said_at_once() {
+    let (fleet, hosts) = fleet().await;
+    let host = &hosts[0];
+    let plain = job("cpu=1 ms=1", 1, 1, 1);
+    let with = |field: &str, value: serde_json::Value| {
+        let mut job = plain.clone();
+        job[field] = value;
+        job.to_string()
+    };
+    let path = format!("/cut/{}", id(1));
+    let cases = [
+        ("/none/0000000000000001", plain.to_string(), 404),
+        ("/cut/short", plain.to_string(), 400),
+        (&path, "{".to_owned(), 400),
+        (&path, with("bestEffort", json!(false)), 503),
+        (&path, with("runCount", json!(3)), 503),
+        (&path, with("spec", json!("x".repeat(5_000))), 400),
+        (&path, with("spec", json!("x".repeat(300_000))), 413),
+        (&path, job("cpu=1 ms=1", 2_000, 1, 1).to_string(), 400),
+    ];
+    for (path, body, wanted) in cases {
+        let answer = fleet.call(Method::POST, host, path, &body).await.expect("an answer");
+        assert_eq!(answer.0, wanted, "{path}: {}", answer.1);
+    }
+    let pending = fleet.call(Method::GET, host, "/mark/", "").await;
+    assert_eq!(pending, Some((200, json!({ "pending": 0 }))));
+    let unknown = fleet.call(Method::GET, host, &format!("/cut/{}", id(9)), "").await;
+    assert_eq!(unknown.map(|answer| answer.0), Some(410));
+    let too_large = fleet.submit(host, &id(2), (1, 64_000, 10)).await;
+    assert_eq!(too_large, Some((200, json!({ "state": "failed" }))));
+    assert_eq!(fleet.ledger.all_starts(), 0);
+}
+
+#[tokio::test]
+async fn a_killed_steward_is_replaced_and_nothing_runs_twice() {
+    let (fleet, mut hosts) = fleet().await;
+    let killed = steward(&fleet, &hosts, "a").await;
+    let other = (killed + 1) % 2;
+    hosts[killed].tell(Signal::Kill);
+    hosts[killed].exit().await;
+    until("the zone has its steward again", || async {
+        let state = fleet.state(&hosts[other]).await?;
+        (state["claims"].as_array()?.len() == 1).then_some(())
+    })
+    .await;
+    serves(&fleet, &hosts[other], 1).await;
+    fleet.launch(&mut hosts[killed]);
+    fleet.settled(&hosts.iter().collect::<Vec<_>>()).await;
+    serves(&fleet, &hosts[killed], 2).await;
+    assert_eq!(fleet.ledger.broken(), Vec::<String>::new());
+}
+
+#[tokio::test]
+async fn planned_stops_one_after_the_other_cut_no_answer() {
+    let (fleet, mut hosts) = fleet().await;
+    for stopped in 0..hosts.len() {
+        let first = u32::try_from(stopped).unwrap() * 100;
+        let host = &hosts[stopped];
+        let ids: Vec<String> = (first..first + 6).map(id).collect();
+        let jobs = ids.iter().map(|id| fleet.submit(host, id, (2, 9_000, 300)));
+        let stop = async {
+            tokio::time::sleep(Duration::from_millis(80)).await;
+            host.tell(Signal::Terminate);
+        };
+        let (answers, ()) = tokio::join!(all(jobs), stop);
+        // Work that its steward gives back may come too late for others; that is said, not cut.
+        let statuses: Vec<_> = answers.into_iter().map(|answer| answer.map(|one| one.0)).collect();
+        assert!(statuses.iter().all(|one| matches!(one, Some(200 | 429))), "{statuses:?}");
+        assert!(statuses.contains(&Some(200)), "{statuses:?}");
+        hosts[stopped].exit().await;
+        fleet.launch(&mut hosts[stopped]);
+        fleet.settled(&hosts.iter().collect::<Vec<_>>()).await;
+    }
+    assert_eq!(fleet.ledger.broken(), Vec::<String>::new());
+}
+
+async fn all<T>(futures: impl Iterator<Item = impl Future<Output = T>>) -> Vec<T> {
+    futures_util::future::join_all(futures).await
+}
+
+#[tokio::test]
+async fn hosts_start_and_serve_while_the_store_is_silent() {
+    let (fleet, mut hosts) = fleet().await;
+    fleet.store.set_mode(Mode::Silent);
+    serves(&fleet, &hosts[0], 1).await;
+    hosts[1].tell(Signal::Kill);
+    hosts[1].exit().await;
+    fleet.launch(&mut hosts[1]);
+    fleet.ready(&[&hosts[1]]).await;
+    serves(&fleet, &hosts[1], 2).await;
+    fleet.store.set_mode(Mode::Up);
+    assert_eq!(fleet.ledger.broken(), Vec::<String>::new());
+}
+
+#[tokio::test]
+async fn a_configuration_is_in_force_everywhere_and_an_older_one_never() {
+    let (fleet, hosts) = fleet().await;
+    let newer = configuration(9, SERVICE, &[("cut", "/cut/"), ("late", "/late/")]);
+    fleet.store.put(CONFIGURATION, &newer);
+    for host in &hosts {
+        until("the new route is known", || async {
+            let (status, _) = fleet.call(Method::GET, host, "/late/", "").await?;
+            (status == 200).then_some(())
+        })
+        .await;
+    }
+    fleet.store.put(CONFIGURATION, &configuration(8, SERVICE, &[("cut", "/cut/")]));
+    fleet.store.forget();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for host in &hosts {
+        let answer = fleet.call(Method::GET, host, "/late/", "").await;
+        assert_eq!(answer.map(|answer| answer.0), Some(200));
+    }
+}
+
+#[tokio::test]
+async fn entries_that_cannot_be_read_name_no_target() {
+    let fleet = Fleet::start(PROGRAM, FOLDER, &["a"], 1).await;
+    fleet.store.put_bytes("servers/t-broken", b"\xff\xfe");
+    fleet.store.put("servers/t-foreign", &json!({ "service": SERVICE, "state": "asleep" }));
+    let mut host = fleet.host("a-1", "a", &[]);
+    fleet.launch(&mut host);
+    fleet.settled(&[&host]).await;
+    let state = fleet.state(&host).await.expect("the host answers");
+    assert_eq!(state["targets_known"], 1);
+}
+
+#[tokio::test]
+async fn a_draining_target_gets_nothing_new() {
+    let fleet = Fleet::start(PROGRAM, FOLDER, &["a"], 2).await;
+    let mut host = fleet.host("a-1", "a", &[]);
+    fleet.launch(&mut host);
+    fleet.settled(&[&host]).await;
+    fleet.targets[0].drain();
+    until("the host knows that the target leaves", || async {
+        let state = fleet.state(&host).await?;
+        let targets = state["targets"].as_array()?.clone();
+        targets.iter().any(|target| target["state"] == "draining").then_some(())
+    })
+    .await;
+    let before = host.lines().len();
+    for number in 1..=10 {
+        serves(&fleet, &host, number).await;
+    }
+    let lines = host.lines();
+    let started = lines[before..].iter().filter(|line| line["msg"] == "task started");
+    assert!(started.clone().count() > 0);
+    assert!(started.clone().all(|line| line["target"] == "t-a-1"));
+}
+
+#[tokio::test]
+async fn the_log_tells_a_job_from_its_first_line_to_its_answer() {
+    let (fleet, hosts) = fleet().await;
+    serves(&fleet, &hosts[0], 5).await;
+    let told = |host: &Host| {
+        let lines = host.lines().into_iter();
+        lines.filter(|line| line["job"] == id(5).as_str()).collect::<Vec<_>>()
+    };
+    until("the lines are written", || async {
+        let lines: Vec<_> = hosts.iter().flat_map(told).collect();
+        let has = |message: &str| lines.iter().any(|line| line["msg"] == message);
+        let all = ["job accepted", "tasks sent", "task started", "task ended", "job answered"];
+        all.iter().all(|message| has(message)).then_some(())
+    })
+    .await;
+}
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -267,7 +267,7 @@
         let peers: Vec<_> = peers.collect();
         let targets = self.steward.pictures().map(|picture| {
             serde_json::json!({
-                "target": picture.entry.name, "phase": format!("{:?}", picture.phase),
+                "target": picture.entry.name, "state": picture.entry.state, "phase": format!("{:?}", picture.phase),
                 "free": picture.free(now), "attempts": picture.attempts().count(),
                 "slowness": self.speeds.slowness(&picture.entry.name, now),
             })
--- a/crates/fleet/src/job/book.rs
+++ b/crates/fleet/src/job/book.rs
@@ -8,8 +8,8 @@
 
 use super::{End, Ending, Id, Need, Outcome, Plan, Refusal};
 
-/// Attempts of one task that end without a verdict before its job is given up.
-const MAX_TRIES: u32 = 8;
+/// Stewards that a task is sent to before it counts as too late.
+const MAX_TRIES: u32 = 12;
 /// How long an outcome is remembered for repeats that come after the answer.
 const REMEMBER_FOR: Duration = Duration::from_secs(30);
 /// Time after which a caller whose job was given back as too late may come back; crests pass in
@@ -217,8 +217,8 @@
         if part.failures >= self.policy.attempts {
             return Some(Outcome::Failed);
         }
-        if part.tries >= MAX_TRIES && part.state != State::Done {
-            return Some(Outcome::Unknown);
+        if part.tries >= MAX_TRIES && part.state == State::Waiting {
+            part.state = State::Late;
         }
         if self.all_back() {
             return self.settle_late();
@@ -233,12 +233,15 @@
         self.parts.iter().any(|part| part.state == State::Late) && !self.parts.iter().any(with)
     }
 
-    /// With nothing run, the job is turned away; else it goes on late.
+    /// With nothing run, the job is turned away; else it goes on late, while there are tries left.
     fn settle_late(&mut self) -> Option<Outcome> {
         if !self.begun {
             let refusal = Refusal::TooLate;
             return Some(Outcome::Refused { refusal, retry_after: RETRY_AFTER });
         }
+        if self.parts.iter().any(|part| part.tries >= MAX_TRIES) {
+            return Some(Outcome::Unknown);
+        }
         for part in self.parts.iter_mut().filter(|part| part.state == State::Late) {
             part.state = State::Waiting;
         }
--- a/crates/fleet/src/lease/picture.rs
+++ b/crates/fleet/src/lease/picture.rs
@@ -295,7 +295,7 @@
         match &call.order {
             Order::Renew { .. } => self.answer_renewal(call, answer, now, &mut found),
             Order::Start { task, run, .. } => {
-                self.answer_start(call, (task, *run), answer, now, &mut found);
+                self.answer_start(call, (task, *run), &answer, now, &mut found);
             }
             Order::Stop { task, run } => self.answer_stop((task, *run), &answer, &mut found),
         }
@@ -359,7 +359,7 @@
         &mut self,
         call: &Call,
         (task, run): (&Task, u32),
-        answer: Answer,
+        answer: &Answer,
         now: Instant,
         found: &mut Vec<Finding>,
     ) {
@@ -368,7 +368,7 @@
         let Some(attempt) = self.attempts.get_mut(task).filter(same) else {
             return;
         };
-        match answer {
+        match *answer {
             Answer::Taken { clock_ms } => {
                 if attempt.status == Status::Sent {
                     attempt.status = Status::Running(clock_ms);
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -24,6 +24,9 @@
 const FITLESS: usize = 24;
 /// Weight of one task in the running mean of what a task takes.
 const TYPICAL_WEIGHT: f64 = 0.02;
+/// Wait after which a task may go to another steward that has places free: some round trips between
+/// zones, and about the age of what is known of the others' loads.
+const SHARE_AFTER: Duration = Duration::from_millis(25);
 /// Shortest wait after which a task is given back as late: what comes late already was sent on
 /// purpose.
 const LATE_AFTER: Duration = Duration::from_millis(30);
@@ -261,6 +264,22 @@
             started.insert(one.task.clone());
         }
         self.line.remove(&started);
+        self.share(roster, now, out);
+    }
+
+    /// Returns tasks that have waited here while another steward has places free.
+    fn share(&mut self, roster: &Roster, now: Instant, out: &mut Output) {
+        let elsewhere = roster.alive().filter(|peer| !peer.beat.claims.is_empty());
+        let free: u32 = elsewhere.map(|peer| peer.beat.load.free).sum();
+        // Others may see the same places.
+        let mut left = free / 2;
+        let shared = self.line.take(|one| {
+            let waited = now.duration_since(one.since) > SHARE_AFTER;
+            let goes = waited && left > 0;
+            left -= u32::from(goes);
+            goes
+        });
+        out.endings.extend(shared.into_iter().map(not_run));
     }
 
     /// Returns tasks that would end after their caller has gone even on the fastest target, and
