--- a/crates/fleet/src/control/tests/world.rs
+++ b/crates/fleet/src/control/tests/world.rs
@@ -61,8 +61,9 @@
     Wake(usize, u64),
     /// Something reaches a host; the number names the run of its process.
     Event(usize, u64, Event),
-    /// A call reaches a target; whether its answer gets back.
-    Call { host: usize, run: u64, call: Call, answered: bool },
+    /// A call reaches a target; whether its answer gets back. A target that was left with it and
+    /// crashed meanwhile has lost it with all else: `born` tells which life was left with it.
+    Call { host: usize, run: u64, call: Call, answered: bool, born: Option<u64> },
     /// A waiting renewal is looked at again.
     Hold { host: usize, run: u64, call: Call, until_ms: u64 },
     /// A host tries to deliver what it has for another.
@@ -381,7 +382,12 @@
                     self.settle(host, Some(event));
                 }
             }
-            Happening::Call { host, run, call, answered } => self.call(host, run, call, answered),
+            Happening::Call { host, run, call, answered, born } => {
+                let life = self.targets.get(&call.target).map(|target| target.entry.born);
+                if born.is_none() || born == life {
+                    self.call(host, run, call, answered);
+                }
+            }
             Happening::Hold { host, run, call, until_ms } => self.hold(host, run, call, until_ms),
             Happening::Deliver { host, run, to } => self.deliver(host, run, to),
             Happening::Send(id) => self.send(&id),
@@ -428,7 +434,11 @@
                     if late {
                         let after = self.rng.random_range(2_000..12_000);
                         let call = call.clone();
-                        self.happen(after, Happening::Call { host, run, call, answered: false });
+                        let born = self.targets.get(&call.target).map(|one| one.entry.born);
+                        self.happen(
+                            after,
+                            Happening::Call { host, run, call, answered: false, born },
+                        );
                     }
                     let within = call.within.as_millis() as u64;
                     let event = Event::Called(Box::new(call), Answer::Silent);
@@ -436,7 +446,7 @@
                 }
                 let answered = !self.rng.random_bool(self.chances.answer_lost);
                 let delay = self.rng.random_range(1..4);
-                self.happen(delay, Happening::Call { host, run, call, answered });
+                self.happen(delay, Happening::Call { host, run, call, answered, born: None });
             }
             Action::Send(to, message) => self.send_message(host, to, message),
             Action::Reset(to) => {
--- a/crates/fleet/src/job/tests.rs
+++ b/crates/fleet/src/job/tests.rs
@@ -1,1 +1,140 @@
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
+use coltsfootshunt_core::name::{Host, Kind, Service};
+use coltsfootshunt_testkit::cases;
+
+use super::{
+    Book, End, Ending, Id, Invalid, Need, Open, Outcome, Plan, Policy, Refusal, Step, Task, Ticket,
+};
+
+fn id() -> Id {
+    Id::try_from("0000000000000001").unwrap()
+}
+
+fn host() -> Host {
+    Host::try_from("steward").unwrap()
+}
+
+fn step(count: u32, after: &[usize]) -> Step {
+    let need = Need { estimate_ms: 100, ..Need::default() };
+    Step { count, need, after: after.to_vec() }
+}
+
+fn open(steps: Vec<Step>, attempts: u32) -> Open {
+    let now = Instant::now();
+    let plan = Arc::new(Plan::new("work".into(), steps).unwrap());
+    let service = Service::try_from("mill").unwrap();
+    let policy = Policy { service, priority: 0, attempts };
+    let later = now + Duration::from_secs(1);
+    Open::new(Kind::try_from("cut").unwrap(), plan, policy, (now, later, later))
+}
+
+/// Sends all that is ready; how much that was.
+fn send(job: &mut Open) -> usize {
+    let ready = job.ready();
+    ready.iter().for_each(|part| job.sent(part.part, host()));
+    ready.len()
+}
+
+fn end(job: &mut Open, index: u32, run: u32, end: End) -> Option<Outcome> {
+    let task = Task { job: id(), step: 0, index };
+    let ending = Ending { task, opening: job.opening, run, end };
+    job.end(&host(), &ending)
+}
+
+const LATE: Option<Outcome> =
+    Some(Outcome::Refused { refusal: Refusal::TooLate, retry_after: Duration::from_secs(2) });
+
+/// Ends of the tasks of a job of as many tasks, and the outcome after the last one.
+fn concludes(ends: &[End], attempts: u32, wanted: Option<Outcome>) {
+    let mut job = open(vec![step(u32::try_from(ends.len()).unwrap(), &[])], attempts);
+    send(&mut job);
+    let mut outcome = None;
+    for (index, one) in (0..).zip(ends) {
+        outcome = outcome.or(end(&mut job, index, 1, *one));
+    }
+    assert_eq!(outcome, wanted);
+}
+
+cases! { concludes:
+    completed_when_all_are_done(&[End::Done, End::Done], 1, Some(Outcome::Completed));
+    nothing_while_one_is_to_run_again(&[End::Done, End::Lost], 1, None);
+    nothing_while_attempts_are_left(&[End::Failed], 2, None);
+    failed_with_the_last_attempt(&[End::Failed], 1, Some(Outcome::Failed));
+    unknown_when_one_may_run_on(&[End::Done, End::Adrift], 1, Some(Outcome::Unknown));
+    refused_when_nothing_ran(&[End::TooLate, End::TooLate], 1, LATE);
+    refused_when_nothing_ran_elsewhere(&[End::NotRun, End::TooLate], 1, LATE);
+    nothing_when_some_ran_and_the_rest_is_late(&[End::Done, End::TooLate], 1, None);
+}
+
+/// Numbers of attempts rise, also where nothing ran.
+#[test]
+fn a_task_that_is_sent_again_has_a_higher_number() {
+    let mut job = open(vec![step(1, &[])], 3);
+    for run in 1..4 {
+        assert_eq!(job.ready()[0].run, run);
+        send(&mut job);
+        assert_eq!(end(&mut job, 0, run, End::Lost), None);
+    }
+}
+
+#[test]
+fn a_step_waits_for_those_before_it() {
+    let mut job = open(vec![step(2, &[]), step(3, &[0])], 1);
+    assert_eq!(send(&mut job), 2);
+    end(&mut job, 0, 1, End::Done);
+    assert_eq!(send(&mut job), 0);
+    end(&mut job, 1, 1, End::Done);
+    assert_eq!(send(&mut job), 3);
+}
+
+#[test]
+fn ends_from_elsewhere_or_of_an_earlier_opening_do_not_count() {
+    let mut job = open(vec![step(1, &[])], 1);
+    send(&mut job);
+    let task = Task { job: id(), step: 0, index: 0 };
+    let done = Ending { task, opening: job.opening, run: 1, end: End::Done };
+    assert_eq!(job.end(&Host::try_from("other").unwrap(), &done), None);
+    assert_eq!(job.end(&host(), &Ending { opening: job.opening + 1, ..done.clone() }), None);
+    assert_eq!(job.end(&host(), &done), Some(Outcome::Completed));
+}
+
+fn remembers(outcome: Outcome, after_s: u64, wanted: Option<Outcome>) {
+    let now = Instant::now();
+    let mut book = Book::default();
+    book.open(id(), Ticket(1), open(vec![step(1, &[])], 1));
+    assert!(book.join(&id(), Ticket(2)));
+    let (_, tickets) = book.close(&id(), Some(outcome), now).unwrap();
+    assert_eq!(tickets, [Ticket(1), Ticket(2)]);
+    book.forget(now + Duration::from_secs(after_s));
+    assert_eq!(book.outcome(&id()), wanted);
+}
+
+cases! { remembers:
+    an_answer_for_repeats(Outcome::Completed, 5, Some(Outcome::Completed));
+    an_answer_for_a_while(Outcome::Completed, 31, None);
+    no_doubt(Outcome::Unknown, 0, None);
+}
+
+fn checked(steps: Vec<Step>, wanted: Option<&Invalid>) {
+    assert_eq!(Plan::new("".into(), steps).err().as_ref(), wanted);
+}
+
+cases! { checked:
+    a_plan(vec![step(2, &[]), step(1, &[0])], None);
+    no_steps(Vec::new(), Some(&Invalid::Empty));
+    a_step_without_tasks(vec![step(0, &[])], Some(&Invalid::Empty));
+    too_many_tasks(vec![step(1_001, &[])], Some(&Invalid::TooWide));
+    a_step_after_itself(vec![step(1, &[0])], Some(&Invalid::Order { step: 0 }));
+}
+
+fn identifiers(text: &str, valid: bool) {
+    assert_eq!(Id::try_from(text).is_ok(), valid);
+}
+
+cases! { identifiers:
+    sixteen_digits("5c0e7a21d94b36f8", true);
+    fewer("5c0e7a21", false);
+    other_characters("5c0e7a21d94b36fg", false);
+}
--- a/crates/fleet/src/lease/picture.rs
+++ b/crates/fleet/src/lease/picture.rs
@@ -428,6 +428,11 @@
             self.noted = 0;
             self.clock = None;
             self.closed_until = now;
+            for attempt in self.attempts.values_mut() {
+                if let Status::Running(clock_ms) = &mut attempt.status {
+                    *clock_ms = 0;
+                }
+            }
             if !claim {
                 self.doubt = true;
                 return;
@@ -464,11 +469,11 @@
                 }
             }
         }
-        self.miss(report, claim, another, found);
+        self.miss(report, claim, found);
     }
 
     /// Ends attempts that a report should name and does not.
-    fn miss(&mut self, report: &Report, claim: bool, another: bool, found: &mut Vec<Finding>) {
+    fn miss(&mut self, report: &Report, claim: bool, found: &mut Vec<Finding>) {
         let listed = |task: &Task, run: u32| {
             report.running.iter().any(|row| row.task == *task && row.run == run)
         };
@@ -478,7 +483,7 @@
                 continue;
             }
             match attempt.status {
-                Status::Running(clock_ms) if another || report.clock_ms > clock_ms => {
+                Status::Running(clock_ms) if report.clock_ms > clock_ms => {
                     missed.push((task.clone(), End::Lost));
                 }
                 // The new token makes an order that has not arrived void.
--- a/crates/fleet/src/lease/tests.rs
+++ b/crates/fleet/src/lease/tests.rs
@@ -1,1 +1,255 @@
+use std::time::{Duration, Instant, SystemTime};
 
+use coltsfootshunt_core::name::{Host, Kind};
+use coltsfootshunt_testkit::cases;
+
+use super::{
+    Answer, Attempt, Call, Ended, Finding, How, Listed, Mint, Order, Phase, Picture, Rejection,
+    Report, Token,
+};
+use crate::directory::tests::entry;
+use crate::job::{End, Id, Room, Task};
+
+const LEASE: Duration = Duration::from_millis(1_000);
+const TOKEN: Token = Token(5);
+/// The target's clock at its first answer, in milliseconds.
+const CLOCK: u64 = 100;
+
+fn task(index: u32) -> Task {
+    Task { job: Id::try_from("0000000000000001").unwrap(), step: 0, index }
+}
+
+fn room() -> Room {
+    Room { cpu_millis: 14_000, memory_mb: 64, accelerators: 0 }
+}
+
+fn attempt(now: Instant) -> Attempt {
+    let owner = Host::try_from("owner").unwrap();
+    Attempt::new(owner, Kind::try_from("cut").unwrap(), 1, room(), now)
+}
+
+fn report(clock_ms: u64, running: &[u32], ended: &[(u64, u32, How)]) -> Answer {
+    let running = running.iter().map(|index| Listed { task: task(*index), run: 1 });
+    let ended = ended.iter().map(|(number, index, how)| Ended {
+        number: *number,
+        task: task(*index),
+        run: 1,
+        how: *how,
+    });
+    let (running, ended) = (running.collect(), ended.collect());
+    Answer::Report(Report { clock_ms, born: Some(1), running, ended })
+}
+
+/// A target that this host has claimed.
+fn held(now: Instant) -> Picture {
+    let mut picture = Picture::new(entry("t", "a"), LEASE, now);
+    let claim = picture.claim(TOKEN, now);
+    let found = picture.answer(&claim, report(CLOCK, &[], &[]), now);
+    assert!(matches!(found[..], [Finding::Claimed(TOKEN)]));
+    picture
+}
+
+fn start(picture: &mut Picture, index: u32, now: Instant) -> Call {
+    picture.start(&task(index), "work".into(), attempt(now), now)
+}
+
+fn started(picture: &mut Picture, index: u32, now: Instant) {
+    let call = start(picture, index, now);
+    let found = picture.answer(&call, Answer::Taken { clock_ms: CLOCK + 1 }, now);
+    assert!(found.is_empty());
+}
+
+fn ends(found: &[Finding]) -> Vec<(u32, End)> {
+    let ended = found.iter().filter_map(|finding| match finding {
+        Finding::Ended { task, end, .. } => Some((task.index, *end)),
+        _ => None,
+    });
+    ended.collect()
+}
+
+fn free_cpu(picture: &Picture, now: Instant) -> Option<u64> {
+    picture.free(now).map(|room| room.cpu_millis)
+}
+
+/// An unanswered start keeps its room until the fence is raised; then the list decides.
+fn unanswered(listed: &[u32], ended: &[(u64, u32, How)], wanted: &[(u32, End)], free: u64) {
+    let now = Instant::now();
+    let mut picture = held(now);
+    let call = start(&mut picture, 0, now);
+    assert_eq!(free_cpu(&picture, now), Some(18_000), "a start takes its room at once");
+    assert!(picture.answer(&call, Answer::Silent, now).is_empty());
+    assert_eq!(free_cpu(&picture, now), None, "nothing is certain");
+    assert!(picture.wants_claim(now));
+    let claim = picture.claim(Token(6), now);
+    let found = picture.answer(&claim, report(CLOCK + 50, listed, ended), now);
+    assert_eq!(ends(&found), wanted);
+    assert_eq!(free_cpu(&picture, now), Some(free));
+}
+
+cases! { unanswered:
+    it_runs(&[0], &[], &[], 18_000);
+    it_never_came(&[], &[], &[(0, End::NotRun)], 32_000);
+    it_has_ended(&[], &[(1, 0, How::Done)], &[(0, End::Done)], 32_000);
+}
+
+/// What a rejected start means.
+fn rejected(rejection: Rejection, end: End, phase: Phase) {
+    let now = Instant::now();
+    let mut picture = held(now);
+    let call = start(&mut picture, 0, now);
+    let found = picture.answer(&call, Answer::Rejected(rejection), now);
+    assert_eq!(ends(&found), [(0, end)]);
+    assert_eq!(picture.phase, phase);
+}
+
+cases! { rejected:
+    by_a_higher_token(Rejection::Fenced, End::NotRun, Phase::Free);
+    as_an_old_run(Rejection::OldRun, End::NotRun, Phase::Held(TOKEN));
+    for_want_of_room(Rejection::NoRoom, End::NotRun, Phase::Held(TOKEN));
+    by_another_life(Rejection::OtherLife, End::NotRun, Phase::Free);
+}
+
+/// What runs at a target that is lost or taken over.
+fn given_up(answer: Answer, wanted: End) {
+    let now = Instant::now();
+    let mut picture = held(now);
+    started(&mut picture, 0, now);
+    let renewal = picture.renewal(now).unwrap();
+    let found = picture.answer(&renewal, answer, now);
+    assert_eq!(ends(&found), [(0, wanted)]);
+    assert_eq!(picture.phase, Phase::Free);
+    assert_eq!(free_cpu(&picture, now), None);
+}
+
+cases! { given_up:
+    to_another_host_runs_on(Answer::Rejected(Rejection::Fenced), End::Adrift);
+    with_its_process_gone_is_lost(Answer::Unsent { refused: true }, End::Lost);
+}
+
+/// Renewals without answers: the lease is let go, and only after its end is anything said.
+#[test]
+fn silence_is_waited_out() {
+    let start = Instant::now();
+    let mut picture = held(start);
+    started(&mut picture, 0, start);
+    let mut now = start;
+    let mut renewing = Vec::new();
+    let found = loop {
+        let call = picture.renewal(now).expect("it is asked until its lease is over");
+        let Order::Renew { lease_until_ms, .. } = &call.order else {
+            panic!("a renewal");
+        };
+        renewing.push(lease_until_ms.is_some());
+        now += call.within;
+        let found = picture.answer(&call, Answer::Silent, now);
+        if !found.is_empty() {
+            break found;
+        }
+        assert_eq!(free_cpu(&picture, now), None);
+    };
+    assert_eq!(ends(&found), [(0, End::Lost)]);
+    assert!(renewing.starts_with(&[true, true]) && !renewing[2..].contains(&true));
+    assert!(now - start > LEASE);
+}
+
+/// An attempt that a report should name and does not.
+fn missing(clock_ms: u64, wanted: &[(u32, End)]) {
+    let now = Instant::now();
+    let mut picture = held(now);
+    started(&mut picture, 0, now);
+    let renewal = picture.renewal(now).unwrap();
+    let found = picture.answer(&renewal, report(clock_ms, &[], &[]), now);
+    assert_eq!(ends(&found), wanted);
+}
+
+cases! { missing:
+    from_a_later_report_is_lost(CLOCK + 2, &[(0, End::Lost)]);
+    from_a_report_made_before_it_started_runs_on(CLOCK, &[]);
+}
+
+/// What another steward started is stopped, and until it is gone nothing is placed.
+#[test]
+fn orphans_are_stopped_before_anything_starts() {
+    let now = Instant::now();
+    let mut picture = Picture::new(entry("t", "a"), LEASE, now);
+    let claim = picture.claim(TOKEN, now);
+    picture.answer(&claim, report(CLOCK, &[7], &[]), now);
+    assert_eq!(free_cpu(&picture, now), None);
+    let stops = picture.stops(now);
+    assert!(
+        matches!(&stops[..], [Call { order: Order::Stop { task, run: 1 }, .. }] if task.index == 7)
+    );
+    assert!(picture.stops(now).is_empty(), "it is asked once");
+    let renewal = picture.renewal(now).unwrap();
+    picture.answer(&renewal, report(CLOCK + 9, &[], &[(1, 7, How::Ended)]), now);
+    assert_eq!(free_cpu(&picture, now), Some(32_000));
+}
+
+/// A target that restarted under its name obeys every token at first: only a new one tells.
+#[test]
+fn another_life_is_claimed_anew() {
+    let now = Instant::now();
+    let mut picture = held(now);
+    started(&mut picture, 0, now);
+    let renewal = picture.renewal(now).unwrap();
+    let other = Report { clock_ms: 3, born: Some(2), ..Report::default() };
+    let found = picture.answer(&renewal, Answer::Report(other.clone()), now);
+    assert!(ends(&found).is_empty(), "an order for the earlier life may run in this one");
+    assert!(picture.wants_claim(now));
+    let claim = picture.claim(Token(6), now);
+    let found = picture.answer(&claim, Answer::Report(other), now);
+    assert_eq!(ends(&found), [(0, End::Lost)]);
+    assert_eq!(free_cpu(&picture, now), Some(32_000));
+}
+
+/// An answer to an earlier order must not count for a later one of the same number.
+#[test]
+fn a_late_answer_is_told_apart_by_its_token() {
+    let now = Instant::now();
+    let mut picture = held(now);
+    let first = start(&mut picture, 0, now);
+    picture.answer(&first, Answer::Silent, now);
+    let claim = picture.claim(Token(6), now);
+    picture.answer(&claim, report(CLOCK + 5, &[], &[]), now);
+    start(&mut picture, 0, now);
+    let found = picture.answer(&first, Answer::Rejected(Rejection::Fenced), now);
+    assert!(found.is_empty());
+    assert!(picture.has(&task(0)));
+    assert_eq!(picture.phase, Phase::Held(Token(6)));
+}
+
+/// What nobody wants is stopped, but not before its start is answered.
+#[test]
+fn unwanted_attempts_are_stopped() {
+    let now = Instant::now();
+    let mut picture = held(now);
+    let call = start(&mut picture, 0, now);
+    picture.unwant(|_, _| true);
+    assert!(picture.stops(now).is_empty());
+    picture.answer(&call, Answer::Taken { clock_ms: CLOCK + 1 }, now);
+    assert_eq!(picture.stops(now).len(), 1);
+    assert_eq!(free_cpu(&picture, now), Some(18_000), "what is being stopped still counts");
+}
+
+fn minted(wall_ms: [u64; 2]) {
+    let at = |millis| SystemTime::UNIX_EPOCH + Duration::from_millis(millis);
+    let mut mint = Mint::new(77);
+    let first = mint.next(at(wall_ms[0]));
+    let second = mint.next(at(wall_ms[1]));
+    assert!(second > first);
+    let other = Mint::new(78).next(at(wall_ms[0]));
+    assert_ne!(first, other, "two processes differ");
+}
+
+cases! { minted:
+    rises_with_the_time([1_000, 1_001]);
+    rises_within_a_millisecond([1_000, 1_000]);
+    rises_when_the_clock_goes_back([1_000, 500]);
+}
+
+#[test]
+fn a_token_rises_over_what_others_use() {
+    let mut mint = Mint::new(1);
+    mint.observe(Token(1 << 50));
+    assert!(mint.next(SystemTime::UNIX_EPOCH) > Token(1 << 50));
+}
--- a/crates/fleet/src/steward/tests.rs
+++ b/crates/fleet/src/steward/tests.rs
@@ -1,1 +1,192 @@
+use std::time::{Duration, Instant, SystemTime};
 
+use coltsfootshunt_core::name::{Host, Kind, Service, Zone};
+use coltsfootshunt_testkit::cases;
+
+use super::{Output, Settings, Steward};
+use crate::directory::{self, tests::entry};
+use crate::job::{Bundle, End, Id, Need, Part, Room};
+use crate::lease::{Answer, Call, Mint, Order, Report, Token};
+use crate::member::tests::card;
+use crate::member::{Beat, Claim, Roster};
+use crate::speed::Book;
+use crate::spread::Load;
+
+const LEASE: Duration = Duration::from_secs(1);
+
+struct Bench {
+    steward: Steward,
+    roster: Roster,
+    directory: directory::List,
+    speeds: Book,
+    mint: Mint,
+    now: Instant,
+}
+
+impl Bench {
+    /// A steward of `targets` targets, all claimed.
+    fn new(targets: usize) -> Self {
+        let now = Instant::now();
+        let mut roster = Roster::new(card("me", "a", 250), now);
+        roster.claims.push(Claim { zone: Zone::try_from("a").unwrap(), token: Token(1) });
+        let mut directory = directory::List::default();
+        directory.read((0..targets).map(|one| entry(&format!("t{one}"), "a")).collect(), now);
+        let steward = Steward::new(Settings { lease: LEASE, remote_factor: 1.5 });
+        let (speeds, mint) = (Book::default(), Mint::new(1));
+        let mut bench = Self { steward, roster, directory, speeds, mint, now };
+        bench.steward.sync(&bench.directory, &bench.roster, now);
+        for call in bench.tend().calls {
+            let report = Report { clock_ms: 1, born: Some(1), ..Report::default() };
+            bench.answer(&call, Answer::Report(report));
+        }
+        bench
+    }
+
+    fn tend(&mut self) -> Output {
+        let mut out = Output::default();
+        let times = (SystemTime::UNIX_EPOCH, self.now);
+        self.steward.tend(&self.roster, &mut self.mint, times, &mut out);
+        out
+    }
+
+    fn answer(&mut self, call: &Call, answer: Answer) -> Output {
+        let mut out = Output::default();
+        self.steward.answer(call, answer, &mut self.speeds, self.now, &mut out);
+        out
+    }
+
+    fn accept(&mut self, job: u32, tasks: u32, owner: &str) -> Output {
+        let mut out = Output::default();
+        let bundle = bundle(job, tasks);
+        let owner = Host::try_from(owner).unwrap();
+        self.steward.accept(&owner, bundle, &self.speeds, self.now, &mut out);
+        out
+    }
+
+    fn dispatch(&mut self) -> Output {
+        let mut out = Output::default();
+        self.steward.dispatch(&self.roster, &self.speeds, self.now, &mut out);
+        out
+    }
+
+    fn other_steward(&mut self, free: u32) {
+        self.roster.hear(&card("other", "b", 250), self.now);
+        let claims = vec![Claim { zone: Zone::try_from("b").unwrap(), token: Token(2) }];
+        let load = Load { free, places: 10, ..Load::default() };
+        let beat = Beat { claims, load, ..Beat::default() };
+        self.roster.beat(&Host::try_from("other").unwrap(), beat);
+    }
+}
+
+fn bundle(job: u32, tasks: u32) -> Bundle {
+    let room = Room { cpu_millis: 14_000, memory_mb: 64, accelerators: 0 };
+    let need = Need { room, estimate_ms: 50, ..Need::default() };
+    let part = |index| Part { step: 0, index, run: 1, need: need.clone() };
+    Bundle {
+        job: Id::try_from(format!("{job:016x}")).unwrap(),
+        opening: 1,
+        kind: Kind::try_from("cut").unwrap(),
+        service: Service::try_from("mill").unwrap(),
+        priority: 0,
+        spec: "work".into(),
+        objective_in_ms: 140,
+        due_in_ms: 1_500,
+        begun: false,
+        parts: (0..tasks).map(part).collect(),
+    }
+}
+
+fn starts(out: &Output) -> usize {
+    out.calls.iter().filter(|call| matches!(call.order, Order::Start { .. })).count()
+}
+
+/// Two tasks of 14 cores fit on a target of 32.
+fn fills(targets: usize, tasks: u32, started: usize) {
+    let mut bench = Bench::new(targets);
+    bench.accept(1, tasks, "owner");
+    assert_eq!(starts(&bench.dispatch()), started);
+    assert_eq!(bench.steward.waiting(), tasks as usize - started);
+    assert_eq!(starts(&bench.dispatch()), 0, "nothing more fits");
+}
+
+cases! { fills:
+    what_fits_starts_at_once(2, 4, 4);
+    no_target_is_given_more_than_it_holds(2, 7, 4);
+}
+
+/// Tasks that wait while another steward has places free.
+fn shares(waited_ms: u64, free: u32, given_back: usize) {
+    let mut bench = Bench::new(1);
+    bench.accept(1, 6, "owner");
+    bench.dispatch();
+    bench.other_steward(free);
+    bench.now += Duration::from_millis(waited_ms);
+    let out = bench.dispatch();
+    let ends: Vec<End> = out.endings.iter().map(|(_, ending)| ending.end).collect();
+    assert_eq!(ends, vec![End::NotRun; given_back]);
+}
+
+cases! { shares:
+    not_at_once(10, 8, 0);
+    nothing_when_nothing_is_free_elsewhere(40, 0, 0);
+    half_of_the_free_places(40, 4, 2);
+    no_more_than_waits(40, 20, 4);
+}
+
+/// At the crest: what can't be on time any more goes back, unless its job has begun.
+#[test]
+fn late_work_of_which_nothing_ran_goes_back() {
+    let mut bench = Bench::new(1);
+    bench.accept(1, 2, "owner");
+    bench.accept(2, 2, "owner");
+    assert_eq!(starts(&bench.dispatch()), 2);
+    bench.now += Duration::from_millis(120);
+    let out = bench.dispatch();
+    let ends: Vec<_> =
+        out.endings.iter().map(|(_, one)| (one.task.job.to_string(), one.end)).collect();
+    let second = format!("{:016x}", 2);
+    assert_eq!(ends, [(second.clone(), End::TooLate), (second, End::TooLate)]);
+}
+
+/// A wave of callers leaves: their work is gone from the line and stopped at targets at once.
+#[test]
+fn a_cancelled_job_frees_its_room_at_once() {
+    let mut bench = Bench::new(1);
+    bench.accept(1, 4, "owner");
+    let out = bench.dispatch();
+    for call in out.calls.iter().filter(|call| matches!(call.order, Order::Start { .. })) {
+        bench.answer(call, Answer::Taken { clock_ms: 2 });
+    }
+    let owner = Host::try_from("owner").unwrap();
+    bench.steward.cancel(&owner, &Id::try_from(format!("{:016x}", 1)).unwrap(), 1);
+    assert_eq!(bench.steward.waiting(), 0);
+    let stops =
+        bench.tend().calls.into_iter().filter(|call| matches!(call.order, Order::Stop { .. }));
+    assert_eq!(stops.count(), 2);
+}
+
+/// A caller's repeat comes through another owner while the first one's task still waits here.
+#[test]
+fn a_repeat_takes_the_place_of_the_first_send() {
+    let mut bench = Bench::new(0);
+    bench.accept(1, 1, "owner");
+    let out = bench.accept(1, 1, "another");
+    let ends: Vec<_> =
+        out.endings.iter().map(|(owner, one)| (owner.to_string(), one.end)).collect();
+    assert_eq!(ends, [("owner".to_owned(), End::Adrift)]);
+    assert_eq!(bench.steward.waiting(), 1);
+}
+
+#[test]
+fn a_draining_target_gets_nothing_new() {
+    let mut bench = Bench::new(2);
+    let mut entries: Vec<_> = bench.directory.iter().cloned().collect();
+    entries[0].state = directory::State::Draining;
+    bench.directory.read(entries, bench.now);
+    bench.steward.sync(&bench.directory, &bench.roster, bench.now);
+    bench.accept(1, 4, "owner");
+    let out = bench.dispatch();
+    assert_eq!(starts(&out), 2);
+    let names: Vec<String> = out.calls.iter().map(|call| call.target.to_string()).collect();
+    assert!(names.iter().all(|name| name == "t1"), "{names:?}");
+}
