fix(member): a side of a cut leaves the other side's zones alone

A host that was stopping had also hidden that the cut-off host was alone. Change: a zone whose hosts are only silent is taken after 8 s and only by the larger side; one whose hosts refuse connections or left after 1.5 s as before; of two claims the zone's own host's counts first.

--- a/crates/fleet/src/member/roster.rs
+++ b/crates/fleet/src/member/roster.rs
@@ -11,10 +11,14 @@
 /// Silence after which a host counts as dead: eight heartbeats of a steward, and a caller's repeat
 /// comes later than this and a target's lease together.
 pub const DEAD_AFTER: Duration = Duration::from_millis(800);
-/// Time after the start in which a host listens before it claims anything.
-const SETTLE: Duration = Duration::from_millis(700);
-/// Time without a live host in a zone after which another zone's host takes its targets.
+/// Time after the start in which a host listens before it claims anything: some heartbeats of a
+/// steward.
+const SETTLE: Duration = Duration::from_millis(450);
+/// Time after which another zone's host takes the targets of a zone whose hosts are known to be gone.
 const ORPHANED_FOR: Duration = Duration::from_millis(1_500);
+/// The same where the zone's hosts are only silent: they may be behind a cut, and go on there. Most
+/// cuts are shorter.
+const SILENT_FOR: Duration = Duration::from_secs(8);
 /// Time for which a host that hears nobody leaves all to the others.
 const ISOLATED_FOR: Duration = Duration::from_secs(10);
 /// Time for which a dead host still counts as a member that may be behind a cut.
@@ -144,15 +148,26 @@
                 self.orphaned.entry(zone).or_insert(now);
             }
         }
-        let alone = self.alive().next().is_none() && self.behind_cut(now);
+        let alone = self.alive().next().is_none() && self.missing(now).next().is_some();
         self.isolated = if alone { self.isolated.or(Some(now)) } else { None };
     }
 
-    /// Whether other hosts are silent that may well live.
-    fn behind_cut(&self, now: Instant) -> bool {
-        let recent = |peer: &&Peer| now.duration_since(peer.heard) < REMEMBER_FOR;
-        let mut recent = self.peers.values().filter(recent).peekable();
-        recent.peek().is_some() && recent.all(|peer| !peer.refused && !peer.beat.leaving)
+    /// Hosts that are silent and may well live, behind a cut.
+    fn missing(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(move |peer| {
+            let recent = now.duration_since(peer.heard) < REMEMBER_FOR;
+            recent && !peer.alive && !peer.refused && !peer.beat.leaving
+        })
+    }
+
+    /// How long a zone must be without hosts before this host may take it; none if never.
+    fn patience(&self, zone: &Zone, now: Instant) -> Option<Duration> {
+        if !self.missing(now).any(|peer| peer.card.zone == *zone) {
+            return Some(ORPHANED_FOR);
+        }
+        // The side of a cut with fewer hosts leaves the other side's zones alone.
+        let more = self.alive().count() > self.missing(now).count();
+        more.then_some(SILENT_FOR)
     }
 
     /// Whether this host hears nobody though others should be there.
@@ -172,13 +187,16 @@
         self.claims.clear();
     }
 
-    /// Steward of a zone's targets, if one is known: the highest claim of a live host.
+    /// Steward of a zone's targets, if one is known: the highest claim of a live host, and of the
+    /// zone's own hosts before others.
     #[must_use]
     pub fn steward(&self, zone: &Zone) -> Option<(&Host, &Claim)> {
-        let others = self.alive().map(|peer| (&peer.card.host, &peer.beat.claims));
-        let all = others.chain([(&self.me.host, &self.claims)]);
-        let claims = all.flat_map(|(host, claims)| claims.iter().map(move |claim| (host, claim)));
-        claims.filter(|(_, claim)| claim.zone == *zone).max_by_key(|(_, claim)| claim.token)
+        let others = self.alive().map(|peer| (&peer.card, &peer.beat.claims));
+        let all = others.chain([(&self.me, &self.claims)]);
+        let claims = all.flat_map(|(card, claims)| claims.iter().map(move |claim| (card, claim)));
+        let of_zone = claims.filter(|(_, claim)| claim.zone == *zone);
+        let highest = of_zone.max_by_key(|(card, claim)| (card.zone == *zone, claim.token));
+        highest.map(|(card, claim)| (&card.host, claim))
     }
 
     /// Whether this host claims a zone.
@@ -198,8 +216,9 @@
         if own.peek().is_some() {
             return best(zone, own).is_some_and(|card| card.host == self.me.host);
         }
-        let orphaned = self.orphaned.get(zone);
-        if orphaned.is_none_or(|since| now.duration_since(*since) < ORPHANED_FOR) {
+        let orphaned = self.orphaned.get(zone).map(|since| now.duration_since(*since));
+        let patience = self.patience(zone, now);
+        if orphaned.zip(patience).is_none_or(|(orphaned, patience)| orphaned < patience) {
             return false;
         }
         best(zone, self.cards()).is_some_and(|card| card.host == self.me.host)
--- a/crates/fleet/src/member/tests.rs
+++ b/crates/fleet/src/member/tests.rs
@@ -47,7 +47,7 @@
 
 fn yields(claim_of_other: Option<u64>, own_zone: bool, home_host: bool, wanted: bool) {
     let now = Instant::now();
-    let mut roster = roster(&[("x", "c")], now);
+    let mut roster = roster(&[("x", "a")], now);
     let of = zone(if own_zone { "a" } else { "b" });
     roster.claims.push(Claim { zone: of.clone(), token: Token(5) });
     let claims = claim_of_other.map(|token| Claim { zone: of.clone(), token: Token(token) });
@@ -81,3 +81,34 @@
     not_when_the_others_are_dead(true, 3_000, false);
     not_for_ever(false, 11_000, false);
 }
+
+/// Hosts `x` of zone `b` and `y` of zone `c` and some of zone `a`; `x` was lost.
+fn adopts(refused: bool, others_lost: bool, after_ms: u64, wanted: bool) {
+    let start = Instant::now();
+    let mut roster = roster(&[("x", "b"), ("y", "c"), ("z", "a")], start);
+    roster.lose(&Host::try_from("x").unwrap(), refused);
+    if others_lost {
+        roster.lose(&Host::try_from("y").unwrap(), false);
+    }
+    roster.settle([zone("b")].into_iter(), start);
+    let now = start + Duration::from_millis(after_ms);
+    assert_eq!(roster.should_claim(&zone("b"), now), wanted);
+}
+
+cases! { adopts:
+    a_zone_whose_host_is_dead(true, false, 2_000, true);
+    no_zone_whose_host_is_silent(false, false, 2_000, false);
+    a_zone_whose_host_stays_silent(false, false, 9_000, true);
+    nothing_on_the_smaller_side_of_a_cut(false, true, 9_000, false);
+}
+
+/// After a cut: the zone's own host and another one both claim it.
+#[test]
+fn a_zone_is_its_own_hosts_before_others() {
+    let now = Instant::now();
+    let mut roster = roster(&[("x", "c")], now);
+    roster.claims.push(Claim { zone: zone("a"), token: Token(5) });
+    let claims = vec![Claim { zone: zone("a"), token: Token(9) }];
+    roster.beat(&Host::try_from("x").unwrap(), Beat { claims, ..Beat::default() });
+    assert!(!roster.should_yield(&zone("a")));
+}
