--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -5,6 +5,7 @@
 mod common;
 mod demo;
 mod dump;
+mod explain;
 mod load;
 mod show;
 mod submit;
@@ -29,6 +30,7 @@
         .subcommand(show::command())
         .subcommand(submit::command())
         .subcommand(dump::command())
+        .subcommand(explain::command())
         .subcommand(load::command())
         .subcommand(demo::command())
 }
@@ -44,6 +46,7 @@
         Some(("show", matches)) => show::run(matches).await,
         Some(("submit", matches)) => submit::run(matches).await,
         Some(("dump", matches)) => dump::run(matches).await,
+        Some(("explain", matches)) => explain::run(matches),
         Some(("load", matches)) => load::run(matches).await,
         Some(("demo", matches)) => demo::run(matches).await,
         _ => unreachable!("clap requires one of the commands above"),
--- a/crates/cli/src/problem.rs
+++ b/crates/cli/src/problem.rs
@@ -24,7 +24,7 @@
     },
     /// A file is not the JSON that is wanted.
     #[display("{path} is malformed: {cause}")]
-    #[diagnostic(help("see docs/OPERATING.md and docs/CALLING.md for the forms of files"))]
+    #[diagnostic(help("see docs/OPERATIONS.md and docs/CALLING.md for the forms of files"))]
     Malformed {
         /// Its path.
         path: String,
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -108,3 +108,32 @@
     let usage = run(&["submit"]).await;
     assert_eq!(usage.status.code(), Some(2));
 }
+
+#[test]
+fn explain_tells_a_job_in_order_of_time() {
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let line = |ts: &str, host: &str, msg: &str, job: &str| {
+        format!("{}\n", json!({ "ts": ts, "host": host, "msg": msg, "job": job, "wait_ms": 4 }))
+    };
+    let first = folder.join("explain-first.log");
+    let second = folder.join("explain-second.log");
+    let later = line("2026-01-01T00:00:02Z", "a-1", "job answered", "5c0e7a21d94b36f8");
+    let other = line("2026-01-01T00:00:01Z", "a-1", "job accepted", "0000000000000000");
+    std::fs::write(&first, format!("not JSON\n{later}{other}")).expect("the folder is writable");
+    let earlier = line("2026-01-01T00:00:01Z", "b-1", "task started", "5c0e7a21d94b36f8");
+    std::fs::write(&second, format!("12.5 b-1 {earlier}")).expect("the folder is writable");
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_coltsfootshunt"))
+        .args(["explain", "5c0e7a21d94b36f8"])
+        .args([&first, &second])
+        .output()
+        .expect("the program runs");
+    let text = String::from_utf8(output.stdout).expect("it prints text");
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(
+        lines,
+        [
+            "2026-01-01T00:00:01Z b-1 task started: wait_ms=4",
+            "2026-01-01T00:00:02Z a-1 job answered: wait_ms=4",
+        ]
+    );
+}
--- a/crates/entry/src/settings/tests.rs
+++ b/crates/entry/src/settings/tests.rs
@@ -66,7 +66,7 @@
 #[test]
 fn page_names_every_option() {
     let text = include_str!("../../../../examples/entry-riga-centrs.jsonc");
-    let page = include_str!("../../../../docs/OPERATING.md");
+    let page = include_str!("../../../../docs/OPERATIONS.md");
     let options = jsonc_parser::ParseOptions::default();
     let example: serde_json::Value =
         jsonc_parser::parse_to_serde_value(text, &options).expect("the example is whole");
--- a/crates/fleet/src/queue/line.rs
+++ b/crates/fleet/src/queue/line.rs
@@ -118,9 +118,10 @@
     pub fn sort(&mut self, now: Instant) {
         self.waiting.sort_by_cached_key(|one| {
             if one.is_late(now) {
-                (1, one.priority, one.objective, one.task.clone())
+                (1, !one.begun, one.priority, one.objective, one.task.clone())
             } else {
-                (0, 0, one.latest_start().unwrap_or(now), one.task.clone())
+                let latest = one.latest_start().unwrap_or(now);
+                (0, false, 0, latest, one.task.clone())
             }
         });
     }
--- a/crates/fleet/src/queue/tests.rs
+++ b/crates/fleet/src/queue/tests.rs
@@ -63,3 +63,15 @@
     of_work_that_is_late(50, 100, 0);
     of_work_with_all_time(9_000, 100, 5);
 }
+
+/// Both are late; the second one's job has begun.
+#[test]
+fn late_work_of_a_job_that_has_begun_goes_first() {
+    let now = Instant::now();
+    let mut line = Line::default();
+    line.push(waiting(FIRST, 0, now, 50, 1_500));
+    line.push(Waiting { begun: true, ..waiting(SECOND, 2, now, 50, 1_500) });
+    line.sort(now);
+    let first = line.iter().next().map(|one| one.task.job.to_string());
+    assert_eq!(first.as_deref(), Some(SECOND));
+}
