feat(queue): a long job is on time only before its caller goes

A job of more than 0.9 s was given slack up to an objective that lies behind its caller's patience, so it went behind short work and then ended at the deadline; one that only fast targets end in time counted as late from the first. Change: the objective ends 40 ms before the caller goes; slack and lateness are reckoned with the fastest target where only that would do; stewards tell how much faster it is.

--- a/crates/fleet/src/admission/gate.rs
+++ b/crates/fleet/src/admission/gate.rs
@@ -24,6 +24,8 @@
     pub wait: Duration,
     /// Expected run time of its longest chain of steps.
     pub run: Duration,
+    /// The same on the targets that it needs to be on time.
+    pub hurried: Duration,
     /// Time in which its answer is on time.
     pub objective: Duration,
     /// How long its caller waits.
@@ -33,7 +35,7 @@
 /// Whether the job is turned away, and with which answer.
 #[must_use]
 pub fn judge(prospect: &Prospect) -> Option<Outcome> {
-    let slack = prospect.objective.saturating_sub(prospect.run);
+    let slack = prospect.objective.saturating_sub(prospect.hurried);
     if prospect.wait >= BUSY_FROM && prospect.wait > slack.mul_f64(TOLERANCE) {
         return Some(turn_away(prospect.wait - slack));
     }
--- a/crates/fleet/src/admission/tests.rs
+++ b/crates/fleet/src/admission/tests.rs
@@ -9,6 +9,7 @@
     let prospect = Prospect {
         wait: Duration::from_millis(wait_ms),
         run,
+        hurried: run,
         objective: run.mul_f64(1.6) + Duration::from_millis(60),
         patience: Duration::from_millis(1_500),
     };
--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -20,6 +20,8 @@
 /// Multiple of a task's run time that must fit before its caller goes, if it may go to any target:
 /// targets differ in speed by a factor of two and more.
 const LONG: f64 = 2.0;
+/// Time before the caller goes at which an answer must be ready: the way back, and a margin for it.
+const ANSWER_WITHIN: Duration = Duration::from_millis(40);
 /// Way to the steward in this process and back.
 const HERE: Duration = Duration::ZERO;
 /// Way to a host of this availability zone and back.
@@ -54,8 +56,10 @@
         let patience = submission.patience.min(route.timeout);
         let run = self.speeds.typical(&route.kind, plan.chain());
         let offers = self.offers(None);
-        let objective = run.mul_f64(route.stretch) + route.allowance;
-        let level = slack_level(objective, run);
+        let objective = (run.mul_f64(route.stretch) + route.allowance)
+            .min(patience.saturating_sub(ANSWER_WITHIN));
+        let hurried = hurried(run, objective, &offers);
+        let level = slack_level(objective, hurried);
         let wait = offers.iter().map(|offer| offer.delay(level)).min().unwrap_or_default();
         let refused = |outcome| Note::Refused {
             job: submission.id.clone(),
@@ -72,7 +76,7 @@
         } else if !self.fits_anywhere(&route.service, submission) {
             Some(Outcome::Failed)
         } else {
-            admission::judge(&Prospect { wait, run, objective, patience })
+            admission::judge(&Prospect { wait, run, hurried, objective, patience })
         };
         if let Some(outcome) = outcome {
             self.note(refused(outcome));
@@ -141,7 +145,7 @@
         let believed: Vec<_> = offers.iter().map(|offer| offer.load).collect();
         let run = ready[0].need.estimate();
         let left = open.objective.saturating_duration_since(now);
-        let level = slack_level(left, run);
+        let level = slack_level(left, hurried(run, left, &offers));
         let is_long = run.mul_f64(LONG) > open.due.saturating_duration_since(now);
         let assigned = assign(ready.len(), &Shape { level, run, is_long }, &mut offers);
         if assigned.len() < ready.len() {
@@ -296,6 +300,14 @@
     }
 }
 
+/// Run time that a job's slack is reckoned with: on an average target, or on the fastest one known
+/// where only that would do.
+fn hurried(run: Duration, objective: Duration, offers: &[Offer]) -> Duration {
+    let known = offers.iter().map(|offer| offer.load.fastest_permille).filter(|one| *one > 0);
+    let fastest = known.min().unwrap_or(1_000);
+    if run > objective { run.mul_f64(f64::from(fastest) / 1_000.0) } else { run }
+}
+
 /// Milliseconds from one moment to another, below zero if that was before.
 fn between(now: Instant, then: Instant) -> i64 {
     let signed = |time: Duration| i64::try_from(time.as_millis()).unwrap_or(i64::MAX);
--- a/crates/fleet/src/queue/line.rs
+++ b/crates/fleet/src/queue/line.rs
@@ -37,6 +37,8 @@
     pub since: Instant,
     /// Expected run time on an average target.
     pub typical: Duration,
+    /// Expected run time on the fastest target.
+    pub quickest: Duration,
     /// Whether anything of its job has run.
     pub begun: bool,
 }
@@ -48,15 +50,19 @@
 pub const SLACK_LEVELS_MS: [u32; 6] = [40, 80, 160, 320, 640, u32::MAX];
 
 impl Waiting {
-    /// Last moment at which a start on an average target should still end on time.
+    /// Last moment at which a start should still end on time: on an average target, or on the
+    /// fastest one where only that would do from the first.
     fn latest_start(&self) -> Option<Instant> {
-        self.objective.checked_sub(self.typical.mul_f64(MARGIN))
+        let typical = self.typical.mul_f64(MARGIN);
+        let any = self.since + typical <= self.objective;
+        let needed = if any { typical } else { self.quickest.mul_f64(MARGIN) };
+        self.objective.checked_sub(needed)
     }
 
     /// Whether it can't be expected to end on time.
     #[must_use]
     pub fn is_late(&self, now: Instant) -> bool {
-        now + self.typical > self.objective
+        now + self.quickest > self.objective
     }
 
     /// Core time that it takes, in thousandths of a core times seconds.
--- a/crates/fleet/src/queue/tests.rs
+++ b/crates/fleet/src/queue/tests.rs
@@ -28,6 +28,7 @@
         due: now + Duration::from_millis(due_ms),
         since: now,
         typical: Duration::from_millis(100),
+        quickest: Duration::from_millis(100),
         begun: false,
     }
 }
@@ -75,3 +76,18 @@
     let first = line.iter().next().map(|one| one.task.job.to_string());
     assert_eq!(first.as_deref(), Some(SECOND));
 }
+
+/// Long work that only a fast target ends in time is as urgent as that target makes it.
+#[test]
+fn work_for_fast_targets_is_not_late_while_they_would_do() {
+    let now = Instant::now();
+    let quickest = Duration::from_millis(50);
+    let long = Waiting { quickest, ..waiting(FIRST, 0, now, 90, 1_500) };
+    assert!(!long.is_late(now));
+    let mut line = Line::default();
+    line.push(waiting(SECOND, 0, now, 400, 1_500));
+    line.push(long);
+    line.sort(now);
+    let first = line.iter().next().map(|one| one.task.job.to_string());
+    assert_eq!(first.as_deref(), Some(FIRST));
+}
--- a/crates/fleet/src/spread/load.rs
+++ b/crates/fleet/src/spread/load.rs
@@ -19,6 +19,8 @@
     pub free_fast: u32,
     /// Places for typical tasks, free or not.
     pub places: u32,
+    /// Run time on the fastest target in thousandths of that on an average one; 0 if not known.
+    pub fastest_permille: u32,
     /// Expected wait of a task that comes now, in milliseconds, by the level of its slack.
     pub waits_ms: [u32; SLACK_LEVELS_MS.len()],
 }
--- a/crates/fleet/src/spread/tests.rs
+++ b/crates/fleet/src/spread/tests.rs
@@ -7,7 +7,8 @@
 
 fn offer(name: &str, distance_ms: u64, free: u32, wait_ms: u32) -> Offer {
     let host = Host::try_from(name).unwrap();
-    let load = Load { free, free_fast: free / 2, places: 10, waits_ms: [wait_ms; 6] };
+    let load =
+        Load { free, free_fast: free / 2, places: 10, waits_ms: [wait_ms; 6], ..Load::default() };
     Offer { host, distance: Duration::from_millis(distance_ms), load }
 }
 
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -103,6 +103,7 @@
         self.displace(owner, &bundle, out);
         let objective = shift(now, bundle.objective_in_ms);
         let due = shift(now, bundle.due_in_ms);
+        let fastest = fastest(&self.pictures, speeds, now);
         for part in bundle.parts {
             let task = Task { job: bundle.job.clone(), step: part.step, index: part.index };
             let millis = part.need.room.cpu_millis as f64;
@@ -117,6 +118,7 @@
                 priority: bundle.priority,
                 run: part.run,
                 typical: speeds.typical(&bundle.kind, part.need.estimate()),
+                quickest: speeds.typical(&bundle.kind, part.need.estimate()).mul_f64(fastest),
                 begun: bundle.begun,
                 need: part.need,
                 spec: bundle.spec.clone(),
@@ -329,6 +331,7 @@
         let waiting = u32::try_from(self.line.len()).unwrap_or(u32::MAX);
         load.free = load.free.saturating_sub(waiting);
         load.free_fast = load.free_fast.saturating_sub(waiting);
+        load.fastest_permille = (fastest * 1_000.0) as u32;
         let work = self.line.work(now);
         load.waits_ms = work.map(|work| (work / f64::max(capacity, 1.0) * 1_000.0) as u32);
         load
