fix(steward): long work is not handed to slow places; only attempts count as tries

Change: what needs a fast target is handed back only for fast places; a task that goes back from a line has not used a try; its steward gets nothing more until its next heartbeat.

--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -7,11 +7,13 @@
 
 use super::{Action, Output, State};
 use crate::admission::{self, Prospect};
-use crate::job::{Bundle, Ending, Id, Open, Outcome, Part, Policy, Refusal, Submission, Ticket};
+use crate::job::{
+    Bundle, End, Ending, Id, Open, Outcome, Part, Policy, Refusal, Submission, Ticket,
+};
 use crate::peer::Message;
 use crate::queue::slack_level;
 use crate::report::Note;
-use crate::spread::{Offer, Shape, assign};
+use crate::spread::{Load, Offer, Shape, assign};
 
 /// Open jobs of one host; what it needs for each is far below its memory.
 const MAX_OPEN: usize = 4_000;
@@ -206,6 +208,10 @@
         if ending.opening != open.opening {
             return;
         }
+        if ending.end == End::NotRun && *from != self.roster.me().host {
+            // It has no place after all; its next heartbeat tells when it has.
+            self.roster.set_load(from, Load::default());
+        }
         match open.end(from, ending) {
             Some(outcome) => self.close(id, outcome, "a task's end", now),
             None => self.push(id, now),
--- a/crates/fleet/src/job/book.rs
+++ b/crates/fleet/src/job/book.rs
@@ -8,8 +8,8 @@
 
 use super::{End, Ending, Id, Need, Outcome, Plan, Refusal};
 
-/// Stewards that a task is sent to before it counts as too late.
-const MAX_TRIES: u32 = 12;
+/// Attempts of one task, whatever their ends, before it counts as too late.
+const MAX_TRIES: u32 = 8;
 /// How long an outcome is remembered for repeats that come after the answer.
 const REMEMBER_FOR: Duration = Duration::from_secs(30);
 /// Time after which a caller whose job was given back as too late may come back; crests pass in
@@ -160,7 +160,6 @@
     /// Notes that a task went to a steward.
     pub fn sent(&mut self, part: usize, to: Host) {
         self.parts[part].state = State::Sent(to);
-        self.parts[part].tries += 1;
         self.touched = true;
     }
 
@@ -195,6 +194,8 @@
                 && part.index == task.index
                 && part.state == State::Sent(from.clone())
         })?;
+        // A task that goes back from a line has not used its number.
+        part.tries += u32::from(*run >= part.run);
         part.run = part.run.max(run + 1);
         match *end {
             End::Done => {
--- a/crates/fleet/src/job/tests.rs
+++ b/crates/fleet/src/job/tests.rs
@@ -138,3 +138,14 @@
     fewer("5c0e7a21", false);
     other_characters("5c0e7a21d94b36fg", false);
 }
+
+/// Going back from a line many times is no reason to give a job up.
+#[test]
+fn only_attempts_count_as_tries() {
+    let mut job = open(vec![step(1, &[])], 1);
+    for _ in 0..50 {
+        send(&mut job);
+        assert_eq!(end(&mut job, 0, 0, End::NotRun), None);
+    }
+    assert_eq!(job.ready()[0].run, 1);
+}
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -271,14 +271,17 @@
 
     /// Returns tasks that have waited here while another steward has places free.
     fn share(&mut self, roster: &Roster, now: Instant, out: &mut Output) {
-        let elsewhere = roster.alive().filter(|peer| !peer.beat.claims.is_empty());
-        let free: u32 = elsewhere.map(|peer| peer.beat.load.free).sum();
+        let elsewhere = || roster.alive().filter(|peer| !peer.beat.claims.is_empty());
         // Others may see the same places.
-        let mut left = free / 2;
+        let mut free = elsewhere().map(|peer| peer.beat.load.free).sum::<u32>() / 2;
+        let mut fast = elsewhere().map(|peer| peer.beat.load.free_fast).sum::<u32>() / 2;
         let shared = self.line.take(|one| {
             let waited = now.duration_since(one.since) > SHARE_AFTER;
-            let goes = waited && left > 0;
-            left -= u32::from(goes);
+            // What only a fast target ends in time does not gain from a slow one elsewhere.
+            let needs_fast = now + one.typical > one.objective;
+            let places = if needs_fast { &mut fast } else { &mut free };
+            let goes = waited && *places > 0;
+            *places -= u32::from(goes);
             goes
         });
         out.endings.extend(shared.into_iter().map(not_run));
--- a/crates/fleet/src/steward/tests.rs
+++ b/crates/fleet/src/steward/tests.rs
@@ -69,10 +69,10 @@
         out
     }
 
-    fn other_steward(&mut self, free: u32) {
+    fn other_steward(&mut self, free: u32, free_fast: u32) {
         self.roster.hear(&card("other", "b", 250), self.now);
         let claims = vec![Claim { zone: Zone::try_from("b").unwrap(), token: Token(2) }];
-        let load = Load { free, places: 10, ..Load::default() };
+        let load = Load { free, free_fast, places: 10, ..Load::default() };
         let beat = Beat { claims, load, ..Beat::default() };
         self.roster.beat(&Host::try_from("other").unwrap(), beat);
     }
@@ -119,7 +119,7 @@
     let mut bench = Bench::new(1);
     bench.accept(1, 6, "owner");
     bench.dispatch();
-    bench.other_steward(free);
+    bench.other_steward(free, 0);
     bench.now += Duration::from_millis(waited_ms);
     let out = bench.dispatch();
     let ends: Vec<End> = out.endings.iter().map(|(_, ending)| ending.end).collect();
@@ -133,6 +133,28 @@
     no_more_than_waits(40, 20, 4);
 }
 
+/// Long work that waits for a fast target, while another steward has some places free.
+fn shares_long(free: u32, free_fast: u32, given_back: usize) {
+    let mut bench = Bench::new(1);
+    bench.accept(1, 2, "owner");
+    bench.dispatch();
+    let mut long = bundle(2, 3);
+    long.objective_in_ms = 60;
+    long.begun = true;
+    long.parts.iter_mut().for_each(|part| part.need.estimate_ms = 80);
+    let owner = Host::try_from("owner").unwrap();
+    let mut out = Output::default();
+    bench.steward.accept(&owner, long, &bench.speeds, bench.now, &mut out);
+    bench.other_steward(free, free_fast);
+    bench.now += Duration::from_millis(40);
+    assert_eq!(bench.dispatch().endings.len(), given_back);
+}
+
+cases! { shares_long:
+    not_for_slow_places(8, 0, 0);
+    for_fast_places(8, 4, 2);
+}
+
 /// At the crest: what can't be on time any more goes back, unless its job has begun.
 #[test]
 fn late_work_of_which_nothing_ran_goes_back() {
