feat(speed): what a steward has learned of its targets is not lost with it

Change: each second a steward tells the hosts of its zone how fast its targets are; its successor begins with that.

--- a/crates/fleet/src/control/fleet.rs
+++ b/crates/fleet/src/control/fleet.rs
@@ -20,6 +20,8 @@
 /// the first message of a new session, and the other must have stopped its tasks before a caller's
 /// repeat, 1.3 s later.
 const CONTACT_EVERY: Duration = Duration::from_millis(250);
+/// Time between messages that tell what was learned of targets; it is lost with a host otherwise.
+const TEACH_EVERY: Duration = Duration::from_secs(1);
 /// Time between questions for the configuration or the list of targets.
 const ASK_EVERY: Duration = Duration::from_millis(300);
 
@@ -68,6 +70,11 @@
                     self.note(Note::InForce { version, from: "a peer" });
                 }
             }
+            Message::Learned(targets) => {
+                // What this host's own targets are like it learns itself.
+                let targets = targets.into_iter().filter(|(target, _)| !self.steward.has(target));
+                self.speeds.hear(targets.collect(), now);
+            }
             Message::Targets(entries) => {
                 if self.directory.hear(entries) {
                     self.note(Note::Targets { known: self.directory.iter().count() });
@@ -203,12 +210,28 @@
                 self.send(address, Message::Beat(beat.clone()));
             }
         }
+        if steward && due(self.taught, TEACH_EVERY) {
+            self.taught = Some(now);
+            self.teach(now);
+        }
         if due(self.contacted, CONTACT_EVERY) {
             self.contacted = Some(now);
             self.contact(now);
         }
     }
 
+    /// Tells the hosts that may replace this one what it has learned of its targets.
+    fn teach(&mut self, now: Instant) {
+        let mut targets = self.speeds.targets(now);
+        targets.retain(|(target, _)| self.steward.has(target));
+        let me = self.roster.me();
+        let near = self.roster.alive().filter(|peer| peer.card.zone == me.zone);
+        let addresses: Vec<SocketAddr> = near.map(|peer| peer.card.address).collect();
+        for address in addresses {
+            self.send(address, Message::Learned(targets.clone()));
+        }
+    }
+
     /// Tries to reach hosts that are not heard.
     fn contact(&mut self, now: Instant) {
         let beat = self.own_beat(now);
--- a/crates/fleet/src/peer/message.rs
+++ b/crates/fleet/src/peer/message.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use coltsfootshunt_core::name::Target;
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
@@ -32,6 +33,8 @@
     Document(Arc<Document>),
     /// The targets that the sender knows.
     Targets(Vec<Entry>),
+    /// Logarithms of the run times of the sender's targets against the average.
+    Learned(Vec<(Target, f64)>),
 }
 
 /// Messages of one session, in order.
--- a/crates/fleet/src/speed/book.rs
+++ b/crates/fleet/src/speed/book.rs
@@ -113,6 +113,22 @@
         score.failures += (1.0 - score.failures) * FAILURE_WEIGHT;
     }
 
+    /// What targets are like now, as logarithms of their run times against the average.
+    #[must_use]
+    pub fn targets(&self, now: Instant) -> Vec<(Target, f64)> {
+        let scores = self.targets.iter();
+        scores.map(|(target, score)| (target.clone(), score.faded(now).slowness)).collect()
+    }
+
+    /// Takes over what the steward of targets has learned, for the case that this host replaces it.
+    pub fn hear(&mut self, targets: Vec<(Target, f64)>, now: Instant) {
+        for (target, slowness) in targets.into_iter().filter(|(_, slowness)| slowness.is_finite()) {
+            let slowness = slowness.clamp(-SLOWNESS, SLOWNESS);
+            let score = Score { slowness, lasting: slowness, failures: 0.0, at: now };
+            self.targets.insert(target, score);
+        }
+    }
+
     /// Forgets a target that changed or went.
     pub fn forget(&mut self, target: &Target) {
         self.targets.remove(target);
--- a/crates/fleet/src/speed/tests.rs
+++ b/crates/fleet/src/speed/tests.rs
@@ -82,3 +82,20 @@
     to_what_it_is_like_for_good(60, 0.7);
     not_at_once(0, 1.9);
 }
+
+/// What a steward has learned of its targets is not lost with it.
+#[test]
+fn a_successor_knows_what_targets_are_like() {
+    let now = Instant::now();
+    let estimate = Duration::from_millis(100);
+    let mut book = Book::default();
+    for _ in 0..40 {
+        book.done(&kind(), &target("plain"), (estimate, estimate), now);
+        book.done(&kind(), &target("slow"), (estimate, estimate * 2), now);
+    }
+    let mut successor = Book::default();
+    successor.hear(book.targets(now), now);
+    let slow = successor.predict(&kind(), &target("slow"), estimate, now).as_secs_f64();
+    let plain = successor.predict(&kind(), &target("plain"), estimate, now).as_secs_f64();
+    assert!((slow / plain / 2.0 - 1.0).abs() < 0.15, "{}", slow / plain);
+}
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -61,6 +61,12 @@
         self.pictures.values()
     }
 
+    /// Whether a target is among this host's.
+    #[must_use]
+    pub fn has(&self, target: &Target) -> bool {
+        self.pictures.contains_key(target)
+    }
+
     /// Number of tasks that wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
