refactor(lease,steward,test): files by duty; unserved forms come from the stand-in

Change: a target's picture, its answers and its attempts; a steward's state, places and findings; the world's callers and network have files of their own; nothing else changes.

--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use coltsfootshunt_http::Method;
-use coltsfootshunt_platform_standin::process::{Fleet, Host, SERVICE, job};
+use coltsfootshunt_platform_standin::process::{Fleet, Host, SERVICE, job, unserved_jobs};
 use coltsfootshunt_platform_standin::settings::configuration;
 use coltsfootshunt_platform_standin::store::{CONFIGURATION, Mode};
 use coltsfootshunt_testkit::{Signal, until};
@@ -80,13 +80,12 @@
         ("/none/0000000000000001", plain.to_string(), 404),
         ("/cut/short", plain.to_string(), 400),
         (&path, "{".to_owned(), 400),
-        (&path, with("bestEffort", json!(false)), 503),
-        (&path, with("runCount", json!(3)), 503),
         (&path, with("spec", json!("x".repeat(5_000))), 400),
         (&path, with("spec", json!("x".repeat(300_000))), 413),
         (&path, job("cpu=1 ms=1", 2_000, 1, 1).to_string(), 400),
     ];
-    for (path, body, wanted) in cases {
+    let unserved = unserved_jobs().into_iter().map(|job| (path.as_str(), job.to_string(), 503));
+    for (path, body, wanted) in cases.into_iter().chain(unserved) {
         let answer = fleet.call(Method::POST, host, path, &body).await.expect("an answer");
         assert_eq!(answer.0, wanted, "{path}: {}", answer.1);
     }
--- a/crates/fleet/src/control/tests/world.rs
+++ b/crates/fleet/src/control/tests/world.rs
@@ -1,5 +1,8 @@
 //! Hosts, targets, the network between them and callers, in one thread with one clock.
 
+mod callers;
+mod network;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
@@ -10,14 +13,14 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use super::target::{LEASE_MS, Target, Work};
+use super::target::{LEASE_MS, Target};
 use crate::config::tests::{document, route};
-use crate::control::{Action, Event, Output, Request, Settings, State};
+use crate::control::{Action, Event, Output, Settings, State};
 use crate::directory;
-use crate::job::{Id, Need, Outcome, Plan, Room, Step, Submission, Task, Ticket};
-use crate::lease::{Answer, Call, Order};
+use crate::job::{Id, Outcome, Plan, Task, Ticket};
+use crate::lease::{Answer, Call};
 use crate::member::Card;
-use crate::peer::{Batch, Message};
+use crate::peer::Message;
 use crate::steward;
 use crate::store::News;
 
@@ -297,29 +300,6 @@
         }
     }
 
-    /// A caller hands a job of some tasks in, at a host that is up.
-    pub(super) fn submit(&mut self, width: u32, cpu: u64, takes_ms: u64) -> Id {
-        let id = Id::try_from(format!("{:016x}", self.callers.len() + 1)).unwrap();
-        let room = Room { cpu_millis: cpu, memory_mb: 1, accelerators: 0 };
-        let need = Need { room, estimate_ms: takes_ms, ..Need::default() };
-        let step = Step { count: width, need, after: Vec::new() };
-        let plan = Arc::new(Plan::new("work".into(), vec![step]).unwrap());
-        let outcomes = Vec::new();
-        let caller = Caller { host: 0, attempt: 0, sent: 0, open: false, outcomes, plan, takes_ms };
-        self.callers.insert(id.clone(), caller);
-        self.happen(0, Happening::Send(id.clone()));
-        id
-    }
-
-    pub(super) fn outcomes(&self, id: &Id) -> &[Option<Outcome>] {
-        &self.callers[id].outcomes
-    }
-
-    /// All that callers heard.
-    pub(super) fn all(&self) -> impl Iterator<Item = (&Id, &[Option<Outcome>])> {
-        self.callers.iter().map(|(id, caller)| (id, caller.outcomes.as_slice()))
-    }
-
     /// Lets time pass.
     pub(super) fn run_for(&mut self, for_ms: u64) {
         let end = self.now_ms() + for_ms;
@@ -458,194 +438,4 @@
             Action::Answer(..) | Action::Publish(_) | Action::Note(_) => {}
         }
     }
-
-    fn send_message(&mut self, host: usize, to: SocketAddr, message: Message) {
-        let run = self.hosts[host].run;
-        let lane = self.hosts[host].lanes.entry(to).or_insert_with(Lane::new);
-        lane.queue.push(message);
-        if lane.trying.is_none() {
-            self.happen(0, Happening::Deliver { host, run, to });
-        }
-    }
-
-    fn deliver(&mut self, host: usize, run: u64, to: SocketAddr) {
-        let now_ms = self.now_ms();
-        let Some(other) = self.hosts.iter().position(|one| one.card.address == to) else {
-            return;
-        };
-        if self.hosts[host].run != run {
-            return;
-        }
-        if now_ms < self.hosts[host].frozen_until {
-            let thaw = self.hosts[host].frozen_until - now_ms;
-            return self.happen(thaw, Happening::Deliver { host, run, to });
-        }
-        let refused = !self.is_up(other);
-        let frozen = now_ms < self.hosts[other].frozen_until;
-        let cut = self.cut.contains(&(host.min(other), host.max(other)));
-        let from = self.hosts[host].card.clone();
-        let Some(lane) = self.hosts[host].lanes.get_mut(&to) else {
-            return;
-        };
-        if lane.batch.is_empty() {
-            lane.batch = std::mem::take(&mut lane.queue);
-        }
-        if lane.batch.is_empty() {
-            lane.trying = None;
-            return;
-        }
-        let since = *lane.trying.get_or_insert(now_ms);
-        if refused || now_ms >= since + GIVE_UP_MS {
-            lane.begin();
-            lane.trying = None;
-            let event = Event::LinkLost { address: to, refused };
-            return self.happen(0, Happening::Event(host, run, event));
-        }
-        if frozen || cut {
-            return self.happen(20, Happening::Deliver { host, run, to });
-        }
-        lane.number += 1;
-        lane.trying = Some(now_ms);
-        let messages = std::mem::take(&mut lane.batch);
-        let batch = Batch { from, session: lane.session, number: lane.number, messages };
-        let ticket = self.ticket();
-        let other_run = self.hosts[other].run;
-        let event = Event::Request(ticket, Request::Deliver(batch));
-        self.happen(1, Happening::Event(other, other_run, event));
-        self.happen(2, Happening::Deliver { host, run, to });
-    }
-
-    fn call(&mut self, host: usize, run: u64, call: Call, answered: bool) {
-        let now_ms = self.now_ms();
-        let takes = self.takes(&call.order);
-        let fails = self.rng.random_bool(self.chances.fails);
-        if self.targets.get(&call.target).is_some_and(|target| target.is_down(now_ms)) {
-            let event = Event::Called(Box::new(call), Answer::Unsent { refused: true });
-            return self.happen(1, Happening::Event(host, run, event));
-        }
-        if self.traced && !matches!(call.order, Order::Renew { .. }) {
-            println!("{now_ms} ms at {}: {:?}", call.target, call.order);
-        }
-        let Some(target) = self.targets.get_mut(&call.target) else {
-            return;
-        };
-        let before = target.running.len();
-        let answer = target.take(call.token, &call.order, now_ms, |_| {
-            let (room, takes_ms) = takes.unwrap_or_default();
-            Work { room, takes_ms, fails }
-        });
-        if let Order::Start { task, .. } = &call.order
-            && target.running.len() > before
-        {
-            *self.starts.entry(task.clone()).or_default() += 1;
-        }
-        let waits = match &call.order {
-            Order::Renew { seen, wait, .. } if !wait.is_zero() => {
-                let has_news = target.has_news(*seen);
-                (!has_news && matches!(answer, Answer::Report(_))).then_some(*wait)
-            }
-            _ => None,
-        };
-        if !answered {
-            let within = call.within.as_millis() as u64;
-            let event = Event::Called(Box::new(call), Answer::Silent);
-            return self.happen(within, Happening::Event(host, run, event));
-        }
-        if let Some(wait) = waits {
-            let until_ms = now_ms + wait.as_millis() as u64;
-            return self.happen(5, Happening::Hold { host, run, call, until_ms });
-        }
-        let event = Event::Called(Box::new(call), answer);
-        self.happen(1, Happening::Event(host, run, event));
-    }
-
-    fn hold(&mut self, host: usize, run: u64, call: Call, until_ms: u64) {
-        let Order::Renew { seen, .. } = call.order else {
-            return;
-        };
-        let now_ms = self.now_ms();
-        if self.targets.get(&call.target).is_some_and(|target| target.is_down(now_ms)) {
-            let event = Event::Called(Box::new(call), Answer::Silent);
-            return self.happen(1, Happening::Event(host, run, event));
-        }
-        let over = now_ms >= until_ms;
-        let news = self.targets.get(&call.target).is_some_and(|target| target.has_news(seen));
-        if !over && !news {
-            return self.happen(5, Happening::Hold { host, run, call, until_ms });
-        }
-        // It renews nothing a second time.
-        let look = Order::Renew { lease_until_ms: None, seen, wait: Duration::ZERO };
-        let now_ms = self.now_ms();
-        let Some(target) = self.targets.get_mut(&call.target) else {
-            return;
-        };
-        let answer = target.take(call.token, &look, now_ms, |_| unreachable!("it starts nothing"));
-        self.happen(1, Happening::Event(host, run, Event::Called(Box::new(call), answer)));
-    }
-
-    /// Room and run time of a start.
-    fn takes(&self, order: &Order) -> Option<(Room, u64)> {
-        let Order::Start { task, .. } = order else {
-            return None;
-        };
-        let caller = &self.callers[&task.job];
-        Some((caller.plan.steps[0].need.room, caller.takes_ms))
-    }
-
-    fn send(&mut self, id: &Id) {
-        let up: Vec<usize> = (0..self.hosts.len()).filter(|host| self.is_up(*host)).collect();
-        if up.is_empty() {
-            return self.happen(500, Happening::Send(id.clone()));
-        }
-        let host = up[self.pick(up.len())];
-        let ticket = self.ticket();
-        let Some(caller) = self.callers.get_mut(id) else {
-            return;
-        };
-        caller.host = host;
-        caller.open = true;
-        caller.attempt += 1;
-        caller.sent += 1;
-        let submission = Submission {
-            id: id.clone(),
-            kind: coltsfootshunt_core::name::Kind::try_from("cut").unwrap(),
-            plan: Arc::clone(&caller.plan),
-            patience: Duration::from_millis(PATIENCE_MS),
-        };
-        let attempt = caller.attempt;
-        self.tickets.insert((host, ticket), id.clone());
-        let run = self.hosts[host].run;
-        let event = Event::Request(ticket, Request::Submit(submission));
-        self.happen(1, Happening::Event(host, run, event));
-        self.happen(PATIENCE_MS + 50, Happening::GiveUp(id.clone(), attempt));
-    }
-
-    /// A caller heard its answer, or that its connection broke.
-    fn answered(&mut self, id: &Id, outcome: Option<Outcome>) {
-        let Some(caller) = self.callers.get_mut(id) else {
-            return;
-        };
-        if !caller.open {
-            return;
-        }
-        caller.open = false;
-        caller.outcomes.push(outcome);
-        let again = matches!(outcome, None | Some(Outcome::Unknown)) && caller.sent < 3;
-        let host = caller.host;
-        let gone = self.tickets.iter().find(|((at, _), job)| *at == host && *job == id);
-        let gone = gone.map(|((_, ticket), _)| *ticket);
-        if let Some(ticket) = gone {
-            self.tickets.remove(&(host, ticket));
-            let run = self.hosts[host].run;
-            self.happen(1, Happening::Event(host, run, Event::Left(id.clone(), ticket)));
-        }
-        if again {
-            self.happen(RESEND_MS, Happening::Send(id.clone()));
-        }
-    }
-
-    fn ticket(&mut self) -> Ticket {
-        self.next_ticket += 1;
-        Ticket(self.next_ticket)
-    }
 }
--- /dev/null
+++ b/crates/fleet/src/control/tests/world/network.rs
@@ -0,0 +1,148 @@
+//! What passes between hosts, and between hosts and targets.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::super::target::Work;
+use super::{GIVE_UP_MS, Happening, Lane, World};
+use crate::control::{Event, Request};
+use crate::job::Room;
+use crate::lease::{Answer, Call, Order};
+use crate::peer::{Batch, Message};
+
+impl World {
+    pub(super) fn send_message(&mut self, host: usize, to: SocketAddr, message: Message) {
+        let run = self.hosts[host].run;
+        let lane = self.hosts[host].lanes.entry(to).or_insert_with(Lane::new);
+        lane.queue.push(message);
+        if lane.trying.is_none() {
+            self.happen(0, Happening::Deliver { host, run, to });
+        }
+    }
+
+    pub(super) fn deliver(&mut self, host: usize, run: u64, to: SocketAddr) {
+        let now_ms = self.now_ms();
+        let Some(other) = self.hosts.iter().position(|one| one.card.address == to) else {
+            return;
+        };
+        if self.hosts[host].run != run {
+            return;
+        }
+        if now_ms < self.hosts[host].frozen_until {
+            let thaw = self.hosts[host].frozen_until - now_ms;
+            return self.happen(thaw, Happening::Deliver { host, run, to });
+        }
+        let refused = !self.is_up(other);
+        let frozen = now_ms < self.hosts[other].frozen_until;
+        let cut = self.cut.contains(&(host.min(other), host.max(other)));
+        let from = self.hosts[host].card.clone();
+        let Some(lane) = self.hosts[host].lanes.get_mut(&to) else {
+            return;
+        };
+        if lane.batch.is_empty() {
+            lane.batch = std::mem::take(&mut lane.queue);
+        }
+        if lane.batch.is_empty() {
+            lane.trying = None;
+            return;
+        }
+        let since = *lane.trying.get_or_insert(now_ms);
+        if refused || now_ms >= since + GIVE_UP_MS {
+            lane.begin();
+            lane.trying = None;
+            let event = Event::LinkLost { address: to, refused };
+            return self.happen(0, Happening::Event(host, run, event));
+        }
+        if frozen || cut {
+            return self.happen(20, Happening::Deliver { host, run, to });
+        }
+        lane.number += 1;
+        lane.trying = Some(now_ms);
+        let messages = std::mem::take(&mut lane.batch);
+        let batch = Batch { from, session: lane.session, number: lane.number, messages };
+        let ticket = self.ticket();
+        let other_run = self.hosts[other].run;
+        let event = Event::Request(ticket, Request::Deliver(batch));
+        self.happen(1, Happening::Event(other, other_run, event));
+        self.happen(2, Happening::Deliver { host, run, to });
+    }
+
+    pub(super) fn call(&mut self, host: usize, run: u64, call: Call, answered: bool) {
+        let now_ms = self.now_ms();
+        let takes = self.takes(&call.order);
+        let fails = self.rng.random_bool(self.chances.fails);
+        if self.targets.get(&call.target).is_some_and(|target| target.is_down(now_ms)) {
+            let event = Event::Called(Box::new(call), Answer::Unsent { refused: true });
+            return self.happen(1, Happening::Event(host, run, event));
+        }
+        if self.traced && !matches!(call.order, Order::Renew { .. }) {
+            println!("{now_ms} ms at {}: {:?}", call.target, call.order);
+        }
+        let Some(target) = self.targets.get_mut(&call.target) else {
+            return;
+        };
+        let before = target.running.len();
+        let answer = target.take(call.token, &call.order, now_ms, |_| {
+            let (room, takes_ms) = takes.unwrap_or_default();
+            Work { room, takes_ms, fails }
+        });
+        if let Order::Start { task, .. } = &call.order
+            && target.running.len() > before
+        {
+            *self.starts.entry(task.clone()).or_default() += 1;
+        }
+        let waits = match &call.order {
+            Order::Renew { seen, wait, .. } if !wait.is_zero() => {
+                let has_news = target.has_news(*seen);
+                (!has_news && matches!(answer, Answer::Report(_))).then_some(*wait)
+            }
+            _ => None,
+        };
+        if !answered {
+            let within = call.within.as_millis() as u64;
+            let event = Event::Called(Box::new(call), Answer::Silent);
+            return self.happen(within, Happening::Event(host, run, event));
+        }
+        if let Some(wait) = waits {
+            let until_ms = now_ms + wait.as_millis() as u64;
+            return self.happen(5, Happening::Hold { host, run, call, until_ms });
+        }
+        let event = Event::Called(Box::new(call), answer);
+        self.happen(1, Happening::Event(host, run, event));
+    }
+
+    pub(super) fn hold(&mut self, host: usize, run: u64, call: Call, until_ms: u64) {
+        let Order::Renew { seen, .. } = call.order else {
+            return;
+        };
+        let now_ms = self.now_ms();
+        if self.targets.get(&call.target).is_some_and(|target| target.is_down(now_ms)) {
+            let event = Event::Called(Box::new(call), Answer::Silent);
+            return self.happen(1, Happening::Event(host, run, event));
+        }
+        let over = now_ms >= until_ms;
+        let news = self.targets.get(&call.target).is_some_and(|target| target.has_news(seen));
+        if !over && !news {
+            return self.happen(5, Happening::Hold { host, run, call, until_ms });
+        }
+        // It renews nothing a second time.
+        let look = Order::Renew { lease_until_ms: None, seen, wait: Duration::ZERO };
+        let now_ms = self.now_ms();
+        let Some(target) = self.targets.get_mut(&call.target) else {
+            return;
+        };
+        let answer = target.take(call.token, &look, now_ms, |_| unreachable!("it starts nothing"));
+        self.happen(1, Happening::Event(host, run, Event::Called(Box::new(call), answer)));
+    }
+
+    /// Room and run time of a start.
+    fn takes(&self, order: &Order) -> Option<(Room, u64)> {
+        let Order::Start { task, .. } = order else {
+            return None;
+        };
+        let caller = &self.callers[&task.job];
+        Some((caller.plan.steps[0].need.room, caller.takes_ms))
+    }
+}
--- a/crates/fleet/src/lease/picture.rs
+++ b/crates/fleet/src/lease/picture.rs
@@ -1,85 +1,27 @@
 //! What a steward knows of one target.
 
+mod answer;
+mod attempt;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use coltsfootshunt_core::name::{Host, Kind, Target};
+use coltsfootshunt_core::name::Target;
 
-use super::{Answer, Call, How, Order, Rejection, Report, Token};
+use super::{Call, Order, Rejection, Token};
 use crate::directory::Entry;
 use crate::job::{End, Room, Task};
 
+pub use attempt::{Attempt, Phase};
+use attempt::{Orphan, Status};
+
 /// Longest wait of a renewal for an end: under half of the lease, so that two may fail.
 const RENEW_WAIT: Duration = Duration::from_millis(400);
 /// Time for an answer beyond the wait that was asked for: tens of round trips between zones.
 const ANSWER_WITHIN: Duration = Duration::from_millis(250);
 /// Time after which an idle target's last ends are taken note of.
 const NOTE_ENDS_AFTER: Duration = Duration::from_millis(250);
-/// Pause before a target that could not be reached is claimed again.
-const RETRY_AFTER: Duration = Duration::from_millis(400);
-/// Pause before a target that turned an order away as unhealthy gets the next one.
-const UNHEALTHY_FOR: Duration = Duration::from_millis(500);
-/// Milliseconds by which answers may overtake each other.
-const CLOCK_SLACK_MS: u64 = 500;
-/// Slack for a target's slow clock and for the time that ending a task takes.
-const LAPSE_SLACK: Duration = Duration::from_millis(100);
-
-/// Whose orders the target takes.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Phase {
-    /// Not this host's.
-    Free,
-    /// A renewal with a new token is under way.
-    Claiming(Token),
-    /// This host's, as far as it knows.
-    Held(Token),
-}
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Status {
-    /// The start is not answered.
-    Sent,
-    /// It ran at this time of the target's clock, in milliseconds.
-    Running(u64),
-}
-
-/// An attempt of a task at the target.
-#[derive(Clone, Debug)]
-pub struct Attempt {
-    /// Number of the attempt.
-    pub run: u32,
-    /// Who wants it.
-    pub owner: Host,
-    /// The owner's opening of the job.
-    pub opening: u64,
-    /// Its kind.
-    pub kind: Kind,
-    /// Room that it takes.
-    pub room: Room,
-    /// Declared run time.
-    pub estimate: Duration,
-    /// Expected run time here.
-    pub expected: Duration,
-    /// When the start was sent.
-    pub since: Instant,
-    /// Moment from which its job is late.
-    pub objective: Instant,
-    /// When its caller goes.
-    pub due: Instant,
-    /// Whether nobody wants it any more.
-    pub unwanted: bool,
-    status: Status,
-    token: Token,
-    stop_sent: Option<Instant>,
-}
-
-/// An attempt that another host started.
-#[derive(Clone, Copy, Debug)]
-struct Orphan {
-    run: u32,
-    stop_sent: Option<Instant>,
-}
 
 /// What an answer showed.
 #[derive(Clone, Debug)]
@@ -289,238 +231,12 @@
         }
     }
 
-    /// Takes an answer in.
-    pub fn answer(&mut self, call: &Call, answer: Answer, now: Instant) -> Vec<Finding> {
-        let mut found = Vec::new();
-        match &call.order {
-            Order::Renew { .. } => self.answer_renewal(call, answer, now, &mut found),
-            Order::Start { task, run, .. } => {
-                self.answer_start(call, (task, *run), &answer, now, &mut found);
-            }
-            Order::Stop { task, run } => self.answer_stop((task, *run), &answer, &mut found),
-        }
-        found
-    }
-
-    fn answer_renewal(
-        &mut self,
-        call: &Call,
-        answer: Answer,
-        now: Instant,
-        found: &mut Vec<Finding>,
-    ) {
-        let claim = self.phase == Phase::Claiming(call.token);
-        if !claim && self.phase != Phase::Held(call.token) {
-            return;
-        }
-        self.renewing = false;
-        match answer {
-            Answer::Report(report) => {
-                self.silences = 0;
-                if claim {
-                    self.phase = Phase::Held(call.token);
-                    self.doubt = false;
-                }
-                self.reconcile(&report, claim, now, found);
-                if claim && self.phase == Phase::Held(call.token) {
-                    found.push(Finding::Claimed(call.token));
-                }
-            }
-            Answer::Rejected(Rejection::Fenced) => self.fenced(call.token, found),
-            Answer::Rejected(_) | Answer::Taken { .. } => {
-                self.abandon("it is another life", now, found);
-            }
-            Answer::Unsent { refused: true } => {
-                self.abandon("nothing listens there", now, found);
-            }
-            Answer::Unsent { refused: false } | Answer::Silent => {
-                self.silent(claim, now, found);
-            }
-        }
-    }
-
-    /// A renewal got no answer: the lease runs out unless a later one is heard.
-    fn silent(&mut self, claim: bool, now: Instant, found: &mut Vec<Finding>) {
-        self.silences += 1;
-        let lapsed = self.leased_at.is_none_or(|at| {
-            // The target's clock may be 2% slow.
-            now.duration_since(at) > self.lease + self.lease / 50 + LAPSE_SLACK
-        });
-        if lapsed {
-            self.abandon("it is silent and its lease has ended", now, found);
-        } else if claim {
-            // The fate of orders is still open: claim again at once, with the next token.
-            self.doubt = true;
-            self.phase = Phase::Held(Token::default());
-        }
-    }
-
-    fn answer_start(
-        &mut self,
-        call: &Call,
-        (task, run): (&Task, u32),
-        answer: &Answer,
-        now: Instant,
-        found: &mut Vec<Finding>,
-    ) {
-        // An answer to an earlier order may come after the task was sent here anew.
-        let same = |attempt: &&mut Attempt| attempt.run == run && attempt.token == call.token;
-        let Some(attempt) = self.attempts.get_mut(task).filter(same) else {
-            return;
-        };
-        match *answer {
-            Answer::Taken { clock_ms } => {
-                if attempt.status == Status::Sent {
-                    attempt.status = Status::Running(clock_ms);
-                }
-                // A clock that went back is another life's, which obeys every token at first.
-                self.doubt |=
-                    self.clock.is_some_and(|(known, _)| clock_ms + CLOCK_SLACK_MS < known);
-                self.hear_clock(clock_ms, now);
-            }
-            Answer::Rejected(rejection) => {
-                // A late copy of an answer can't take back what a report has shown.
-                if attempt.status != Status::Sent {
-                    return;
-                }
-                found.push(Finding::Turned(task.clone(), rejection));
-                self.finish(task, End::NotRun, found);
-                match rejection {
-                    Rejection::Fenced if self.phase == Phase::Held(call.token) => {
-                        self.fenced(call.token, found);
-                    }
-                    Rejection::OtherLife => {
-                        self.abandon("it is another life", now, found);
-                    }
-                    // The picture of its room was wrong: look again.
-                    Rejection::NoRoom => self.doubt = true,
-                    Rejection::Unhealthy => self.closed_until = now + UNHEALTHY_FOR,
-                    _ => {}
-                }
-            }
-            Answer::Unsent { refused } => {
-                self.finish(task, End::NotRun, found);
-                if refused {
-                    self.abandon("nothing listens there", now, found);
-                } else {
-                    self.doubt = true;
-                }
-            }
-            Answer::Silent | Answer::Report(_) => self.doubt = true,
-        }
-    }
-
-    fn answer_stop(&mut self, (task, run): (&Task, u32), answer: &Answer, out: &mut Vec<Finding>) {
-        // Nothing of this number runs there or can start any more; a report may still name it.
-        let orphan = self.orphans.get(task).is_some_and(|orphan| orphan.run == run);
-        if matches!(answer, Answer::Taken { .. }) && orphan {
-            out.push(Finding::Orphan(task.clone()));
-        }
-    }
-
-    fn reconcile(&mut self, report: &Report, claim: bool, now: Instant, found: &mut Vec<Finding>) {
-        let another = report.born.is_some_and(|born| born != self.entry.born);
-        if another {
-            // Another life under the same name counts anew. It obeys every token at first, so an
-            // order for the earlier life may run in it: only a new token shows what does.
-            self.entry.born = report.born.unwrap_or_default();
-            self.seen = 0;
-            self.noted = 0;
-            self.clock = None;
-            self.closed_until = now;
-            for attempt in self.attempts.values_mut() {
-                if let Status::Running(clock_ms) = &mut attempt.status {
-                    *clock_ms = 0;
-                }
-            }
-            if !claim {
-                self.doubt = true;
-                return;
-            }
-        }
-        self.hear_clock(report.clock_ms, now);
-        self.noted = self.noted.max(self.seen);
-        for ended in &report.ended {
-            if ended.number <= self.seen {
-                continue;
-            }
-            self.seen = ended.number;
-            self.seen_at = now;
-            let end = match ended.how {
-                How::Done => End::Done,
-                How::Failed => End::Failed,
-                How::Ended => End::Lost,
-            };
-            if self.attempts.get(&ended.task).is_some_and(|attempt| attempt.run == ended.run) {
-                self.finish(&ended.task, end, found);
-            }
-        }
-        let stopped = std::mem::take(&mut self.orphans);
-        for listed in &report.running {
-            match self.attempts.get_mut(&listed.task) {
-                Some(attempt) if attempt.run == listed.run => {
-                    attempt.status = Status::Running(report.clock_ms);
-                }
-                _ => {
-                    let same = stopped.get(&listed.task).filter(|known| known.run == listed.run);
-                    let stop_sent = same.and_then(|known| known.stop_sent);
-                    let orphan = Orphan { run: listed.run, stop_sent };
-                    self.orphans.insert(listed.task.clone(), orphan);
-                }
-            }
-        }
-        self.miss(report, claim, found);
-    }
-
-    /// Ends attempts that a report should name and does not.
-    fn miss(&mut self, report: &Report, claim: bool, found: &mut Vec<Finding>) {
-        let listed = |task: &Task, run: u32| {
-            report.running.iter().any(|row| row.task == *task && row.run == run)
-        };
-        let mut missed = Vec::new();
-        for (task, attempt) in &self.attempts {
-            if listed(task, attempt.run) {
-                continue;
-            }
-            match attempt.status {
-                Status::Running(clock_ms) if report.clock_ms > clock_ms => {
-                    missed.push((task.clone(), End::Lost));
-                }
-                // The new token makes an order that has not arrived void. One that has arrived may
-                // have run and ended under another host, which then let its end be forgotten.
-                Status::Sent if claim => missed.push((task.clone(), End::Lost)),
-                _ => {}
-            }
-        }
-        for (task, end) in missed {
-            self.finish(&task, end, found);
-        }
-    }
-
     fn finish(&mut self, task: &Task, end: End, found: &mut Vec<Finding>) {
         if let Some(attempt) = self.attempts.remove(task) {
             found.push(Finding::Ended { task: task.clone(), attempt, end });
         }
     }
 
-    fn fenced(&mut self, token: Token, found: &mut Vec<Finding>) {
-        self.release(End::Adrift, found);
-        found.push(Finding::Fenced(token));
-    }
-
-    /// The target is down, or its lease is over.
-    fn abandon(&mut self, why: &'static str, now: Instant, found: &mut Vec<Finding>) {
-        let unanswered = self.attempts.iter().filter(|(_, one)| one.status == Status::Sent);
-        let unanswered: Vec<Task> = unanswered.map(|(task, _)| task.clone()).collect();
-        for task in unanswered {
-            // It may still reach the target's next life.
-            self.finish(&task, End::Adrift, found);
-        }
-        self.release(End::Lost, found);
-        self.closed_until = now + RETRY_AFTER;
-        found.push(Finding::Lost(why));
-    }
-
     /// Gives the target up; what may be there comes to the given end.
     pub fn release(&mut self, end: End, found: &mut Vec<Finding>) {
         let tasks: Vec<Task> = self.attempts.keys().cloned().collect();
@@ -535,13 +251,6 @@
         self.leased_at = None;
     }
 
-    fn hear_clock(&mut self, clock_ms: u64, now: Instant) {
-        let later = self.clock.is_none_or(|(known, _)| clock_ms >= known);
-        if later {
-            self.clock = Some((clock_ms, now));
-        }
-    }
-
     /// The longest lease that the target grants, on its clock.
     fn lease_until(&self, now: Instant) -> Option<u64> {
         let (clock_ms, at) = self.clock?;
@@ -561,26 +270,3 @@
         Call { target, address: self.entry.address, token, order, within }
     }
 }
-
-impl Attempt {
-    /// An attempt that is about to be sent.
-    #[must_use]
-    pub fn new(owner: Host, kind: Kind, run: u32, room: Room, since: Instant) -> Self {
-        Self {
-            run,
-            owner,
-            opening: 0,
-            kind,
-            room,
-            estimate: Duration::ZERO,
-            expected: Duration::ZERO,
-            since,
-            objective: since,
-            due: since,
-            unwanted: false,
-            status: Status::Sent,
-            token: Token::default(),
-            stop_sent: None,
-        }
-    }
-}
--- /dev/null
+++ b/crates/fleet/src/lease/picture/attempt.rs
@@ -0,0 +1,87 @@
+//! Attempts at a target.
+
+use std::time::{Duration, Instant};
+
+use coltsfootshunt_core::name::{Host, Kind};
+
+use crate::job::Room;
+use crate::lease::Token;
+
+/// Whose orders the target takes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Phase {
+    /// Not this host's.
+    Free,
+    /// A renewal with a new token is under way.
+    Claiming(Token),
+    /// This host's, as far as it knows.
+    Held(Token),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Status {
+    /// The start is not answered.
+    Sent,
+    /// It ran at this time of the target's clock, in milliseconds.
+    Running(u64),
+}
+
+/// An attempt of a task at the target.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// Number of the attempt.
+    pub run: u32,
+    /// Who wants it.
+    pub owner: Host,
+    /// The owner's opening of the job.
+    pub opening: u64,
+    /// Its kind.
+    pub kind: Kind,
+    /// Room that it takes.
+    pub room: Room,
+    /// Declared run time.
+    pub estimate: Duration,
+    /// Expected run time here.
+    pub expected: Duration,
+    /// When the start was sent.
+    pub since: Instant,
+    /// Moment from which its job is late.
+    pub objective: Instant,
+    /// When its caller goes.
+    pub due: Instant,
+    /// Whether nobody wants it any more.
+    pub unwanted: bool,
+    pub(super) status: Status,
+    pub(super) token: Token,
+    pub(super) stop_sent: Option<Instant>,
+}
+
+/// An attempt that another host started.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Orphan {
+    pub(super) run: u32,
+    pub(super) stop_sent: Option<Instant>,
+}
+
+impl Attempt {
+    /// An attempt that is about to be sent.
+    #[must_use]
+    pub fn new(owner: Host, kind: Kind, run: u32, room: Room, since: Instant) -> Self {
+        Self {
+            run,
+            owner,
+            opening: 0,
+            kind,
+            room,
+            estimate: Duration::ZERO,
+            expected: Duration::ZERO,
+            since,
+            objective: since,
+            due: since,
+            unwanted: false,
+            status: Status::Sent,
+            token: Token::default(),
+            stop_sent: None,
+        }
+    }
+}
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -1,25 +1,27 @@
 //! State of a steward.
 
+mod finding;
+mod place;
+
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::time::{Duration, Instant, SystemTime};
 
 use coltsfootshunt_core::name::{Host, Target};
 
 use super::{Output, Settings};
-use crate::directory::{self, Entry};
+use crate::directory;
 use crate::job::{Bundle, End, Ending, Id, Task};
-use crate::lease::{Answer, Attempt, Call, Finding, Mint, Phase, Picture, Rejection};
+use crate::lease::{Answer, Attempt, Call, Finding, Mint, Phase, Picture};
 use crate::member::Roster;
-use crate::placement::{Candidate, Choice, Fast, choose, is_fast};
+use crate::placement::is_fast;
 use crate::queue::{Line, Waiting};
 use crate::report::Note;
 use crate::speed::Book;
 use crate::spread::Load;
 
-/// A run this many times longer than expected is overdue; about one in thirty runs legitimately is.
-const OVERDUE: f64 = 3.0;
-/// No run is overdue before this: short runs vary by the way there and back.
-const OVERDUE_MIN: Duration = Duration::from_millis(120);
+use finding::{ending, learn, not_run, note};
+use place::{fastest, place};
+
 /// Tasks in a row that fit nowhere after which the rest of the line is left for later.
 const FITLESS: usize = 24;
 /// Weight of one task in the running mean of what a task takes.
@@ -347,136 +349,6 @@
     }
 }
 
-/// The target for a task, if it should start now.
-fn place(
-    pictures: &BTreeMap<Target, Picture>,
-    one: &Waiting,
-    roster: &Roster,
-    speeds: &Book,
-    settings: Settings,
-    now: Instant,
-) -> Option<Target> {
-    let mut candidates = Vec::new();
-    let mut names = Vec::new();
-    let mut capacities = Vec::new();
-    let mut fastest = Duration::MAX;
-    for (name, picture) in pictures {
-        if !suits(&picture.entry, one, roster) {
-            continue;
-        }
-        let away = one.need.rack.as_ref().is_some_and(|rack| !picture.entry.labels.contains(rack));
-        let factor = if away { settings.remote_factor } else { 1.0 };
-        let expected = speeds.predict(&one.kind, name, one.need.estimate(), now).mul_f64(factor);
-        let suspect = speeds.is_failing(name, now) || is_stuck(picture, now);
-        if !suspect {
-            fastest = fastest.min(expected);
-            capacities.push((expected, picture.entry.capacity.cpu_millis));
-        }
-        let spread = one.need.spread.is_none_or(|most| picture.of_step(&one.task) < most);
-        let Some(free) = picture.free(now).filter(|free| free.holds(&one.need.room)) else {
-            continue;
-        };
-        if spread {
-            candidates.push(Candidate { place: names.len(), expected, free, suspect });
-            names.push(name);
-        }
-    }
-    if fastest == Duration::MAX {
-        // Nothing sound is left at all: a suspect target is better than none.
-        fastest = candidates.iter().map(|one| one.expected).min()?;
-        candidates.iter_mut().for_each(|one| one.suspect = false);
-    }
-    let each = one.need.room.cpu_millis.max(1);
-    let places = capacities.iter().filter(|(expected, _)| is_fast(*expected, fastest));
-    let free = candidates.iter().filter(|one| is_fast(one.expected, fastest));
-    let fast = Fast {
-        best: fastest,
-        free: free.map(|one| one.free.cpu_millis / each).sum(),
-        places: places.map(|(_, capacity)| capacity / each).sum(),
-    };
-    match choose(one, &candidates, fast, now) {
-        Choice::Start(place) => Some(names[place].clone()),
-        Choice::Wait => None,
-    }
-}
-
-fn suits(entry: &Entry, one: &Waiting, roster: &Roster) -> bool {
-    entry.service == one.service
-        && entry.state == directory::State::Ready
-        && roster.claims(&entry.zone)
-        && one.need.label.as_ref().is_none_or(|label| entry.labels.contains(label))
-        && entry.capacity.holds(&one.need.room)
-}
-
-/// Whether all that runs on a target is overdue: it hangs or has turned slow.
-fn is_stuck(picture: &Picture, now: Instant) -> bool {
-    let mut running = 0;
-    let mut overdue = 0;
-    for (_, attempt) in picture.attempts() {
-        running += 1;
-        let limit = attempt.expected.mul_f64(OVERDUE).max(OVERDUE_MIN);
-        overdue += u32::from(now.duration_since(attempt.since) > limit);
-    }
-    overdue >= 2 && overdue == running
-}
-
-/// Factor of the fastest target's run time against the average one.
-fn fastest(pictures: &BTreeMap<Target, Picture>, speeds: &Book, now: Instant) -> f64 {
-    let slowness = pictures.keys().map(|name| speeds.slowness(name, now));
-    slowness.fold(0.0, f64::min).exp()
-}
-
-fn learn(target: &Target, finding: &Finding, speeds: &mut Book, now: Instant) {
-    match finding {
-        Finding::Ended { attempt, end: End::Done, .. } => {
-            let took = now.duration_since(attempt.since);
-            speeds.done(&attempt.kind, target, (attempt.estimate, took), now);
-        }
-        Finding::Ended { end: End::Failed, .. } | Finding::Turned(_, Rejection::Unhealthy) => {
-            speeds.failed(target, now);
-        }
-        // A run that was stopped had needed longer still.
-        Finding::Ended { attempt, end: End::Lost, .. } => {
-            let took = now.duration_since(attempt.since);
-            if took > attempt.expected.mul_f64(OVERDUE) {
-                speeds.done(&attempt.kind, target, (attempt.estimate, took), now);
-            }
-        }
-        Finding::Lost(_) => speeds.forget(target),
-        _ => {}
-    }
-}
-
-fn note(target: &Target, finding: &Finding, out: &mut Output) {
-    let target = target.clone();
-    out.notes.push(match finding {
-        Finding::Ended { task, attempt, end } => {
-            Note::Ended { task: task.clone(), run: attempt.run, target, end: *end }
-        }
-        Finding::Claimed(token) => Note::Claimed { target, token: *token },
-        Finding::Fenced(token) => Note::Fenced { target, token: *token },
-        Finding::Lost(why) => Note::TargetLost { target, why },
-        Finding::Orphan(task) => Note::OrphanStopped { target, task: task.clone() },
-        Finding::Turned(task, rejection) => {
-            Note::Turned { target, task: task.clone(), rejection: *rejection }
-        }
-    });
-}
-
-fn ending(finding: Finding) -> Option<(Host, Ending)> {
-    let Finding::Ended { task, attempt, end } = finding else {
-        return None;
-    };
-    let opening = attempt.opening;
-    Some((attempt.owner, Ending { task, opening, run: attempt.run, end }))
-}
-
-fn not_run(one: Waiting) -> (Host, Ending) {
-    // The number was not used.
-    let run = one.run.saturating_sub(1);
-    (one.owner, Ending { task: one.task, opening: one.opening, run, end: End::NotRun })
-}
-
 /// `now`, later or earlier by some milliseconds.
 fn shift(now: Instant, by_ms: i64) -> Instant {
     let by = Duration::from_millis(by_ms.unsigned_abs());
--- /dev/null
+++ b/crates/fleet/src/steward/state/finding.rs
@@ -0,0 +1,64 @@
+//! What the findings at a target mean for others.
+
+use std::time::Instant;
+
+use coltsfootshunt_core::name::{Host, Target};
+
+use super::place::OVERDUE;
+use crate::job::{End, Ending};
+use crate::lease::{Finding, Rejection};
+use crate::queue::Waiting;
+use crate::report::Note;
+use crate::speed::Book;
+use crate::steward::Output;
+
+pub(super) fn learn(target: &Target, finding: &Finding, speeds: &mut Book, now: Instant) {
+    match finding {
+        Finding::Ended { attempt, end: End::Done, .. } => {
+            let took = now.duration_since(attempt.since);
+            speeds.done(&attempt.kind, target, (attempt.estimate, took), now);
+        }
+        Finding::Ended { end: End::Failed, .. } | Finding::Turned(_, Rejection::Unhealthy) => {
+            speeds.failed(target, now);
+        }
+        // A run that was stopped had needed longer still.
+        Finding::Ended { attempt, end: End::Lost, .. } => {
+            let took = now.duration_since(attempt.since);
+            if took > attempt.expected.mul_f64(OVERDUE) {
+                speeds.done(&attempt.kind, target, (attempt.estimate, took), now);
+            }
+        }
+        Finding::Lost(_) => speeds.forget(target),
+        _ => {}
+    }
+}
+
+pub(super) fn note(target: &Target, finding: &Finding, out: &mut Output) {
+    let target = target.clone();
+    out.notes.push(match finding {
+        Finding::Ended { task, attempt, end } => {
+            Note::Ended { task: task.clone(), run: attempt.run, target, end: *end }
+        }
+        Finding::Claimed(token) => Note::Claimed { target, token: *token },
+        Finding::Fenced(token) => Note::Fenced { target, token: *token },
+        Finding::Lost(why) => Note::TargetLost { target, why },
+        Finding::Orphan(task) => Note::OrphanStopped { target, task: task.clone() },
+        Finding::Turned(task, rejection) => {
+            Note::Turned { target, task: task.clone(), rejection: *rejection }
+        }
+    });
+}
+
+pub(super) fn ending(finding: Finding) -> Option<(Host, Ending)> {
+    let Finding::Ended { task, attempt, end } = finding else {
+        return None;
+    };
+    let opening = attempt.opening;
+    Some((attempt.owner, Ending { task, opening, run: attempt.run, end }))
+}
+
+pub(super) fn not_run(one: Waiting) -> (Host, Ending) {
+    // The number was not used.
+    let run = one.run.saturating_sub(1);
+    (one.owner, Ending { task: one.task, opening: one.opening, run, end: End::NotRun })
+}
