fix(report): what is passed over or fails at the edges is written down

Cause: unreadable entries of targets, connections that could not be accepted and the fault of a settings file left no line.

--- a/crates/fleet/src/control/fleet.rs
+++ b/crates/fleet/src/control/fleet.rs
@@ -10,7 +10,7 @@
 use crate::peer::Message;
 use crate::report::Note;
 use crate::steward;
-use crate::store::News;
+use crate::store::{Listing, News};
 
 /// Time between heartbeats of a steward; what it has free changes in tens of milliseconds.
 const STEWARD_BEATS_EVERY: Duration = Duration::from_millis(100);
@@ -77,7 +77,8 @@
             }
             Message::Targets(entries) => {
                 if self.directory.hear(entries) {
-                    self.note(Note::Targets { known: self.directory.iter().count() });
+                    let known = self.directory.iter().count();
+                    self.note(Note::Targets { known, unreadable: 0 });
                 }
             }
         }
@@ -115,12 +116,13 @@
                     self.note(Note::InForce { version, from: "the store" });
                 }
             }
-            News::Targets(entries) => {
+            News::Targets(Listing { entries, unreadable }) => {
                 let before = self.directory.iter().count();
                 self.directory.read(entries, now);
                 let known = self.directory.iter().count();
-                if known != before {
-                    self.note(Note::Targets { known });
+                if known != before || unreadable != self.unreadable {
+                    self.unreadable = unreadable;
+                    self.note(Note::Targets { known, unreadable });
                 }
             }
             News::Hosts(cards) => self.meet(&cards),
--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -57,7 +57,7 @@
         let plan = &submission.plan;
         let patience = submission.patience.min(route.timeout);
         let run = self.speeds.typical(&route.kind, plan.chain());
-        let offers = self.offers(None);
+        let offers = self.offers();
         let objective = (run.mul_f64(route.stretch) + route.allowance)
             .min(patience.saturating_sub(ANSWER_WITHIN));
         let hurried = hurried(run, objective, &offers);
@@ -113,8 +113,8 @@
         })
     }
 
-    /// Stewards that can be reached; `without` one that has just given tasks back.
-    pub(super) fn offers(&self, without: Option<&Host>) -> Vec<Offer> {
+    /// Stewards that can be reached.
+    pub(super) fn offers(&self) -> Vec<Offer> {
         let me = self.roster.me();
         let others = self.roster.alive().filter(|peer| !peer.beat.claims.is_empty());
         let mut offers: Vec<Offer> = others
@@ -128,9 +128,6 @@
             let load = self.steward.load(&self.roster, &self.speeds, self.clock.now());
             offers.push(Offer { host: me.host.clone(), distance: HERE, load });
         }
-        if offers.len() > 1 {
-            offers.retain(|offer| Some(&offer.host) != without);
-        }
         offers
     }
 
@@ -143,7 +140,7 @@
         if ready.is_empty() {
             return;
         }
-        let mut offers = self.offers(None);
+        let mut offers = self.offers();
         let believed: Vec<_> = offers.iter().map(|offer| offer.load).collect();
         let run = ready[0].need.estimate();
         let left = open.objective.saturating_duration_since(now);
--- a/crates/fleet/src/control/message.rs
+++ b/crates/fleet/src/control/message.rs
@@ -81,8 +81,8 @@
     Store(News),
     /// Stop as planned.
     Stop,
-    /// The settings file was read again; whether it was valid.
-    Reloaded(bool),
+    /// The settings file was read again; what is wrong with it, if anything.
+    Reloaded(Option<Arc<str>>),
 }
 
 /// What traffic threads know without asking.
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -37,8 +37,6 @@
     pub steward: steward::Settings,
     /// Longest time of a planned stop.
     pub stop_within: Duration,
-    /// Longest time for an answer where a caller names none.
-    pub patience: Duration,
 }
 
 /// All slices.
@@ -61,6 +59,8 @@
     pub(super) contacted: Option<Instant>,
     pub(super) taught: Option<Instant>,
     pub(super) asked: Option<Instant>,
+    /// Entries of the last list of targets that could not be read.
+    pub(super) unreadable: usize,
     pub(super) out: Vec<Action>,
     snapshot: Snapshot,
     ticked: Instant,
@@ -90,6 +90,7 @@
             contacted: None,
             taught: None,
             asked: None,
+            unreadable: 0,
             out: Vec::new(),
             snapshot: Snapshot::default(),
             ticked: now,
@@ -127,7 +128,7 @@
             Event::LinkLost { address, refused } => self.link_lost(address, refused, now),
             Event::Store(news) => self.news(news, now),
             Event::Stop => self.stop(now),
-            Event::Reloaded(valid) => self.note(Note::Reloaded { valid }),
+            Event::Reloaded(fault) => self.note(Note::Reloaded { fault }),
         }
     }
 
@@ -223,7 +224,7 @@
     }
 
     fn publish(&mut self, now: Instant) {
-        let led = !self.offers(None).is_empty();
+        let led = !self.offers().is_empty();
         let isolated = self.roster.is_isolated(now) && self.roster.claims.is_empty();
         let turning_away = self.stopping.is_some() || isolated;
         let snapshot = Snapshot {
--- a/crates/fleet/src/control/tests/world.rs
+++ b/crates/fleet/src/control/tests/world.rs
@@ -22,7 +22,7 @@
 use crate::member::Card;
 use crate::peer::Message;
 use crate::steward;
-use crate::store::News;
+use crate::store::{Listing, News};
 
 /// Zones of the world; each has two hosts and some targets.
 pub(super) const ZONES: [&str; 2] = ["a", "b"];
@@ -239,7 +239,6 @@
             seeds,
             steward: steward::Settings { lease, remote_factor: 1.5 },
             stop_within: Duration::from_secs(5),
-            patience: Duration::from_secs(30),
         };
         let clock: Arc<dyn Clock> = Arc::clone(&self.time) as _;
         one.state = Some(State::new(settings, clock));
@@ -254,7 +253,7 @@
     fn read_targets(&mut self, host: usize) {
         let entries = self.targets.values().map(|target| target.entry.clone()).collect();
         let run = self.hosts[host].run;
-        let news = Event::Store(News::Targets(entries));
+        let news = Event::Store(News::Targets(Listing { entries, unreadable: 0 }));
         self.happen(2, Happening::Event(host, run, news));
     }
 
--- a/crates/fleet/src/report/lines.rs
+++ b/crates/fleet/src/report/lines.rs
@@ -139,11 +139,15 @@
         Note::InForce { version, from } => {
             info!(log, "{}", name; "configuration" => version, "from" => from);
         }
-        Note::Targets { known } => info!(log, "{}", name; "targets" => known),
+        Note::Targets { known, unreadable } => {
+            info!(log, "{}", name; "targets" => known, "unreadable" => unreadable);
+        }
         Note::StoreLost { failure } => warn!(log, "{}", name; "reason" => %failure),
         Note::Paused { gap } => warn!(log, "{}", name; "gap_ms" => millis(*gap)),
         Note::Begun { address } => info!(log, "{}", name; "address" => %address),
-        Note::Reloaded { valid } => info!(log, "{}", name; "valid" => valid),
+        Note::Reloaded { fault: None } => info!(log, "{}", name),
+        Note::Reloaded { fault: Some(fault) } => warn!(log, "{}", name; "reason" => %fault),
+        Note::NotAccepted { cause } => warn!(log, "{}", name; "reason" => %cause),
         Note::Ending { open } => info!(log, "{}", name; "open_jobs" => open),
         _ => info!(log, "{}", name),
     }
--- a/crates/fleet/src/report/note.rs
+++ b/crates/fleet/src/report/note.rs
@@ -1,6 +1,7 @@
 //! Decisions and changes of belief.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use coltsfootshunt_core::name::{Host, Kind, Target, Zone};
@@ -177,6 +178,8 @@
     Targets {
         /// Number of targets known.
         known: usize,
+        /// Entries of the list that could not be read and name no target.
+        unreadable: usize,
     },
     /// The store stopped answering.
     StoreLost {
@@ -197,8 +200,13 @@
     },
     /// The settings were read again.
     Reloaded {
-        /// Whether they were valid.
-        valid: bool,
+        /// What is wrong with them, if anything.
+        fault: Option<Arc<str>>,
+    },
+    /// A connection could not be accepted.
+    NotAccepted {
+        /// Why.
+        cause: Arc<str>,
     },
     /// A planned stop began.
     Stopping,
@@ -237,6 +245,7 @@
             Self::Paused { .. } => "process was paused",
             Self::Begun { .. } => "process began",
             Self::Reloaded { .. } => "settings read",
+            Self::NotAccepted { .. } => "connection not accepted",
             Self::Stopping => "stop began",
             Self::Ending { .. } => "process ends",
         }
--- a/crates/fleet/src/store/message.rs
+++ b/crates/fleet/src/store/message.rs
@@ -24,6 +24,15 @@
     Unreadable,
 }
 
+/// A complete list of targets.
+#[derive(Clone, Debug, Default)]
+pub struct Listing {
+    /// The targets.
+    pub entries: Vec<Entry>,
+    /// Entries that could not be read; they name no target.
+    pub unreadable: usize,
+}
+
 /// The store, as far as this system uses it.
 #[async_trait]
 pub trait Store: Send + Sync {
@@ -35,8 +44,8 @@
         wait: Duration,
     ) -> Result<(Option<Arc<Document>>, u64), Failure>;
 
-    /// All targets. What can't be read names no target. A stale answer may be seconds old.
-    async fn targets(&self, stale: bool) -> Result<Vec<Entry>, Failure>;
+    /// All targets. A stale answer may be seconds old.
+    async fn targets(&self, stale: bool) -> Result<Listing, Failure>;
 
     /// All hosts that registered.
     async fn hosts(&self) -> Result<Vec<Card>, Failure>;
@@ -51,7 +60,7 @@
     /// A configuration.
     Document(Arc<Document>),
     /// A complete list of targets.
-    Targets(Vec<Entry>),
+    Targets(Listing),
     /// Hosts that registered.
     Hosts(Vec<Card>),
     /// The store stopped answering.
--- a/crates/fleet/src/store/mod.rs
+++ b/crates/fleet/src/store/mod.rs
@@ -5,4 +5,4 @@
 mod message;
 
 pub use agent::Agent;
-pub use message::{Failure, News, Store};
+pub use message::{Failure, Listing, News, Store};
