--- a/crates/fleet/src/control/tests/safety.rs
+++ b/crates/fleet/src/control/tests/safety.rs
@@ -95,6 +95,23 @@
     seed_sent_after_pause(12_268_704_605_994_878_515, CALM, &[1]);
     // An unanswered start ran, and another steward let its end be forgotten.
     seed_refused_and_ran(7_847_576_405_512_456_116, LATE, &[0, 1, 2, 3, 4, 5, 5]);
+    // Over its room once, before seeds repeated (tokens and the order of maps were random): not traced.
+    seed_over_room_under_cuts(3_127_334_871_842_609_774, CALM, &[4]);
+    // Twice, before seeds repeated; the causes are taken to be those above.
+    seed_freezes_first(5_310_600_520_921_332_706, CALM, &[1]);
+    seed_freezes_second(18_114_288_459_833_302_785, CALM, &[1]);
+    seed_all_first(2_861_584_284_503_328_599, LATE, &[0, 1, 2, 3, 4, 5, 5]);
+    // A start that reached a target's next life was taken for lost with the earlier one.
+    seed_next_life(5_457_302_658_918_603_701, CALM, &[3]);
+    seed_next_life_under_all(15_256_131_501_701_599_537, LATE, &[0, 1, 2, 3, 4, 5, 5]);
+    seed_next_life_under_all_again(15_256_146_051_097_990_234, LATE, &[0, 1, 2, 3, 4, 5, 5]);
+    seed_next_life_under_all_third(15_256_131_501_703_333_960, LATE, &[0, 1, 2, 3, 4, 5, 5]);
+    // A wait without bound, where every target was suspect.
+    seed_all_suspect(10_122_958_816_829_906_110, CALM, &[3]);
+    // Late orders that the test carried out in a target's next life.
+    seed_late_first(5_246_629_239_820_521_074, LATE, &[0, 1, 2, 3, 4, 5, 5]);
+    seed_late_second(5_246_549_182_611_661_508, LATE, &[0, 1, 2, 3, 4, 5, 5]);
+    seed_late_third(5_246_509_154_007_231_725, LATE, &[0, 1, 2, 3, 4, 5, 5]);
     seed_under_all(8_241_656_503_248_976_402, LATE, &[0, 1, 2, 3, 4, 5, 5]);
 }
 
