feat(queue,spread,lease): finish what is begun, turn away whole jobs, no long deafness after lost answers

The line put each task by its own slack, so at a crest most jobs got some tasks started and the rest starved as late work; parts given back as out of time were sent again in a loop. Owners saw loads up to 100 ms old and sent to the same steward at once. One order in twenty without an answer made a target deaf for 250 ms (starts) or 650 ms (renewals).

Change: tasks of jobs that have begun come first; a steward gives a job back whole that would wait there until it is late, and its owner tries one other; a job that has begun and has no time left is answered at once; at a crest a job goes whole to one steward; ends carry the steward's load; renewals wait no longer than the next expected end, answers are awaited for 100 ms; work that runs on a target where runs of two jobs are overdue is recalled and started elsewhere; long work that is only safe on fast targets comes first there and waits up to 150 ms for one. Fields for placement are drawn up once for a pass.

--- a/crates/fleet/src/admission/gate.rs
+++ b/crates/fleet/src/admission/gate.rs
@@ -32,11 +32,17 @@
     pub patience: Duration,
 }
 
+/// Whether work that is behind this wait would be late, with so much time left to its latest start.
+#[must_use]
+pub fn is_hopeless(wait: Duration, slack: Duration) -> bool {
+    wait >= BUSY_FROM && wait > slack.mul_f64(TOLERANCE)
+}
+
 /// Whether the job is turned away, and with which answer.
 #[must_use]
 pub fn judge(prospect: &Prospect) -> Option<Outcome> {
     let slack = prospect.objective.saturating_sub(prospect.hurried);
-    if prospect.wait >= BUSY_FROM && prospect.wait > slack.mul_f64(TOLERANCE) {
+    if is_hopeless(prospect.wait, slack) {
         return Some(turn_away(prospect.wait - slack));
     }
     let optimism = if prospect.wait < BUSY_FROM { OPTIMISM_FREE } else { OPTIMISM_BUSY };
--- a/crates/fleet/src/control/fleet.rs
+++ b/crates/fleet/src/control/fleet.rs
@@ -52,7 +52,8 @@
             Message::Cancel(job, opening) => {
                 self.steward.cancel(&from.host, &job, opening);
             }
-            Message::Ended(endings) => {
+            Message::Ended(endings, load) => {
+                self.roster.set_load(&from.host, load);
                 for ending in endings {
                     self.ended(&from.host, &ending, now);
                 }
--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -7,13 +7,11 @@
 
 use super::{Action, Output, State};
 use crate::admission::{self, Prospect};
-use crate::job::{
-    Bundle, End, Ending, Id, Open, Outcome, Part, Policy, Refusal, Submission, Ticket,
-};
+use crate::job::{Bundle, Ending, Id, Open, Outcome, Part, Policy, Refusal, Submission, Ticket};
 use crate::peer::Message;
 use crate::queue::slack_level;
 use crate::report::Note;
-use crate::spread::{Load, Offer, Shape, assign};
+use crate::spread::{Offer, Shape, assign};
 
 /// Open jobs of one host; what it needs for each is far below its memory.
 const MAX_OPEN: usize = 4_000;
@@ -144,9 +142,11 @@
         let believed: Vec<_> = offers.iter().map(|offer| offer.load).collect();
         let run = ready[0].need.estimate();
         let left = open.objective.saturating_duration_since(now);
-        let level = slack_level(left, hurried(run, left, &offers));
+        let hurried = hurried(run, left, &offers);
+        let level = slack_level(left, hurried);
+        let slack = left.saturating_sub(hurried);
         let is_long = run.mul_f64(LONG) > open.due.saturating_duration_since(now);
-        let assigned = assign(ready.len(), &Shape { level, run, is_long }, &mut offers);
+        let assigned = assign(ready.len(), &Shape { slack, level, run, is_long }, &mut offers);
         if assigned.len() < ready.len() {
             self.stalled.insert(id.clone());
         }
@@ -168,7 +168,7 @@
             spec: open.plan.spec.clone(),
             objective_in_ms: between(now, open.objective),
             due_in_ms: between(now, open.due),
-            begun: open.begun,
+            begun: open.begun || open.committed,
             parts: Vec::new(),
         };
         for (to, parts) in parts {
@@ -205,10 +205,6 @@
         if ending.opening != open.opening {
             return;
         }
-        if ending.end == End::NotRun && *from != self.roster.me().host {
-            // It has no place after all; its next heartbeat tells when it has.
-            self.roster.set_load(from, Load::default());
-        }
         match open.end(from, ending) {
             Some(outcome) => self.close(id, outcome, "a task's end", now),
             None => self.push(id, now),
--- a/crates/fleet/src/control/targets.rs
+++ b/crates/fleet/src/control/targets.rs
@@ -1,9 +1,9 @@
 //! This host as a steward of targets.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
-use coltsfootshunt_core::name::Host;
+use coltsfootshunt_core::name::{Host, Target};
 
 use super::{Action, State};
 use crate::job::{Bundle, End, Ending, Task};
@@ -32,8 +32,8 @@
     pub(super) fn called(&mut self, call: &Call, answer: Answer, now: Instant) {
         let mut out = Output::default();
         self.steward.answer(call, answer, &mut self.speeds, now, &mut out);
+        self.tend_one(&call.target, now, &mut out);
         self.deliver(out, now);
-        self.tend(now);
     }
 
     pub(super) fn tend_targets(&mut self, now: Instant) {
@@ -44,19 +44,24 @@
     fn tend(&mut self, now: Instant) {
         let mut out = Output::default();
         let times = (self.clock.wall(), now);
-        self.steward.tend(&self.roster, &mut self.mint, times, &mut out);
+        self.steward.tend(&self.roster, &mut self.speeds, &mut self.mint, times, &mut out);
         self.deliver(out, now);
     }
 
+    fn tend_one(&mut self, target: &Target, now: Instant, out: &mut Output) {
+        let times = (self.clock.wall(), now);
+        self.steward.tend_one(target, &self.roster, &mut self.mint, times, out);
+    }
+
     /// Starts what can start.
     pub(super) fn work(&mut self, now: Instant) {
         let mut out = Output::default();
         self.steward.dispatch(&self.roster, &self.speeds, now, &mut out);
-        let started = !out.calls.is_empty();
-        self.deliver(out, now);
-        if started {
-            self.tend(now);
+        let started: BTreeSet<Target> = out.calls.iter().map(|call| call.target.clone()).collect();
+        for target in started {
+            self.tend_one(&target, now, &mut out);
         }
+        self.deliver(out, now);
     }
 
     /// Carries a steward's wishes out.
@@ -71,10 +76,14 @@
                 remote.entry(owner).or_default().push(ending);
             }
         }
+        if remote.is_empty() {
+            return;
+        }
+        let load = self.steward.load(&self.roster, &self.speeds, now);
         for (owner, endings) in remote {
             if let Some(peer) = self.roster.peer(&owner).filter(|peer| peer.alive) {
                 let address = peer.card.address;
-                self.send(address, Message::Ended(endings));
+                self.send(address, Message::Ended(endings, load));
             }
         }
     }
--- a/crates/fleet/src/job/book.rs
+++ b/crates/fleet/src/job/book.rs
@@ -74,8 +74,12 @@
     pub touched: bool,
     /// Whether anything of it has run.
     pub begun: bool,
+    /// Whether the job goes on although a part of it was given back: other parts of it are placed.
+    pub committed: bool,
     /// Number of this opening.
     pub opening: u64,
+    /// Whether a steward that was too busy has given all of it back once.
+    bounced: bool,
     tickets: Vec<Ticket>,
     parts: Vec<Part>,
 }
@@ -124,7 +128,9 @@
             due,
             touched: false,
             begun: false,
+            committed: false,
             opening: 0,
+            bounced: false,
             tickets: Vec::new(),
             parts,
         }
@@ -189,6 +195,7 @@
         if ending.opening != self.opening {
             return None;
         }
+        let goes_on = self.begun || (!self.committed && self.is_with_another(from));
         let part = self.parts.iter_mut().find(|part| {
             part.step == task.step
                 && part.index == task.index
@@ -212,7 +219,13 @@
                 self.begun = true;
             }
             End::NotRun => part.state = State::Waiting,
-            End::TooLate => part.state = State::Late,
+            End::Crowded | End::TooLate if goes_on => {
+                part.state = State::Waiting;
+                self.committed = true;
+            }
+            End::Crowded | End::TooLate => part.state = State::Late,
+            End::OutOfTime if self.begun => return Some(Outcome::Unknown),
+            End::OutOfTime => part.state = State::Late,
             End::Adrift => return Some(Outcome::Unknown),
         }
         if part.failures >= self.policy.attempts {
@@ -222,21 +235,28 @@
             part.state = State::Late;
         }
         if self.all_back() {
-            return self.settle_late();
+            return self.settle_late(*end);
         }
         let whole = self.parts.iter().all(|part| part.state == State::Done);
         whole.then_some(Outcome::Completed)
     }
 
+    /// Whether a steward other than this one has tasks of it.
+    fn is_with_another(&self, than: &Host) -> bool {
+        self.parts.iter().any(|part| matches!(&part.state, State::Sent(host) if host != than))
+    }
+
     /// Whether some task was given back as too late and no task is with a steward.
     fn all_back(&self) -> bool {
         let with = |part: &Part| matches!(part.state, State::Sent(_));
         self.parts.iter().any(|part| part.state == State::Late) && !self.parts.iter().any(with)
     }
 
-    /// With nothing run, the job is turned away; else it goes on late, while there are tries left.
-    fn settle_late(&mut self) -> Option<Outcome> {
-        if !self.begun {
+    /// With nothing run, the job is turned away, or tried once more where a busy steward gave it back;
+    /// else it goes on late, while there are tries left.
+    fn settle_late(&mut self, end: End) -> Option<Outcome> {
+        let again = end == End::Crowded && !std::mem::replace(&mut self.bounced, true);
+        if !self.begun && !again {
             let refusal = Refusal::TooLate;
             return Some(Outcome::Refused { refusal, retry_after: RETRY_AFTER });
         }
--- a/crates/fleet/src/job/message.rs
+++ b/crates/fleet/src/job/message.rs
@@ -53,7 +53,8 @@
     pub objective_in_ms: i64,
     /// Time left until the caller goes, in milliseconds.
     pub due_in_ms: i64,
-    /// Whether anything of the job has run: it is then worth going on with when it is late.
+    /// Whether anything of the job has started or starts at once elsewhere: it is then worth going
+    /// on with when it is late.
     pub begun: bool,
     /// The tasks.
     pub parts: Vec<Part>,
@@ -89,9 +90,15 @@
     /// It provably did not run.
     #[display("not_run")]
     NotRun,
-    /// It provably did not run, since it could not have ended in time any more.
+    /// It provably did not run, since it would have waited there until its job was late.
+    #[display("crowded")]
+    Crowded,
+    /// It provably did not run, since its job is late.
     #[display("too_late")]
     TooLate,
+    /// It provably did not run, since it could not have ended before its caller goes.
+    #[display("out_of_time")]
+    OutOfTime,
     /// It may run on until its lease ends.
     #[display("adrift")]
     Adrift,
@@ -144,6 +151,6 @@
         /// When coming back makes sense.
         retry_after: Duration,
     },
-    /// It may have run; its end is not known.
+    /// It may have run, or a part of it has: its end is not known, or it was given up.
     Unknown,
 }
--- a/crates/fleet/src/job/tests.rs
+++ b/crates/fleet/src/job/tests.rs
@@ -66,6 +66,33 @@
     refused_when_nothing_ran(&[End::TooLate, End::TooLate], 1, LATE);
     refused_when_nothing_ran_elsewhere(&[End::NotRun, End::TooLate], 1, LATE);
     nothing_when_some_ran_and_the_rest_is_late(&[End::Done, End::TooLate], 1, None);
+    unknown_at_once_when_some_ran_and_the_rest_has_no_time(
+        &[End::Done, End::OutOfTime], 1, Some(Outcome::Unknown));
+    refused_when_nothing_ran_and_no_time_is_left(&[End::OutOfTime, End::OutOfTime], 1, LATE);
+    nothing_when_a_busy_steward_gives_all_back_once(&[End::Crowded, End::Crowded], 1, None);
+}
+
+/// A busy steward gives all of a job back: it is tried once more, then turned away.
+#[test]
+fn a_job_that_is_given_back_whole_is_tried_once_more() {
+    let mut job = open(vec![step(2, &[])], 1);
+    for wanted in [None, LATE] {
+        assert_eq!(send(&mut job), 2);
+        assert_eq!(end(&mut job, 0, 0, End::Crowded), None);
+        assert_eq!(end(&mut job, 1, 0, End::Crowded), wanted);
+    }
+}
+
+/// One of two stewards gives its part back: the part goes on, as work that has begun.
+#[test]
+fn a_part_that_is_given_back_goes_on_with_the_rest() {
+    let mut job = open(vec![step(2, &[])], 1);
+    let other = Host::try_from("other").unwrap();
+    job.sent(0, host());
+    job.sent(1, other);
+    assert_eq!(end(&mut job, 0, 0, End::Crowded), None);
+    assert!(job.committed);
+    assert_eq!(job.ready().iter().map(|one| one.index).collect::<Vec<_>>(), [0]);
 }
 
 /// Numbers of attempts rise, also where nothing ran.
--- a/crates/fleet/src/lease/picture.rs
+++ b/crates/fleet/src/lease/picture.rs
@@ -17,9 +17,14 @@
 use attempt::{Orphan, Status};
 
 /// Longest wait of a renewal for an end: under half of the lease, so that two may fail.
-const RENEW_WAIT: Duration = Duration::from_millis(400);
-/// Time for an answer beyond the wait that was asked for: tens of round trips between zones.
-const ANSWER_WITHIN: Duration = Duration::from_millis(250);
+const RENEW_WAIT_MAX: Duration = Duration::from_millis(400);
+/// Shortest wait of a renewal while something runs: about the shortest usual run.
+const RENEW_WAIT_MIN: Duration = Duration::from_millis(50);
+/// Multiple of its expected run time after which an end is overdue; one run in five takes longer.
+const OVERDUE_FROM: f64 = 1.35;
+/// Time for an answer beyond the wait that was asked for: a connection and a call between regions
+/// (20 ms one way) fit. The target gets nothing new while an answer is outstanding past this.
+const ANSWER_WITHIN: Duration = Duration::from_millis(100);
 /// Time after which an idle target's last ends are taken note of.
 const NOTE_ENDS_AFTER: Duration = Duration::from_millis(250);
 
@@ -179,7 +184,8 @@
             return None;
         }
         self.renewing = true;
-        let wait = if self.is_idle() || self.silences > 0 { Duration::ZERO } else { RENEW_WAIT };
+        let at_once = self.is_idle() || self.silences > 0;
+        let wait = if at_once { Duration::ZERO } else { self.renewal_wait(now) };
         // A second silence in a row renews nothing, so that the lease comes to an end.
         let lease_until_ms = self.lease_until(now).filter(|_| self.silences < 2);
         if lease_until_ms.is_some() {
@@ -189,6 +195,16 @@
         Some(self.call(token, order, wait + ANSWER_WITHIN))
     }
 
+    /// Wait of a renewal: until the next end is overdue. A renewal that gets no answer hides ends
+    /// until it times out, so it should not outlast them. What is overdue is asked for ever more
+    /// seldom.
+    fn renewal_wait(&self, now: Instant) -> Duration {
+        let overdue = |one: &Attempt| one.since + one.expected.mul_f64(OVERDUE_FROM);
+        let next = self.attempts.values().map(overdue).min();
+        let apart = |at: Instant| if at > now { at - now } else { now - at };
+        next.map_or(RENEW_WAIT_MAX, apart).clamp(RENEW_WAIT_MIN, RENEW_WAIT_MAX)
+    }
+
     /// Starts an attempt. The caller has checked that it fits.
     pub fn start(&mut self, task: &Task, spec: Arc<str>, attempt: Attempt, now: Instant) -> Call {
         let token = self.token();
@@ -200,7 +216,8 @@
         self.call(token, order, ANSWER_WITHIN)
     }
 
-    /// Stops that are due: attempts that nobody wants, and those that others left behind.
+    /// Stops that are due: attempts that nobody wants or that are recalled, and those that others
+    /// left behind.
     pub fn stops(&mut self, now: Instant) -> Vec<Call> {
         let Phase::Held(token) = self.phase else {
             return Vec::new();
@@ -211,7 +228,8 @@
         let due = |sent: Option<Instant>| sent.is_none_or(|at| now - at > ANSWER_WITHIN);
         let mut stop = Vec::new();
         for (task, attempt) in &mut self.attempts {
-            if attempt.unwanted && attempt.status != Status::Sent && due(attempt.stop_sent) {
+            let over = attempt.unwanted || attempt.recalled;
+            if over && attempt.status != Status::Sent && due(attempt.stop_sent) {
                 attempt.stop_sent = Some(now);
                 stop.push((task.clone(), attempt.run));
             }
@@ -231,6 +249,13 @@
         }
     }
 
+    /// Marks attempts that are to be stopped so that their tasks can start elsewhere; how many.
+    pub fn recall(&mut self, test: impl Fn(&Attempt) -> bool) -> usize {
+        let all = self.attempts.values_mut();
+        let fresh = all.filter(|one| !one.unwanted && !one.recalled && test(one));
+        fresh.map(|one| one.recalled = true).count()
+    }
+
     fn finish(&mut self, task: &Task, end: End, found: &mut Vec<Finding>) {
         if let Some(attempt) = self.attempts.remove(task) {
             found.push(Finding::Ended { task: task.clone(), attempt, end });
--- a/crates/fleet/src/lease/picture/attempt.rs
+++ b/crates/fleet/src/lease/picture/attempt.rs
@@ -51,6 +51,8 @@
     pub due: Instant,
     /// Whether nobody wants it any more.
     pub unwanted: bool,
+    /// Whether it is to be stopped so that its task can start elsewhere.
+    pub recalled: bool,
     pub(super) status: Status,
     pub(super) token: Token,
     pub(super) stop_sent: Option<Instant>,
@@ -79,6 +81,7 @@
             objective: since,
             due: since,
             unwanted: false,
+            recalled: false,
             status: Status::Sent,
             token: Token::default(),
             stop_sent: None,
--- a/crates/fleet/src/lease/tests.rs
+++ b/crates/fleet/src/lease/tests.rs
@@ -152,6 +152,45 @@
     assert!(now - start > LEASE);
 }
 
+/// Orders that get no answer: how long a target is deaf or closed after one.
+fn renewal_waits(expected_ms: u64, ran_ms: u64, wanted_ms: u64) {
+    let start = Instant::now();
+    let mut picture = held(start);
+    let expected = Duration::from_millis(expected_ms);
+    let mut long = attempt(start);
+    long.expected = expected;
+    let call = picture.start(&task(0), "work".into(), long, start);
+    assert!(call.within <= Duration::from_millis(100));
+    picture.answer(&call, Answer::Taken { clock_ms: CLOCK + 1 }, start);
+    let renewal = picture.renewal(start + Duration::from_millis(ran_ms)).unwrap();
+    let Order::Renew { wait, .. } = renewal.order else {
+        panic!("a renewal");
+    };
+    assert_eq!(wait.as_millis(), u128::from(wanted_ms));
+    assert!(renewal.within <= wait + Duration::from_millis(100));
+}
+
+cases! { renewal_waits:
+    until_the_next_end_is_overdue(200, 0, 270);
+    for_a_short_run_at_least(10, 0, 50);
+    no_longer_than_the_lease_bears(3_000, 0, 400);
+    ever_longer_for_what_is_overdue(100, 335, 200);
+}
+
+/// What is recalled is stopped once, and its task may start elsewhere.
+#[test]
+fn recalled_attempts_are_stopped_and_end_as_lost() {
+    let now = Instant::now();
+    let mut picture = held(now);
+    started(&mut picture, 0, now);
+    assert_eq!(picture.recall(|_| true), 1);
+    assert_eq!(picture.recall(|_| true), 0);
+    assert_eq!(picture.stops(now).len(), 1);
+    let renewal = picture.renewal(now).unwrap();
+    let found = picture.answer(&renewal, report(CLOCK + 5, &[], &[(1, 0, How::Ended)]), now);
+    assert_eq!(ends(&found), [(0, End::Lost)]);
+}
+
 /// An attempt that a report should name and does not.
 fn missing(clock_ms: u64, wanted: &[(u32, End)]) {
     let now = Instant::now();
--- a/crates/fleet/src/peer/message.rs
+++ b/crates/fleet/src/peer/message.rs
@@ -12,6 +12,7 @@
 use crate::directory::Entry;
 use crate::job::{Bundle, Ending, Id};
 use crate::member::{Beat, Card};
+use crate::spread::Load;
 
 /// What one host tells another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -25,8 +26,8 @@
     Run(Bundle),
     /// Nobody wants the tasks of this opening of the job any more.
     Cancel(Id, u64),
-    /// Tasks came to their end.
-    Ended(Vec<Ending>),
+    /// Tasks came to their end at the sender, whose load is now this.
+    Ended(Vec<Ending>, Load),
     /// Send me the configuration and the list of targets.
     Ask,
     /// The configuration in force at the sender.
--- a/crates/fleet/src/placement/choice.rs
+++ b/crates/fleet/src/placement/choice.rs
@@ -14,6 +14,11 @@
 /// Factor on an expected run time that must still end before the caller goes: declared times are off
 /// by tens of per cent.
 const SURE: f64 = 1.4;
+/// Factor on an expected run time that long work should have left until its caller goes; one run in
+/// twenty takes longer than this.
+const SAFE: f64 = 2.0;
+/// Time for which long work waits for a fast target while others are free: some runs of short work.
+const LONG_WAIT: Duration = Duration::from_millis(150);
 /// Share of an expected run time that must still fit before the caller goes: a start that is bound to
 /// be in vain only keeps others out.
 const HOPE: f64 = 0.6;
@@ -50,6 +55,14 @@
     expected <= best.mul_f64(FAST)
 }
 
+/// Whether a task should wait for a fast target although another could start it: it may well run past
+/// its caller's patience there, and hardly on a fast one.
+#[must_use]
+pub fn wants_fast(task: &Waiting, expected: Duration, best: Duration, now: Instant) -> bool {
+    let safe = |run: Duration| now + run.mul_f64(SAFE) <= task.due;
+    !is_fast(expected, best) && !safe(expected) && safe(best) && now < task.since + LONG_WAIT
+}
+
 /// What to do with a task.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Choice {
@@ -69,7 +82,8 @@
         return Choice::Wait;
     };
     let hopes = (on_time(fast.best) && !on_time(best)) || (in_time(fast.best) && !in_time(best));
-    if hopes || !in_time(best.mul_f64(HOPE)) {
+    let waits = wants_fast(task, best, fast.best, now);
+    if hopes || waits || !in_time(best.mul_f64(HOPE)) {
         return Choice::Wait;
     }
     let scarce = fast.free as f64 <= fast.places as f64 * RESERVE;
--- a/crates/fleet/src/placement/tests.rs
+++ b/crates/fleet/src/placement/tests.rs
@@ -45,3 +45,19 @@
     nothing_when_the_slow_one_would_make_it_late(190, 200, 3, 0);
     nothing_when_the_caller_might_be_gone(1_200, 1_400, 3, 0);
 }
+
+/// Long work whose free target may well be too slow, while fast ones are taken.
+fn waits(waited_ms: u64, slow_ms: u64, wanted: Choice) {
+    let since = Instant::now();
+    let task = waiting("0000000000000001", 0, since, 1_450, 1_500);
+    let fast = Fast { best: Duration::from_millis(400), free: 0, places: 10 };
+    let candidates = [candidate(0, slow_ms, 9, false)];
+    let now = since + Duration::from_millis(waited_ms);
+    assert_eq!(choose(&task, &candidates, fast, now), wanted);
+}
+
+cases! { waits:
+    for_a_fast_target_at_first(20, 900, Choice::Wait);
+    no_longer_than_some_short_runs(160, 900, Choice::Start(0));
+    not_where_the_slow_one_is_safe(20, 700, Choice::Start(0));
+}
--- a/crates/fleet/src/queue/line.rs
+++ b/crates/fleet/src/queue/line.rs
@@ -7,6 +7,7 @@
 use coltsfootshunt_core::name::{Host, Kind, Service};
 
 use crate::job::{Id, Need, Task};
+use crate::placement::wants_fast;
 
 /// A task that waits for a target.
 #[derive(Clone, Debug)]
@@ -39,7 +40,7 @@
     pub typical: Duration,
     /// Expected run time on the fastest target.
     pub quickest: Duration,
-    /// Whether anything of its job has run.
+    /// Whether anything of its job has started.
     pub begun: bool,
 }
 
@@ -52,7 +53,8 @@
 impl Waiting {
     /// Last moment at which a start should still end on time: on an average target, or on the
     /// fastest one where only that would do from the first.
-    fn latest_start(&self) -> Option<Instant> {
+    #[must_use]
+    pub fn latest_start(&self) -> Option<Instant> {
         let typical = self.typical.mul_f64(MARGIN);
         let any = self.since + typical <= self.objective;
         let needed = if any { typical } else { self.quickest.mul_f64(MARGIN) };
@@ -65,8 +67,14 @@
         now + self.quickest > self.objective
     }
 
+    /// Whether it waits for a fast target; until then others lose nothing by its place in the line.
+    fn is_long(&self, now: Instant) -> bool {
+        wants_fast(self, self.typical, self.quickest, now)
+    }
+
     /// Core time that it takes, in thousandths of a core times seconds.
-    fn work(&self) -> f64 {
+    #[must_use]
+    pub fn work(&self) -> f64 {
         self.typical.as_secs_f64() * self.need.room.cpu_millis as f64
     }
 }
@@ -108,11 +116,11 @@
     #[must_use]
     pub fn work(&self, now: Instant) -> [f64; SLACK_LEVELS_MS.len()] {
         let mut work = [0.0; SLACK_LEVELS_MS.len()];
-        for one in self.waiting.iter().filter(|one| !one.is_late(now)) {
+        for one in self.waiting.iter().filter(|one| one.begun || !one.is_late(now)) {
             let latest = one.latest_start().unwrap_or(now);
             let slack = latest.saturating_duration_since(now).as_millis();
             for (sum, level) in work.iter_mut().zip(SLACK_LEVELS_MS) {
-                if slack <= u128::from(level) {
+                if one.begun || slack <= u128::from(level) {
                     *sum += one.work();
                 }
             }
@@ -123,15 +131,33 @@
     /// Puts the line in order for this moment.
     pub fn sort(&mut self, now: Instant) {
         self.waiting.sort_by_cached_key(|one| {
-            if one.is_late(now) {
-                (1, !one.begun, one.priority, one.objective, one.task.clone())
-            } else {
-                let latest = one.latest_start().unwrap_or(now);
-                (0, false, 0, latest, one.task.clone())
+            let latest = one.latest_start().unwrap_or(now);
+            match (one.begun, one.is_late(now)) {
+                (true, _) => (0, 0, latest, one.task.clone()),
+                (false, false) if one.is_long(now) => (1, 0, latest, one.task.clone()),
+                (false, false) => (2, 0, latest, one.task.clone()),
+                (false, true) => (3, one.priority, one.objective, one.task.clone()),
             }
         });
     }
 
+    /// Notes that something of these openings of jobs has started.
+    pub fn begin(&mut self, jobs: &HashSet<(Id, u64)>) {
+        for one in self.waiting.iter_mut().filter(|one| !one.begun) {
+            one.begun = jobs.contains(&(one.task.job.clone(), one.opening));
+        }
+    }
+
+    /// Core time that waits ahead of a job that has not begun and must start by `latest`, in
+    /// thousandths of a core times seconds.
+    #[must_use]
+    pub fn work_before(&self, latest: Instant, now: Instant) -> f64 {
+        let ahead = |one: &&Waiting| {
+            one.begun || !one.is_late(now) && one.latest_start().unwrap_or(now) <= latest
+        };
+        self.waiting.iter().filter(ahead).map(Waiting::work).sum()
+    }
+
     /// The tasks in order.
     pub fn iter(&self) -> impl Iterator<Item = &Waiting> {
         self.waiting.iter()
--- a/crates/fleet/src/queue/tests.rs
+++ b/crates/fleet/src/queue/tests.rs
@@ -77,6 +77,40 @@
     assert_eq!(first.as_deref(), Some(SECOND));
 }
 
+/// A crest of urgent work must not leave jobs half done.
+#[test]
+fn work_of_a_job_that_has_begun_goes_before_urgent_work() {
+    let now = Instant::now();
+    let mut line = Line::default();
+    line.push(waiting(FIRST, 0, now, 150, 1_500));
+    line.push(waiting(SECOND, 2, now, 900, 1_500));
+    let begun = Id::try_from(SECOND).unwrap();
+    line.begin(&[(begun, 1)].into());
+    line.sort(now);
+    let first = line.iter().next().map(|one| one.task.job.to_string());
+    assert_eq!(first.as_deref(), Some(SECOND));
+}
+
+/// Core time of 100 ms on one core each: what has begun and what is as urgent counts.
+fn ahead(slack_ms: u64, wanted: f64) {
+    let now = Instant::now();
+    let cores = |one: Waiting| {
+        let mut one = one;
+        one.need.room.cpu_millis = 1_000;
+        one
+    };
+    let mut line = Line::default();
+    line.push(cores(Waiting { begun: true, ..waiting(FIRST, 0, now, 2_000, 9_000) }));
+    line.push(cores(waiting(SECOND, 0, now, 400, 9_000)));
+    let before = line.work_before(now + Duration::from_millis(slack_ms), now);
+    assert!((before - wanted).abs() < 1e-6, "{before}");
+}
+
+cases! { ahead:
+    of_urgent_work_is_what_has_begun(100, 100.0);
+    of_patient_work_is_all(500, 200.0);
+}
+
 /// Long work that only a fast target ends in time is as urgent as that target makes it.
 #[test]
 fn work_for_fast_targets_is_not_late_while_they_would_do() {
--- a/crates/fleet/src/report/lines.rs
+++ b/crates/fleet/src/report/lines.rs
@@ -92,6 +92,10 @@
             info!(log, "{}", name; "job" => %job, "steward" => %steward, "tasks" => tasks,
                 "steward_free" => free, "steward_wait_ms" => wait_ms);
         }
+        Note::GivenBack { job, tasks, wait, slack } => {
+            info!(log, "{}", name; "job" => %job, "tasks" => tasks, "wait_ms" => millis(*wait),
+                "slack_ms" => millis(*slack));
+        }
         Note::Started { task, run, target, waited, expected } => {
             info!(log, "{}", name; "job" => %task.job, "task" => %task, "run" => run,
                 "target" => %target, "waited_ms" => millis(*waited),
@@ -125,6 +129,9 @@
         Note::TargetLost { target, why } => {
             warn!(log, "{}", name; "target" => %target, "reason" => why);
         }
+        Note::Hung { target, recalled } => {
+            warn!(log, "{}", name; "target" => %target, "recalled" => recalled);
+        }
         Note::Steward { zone, token } => {
             info!(log, "{}", name; "of" => %zone, "token" => token.0);
         }
--- a/crates/fleet/src/report/note.rs
+++ b/crates/fleet/src/report/note.rs
@@ -78,6 +78,17 @@
         /// The wait it was believed to have, in milliseconds.
         wait_ms: u32,
     },
+    /// A steward gave a job back as it came: it would have waited until it was late.
+    GivenBack {
+        /// The job.
+        job: Id,
+        /// Number of tasks.
+        tasks: usize,
+        /// Core time ahead of it over what targets do in that time.
+        wait: Duration,
+        /// Time to its latest start.
+        slack: Duration,
+    },
     /// A task was started.
     Started {
         /// The task.
@@ -132,6 +143,13 @@
         /// What showed it.
         why: &'static str,
     },
+    /// A target hangs: what runs there is stopped, to start elsewhere.
+    Hung {
+        /// The target.
+        target: Target,
+        /// Attempts that are stopped.
+        recalled: usize,
+    },
     /// An attempt of an earlier steward was stopped.
     OrphanStopped {
         /// The target.
@@ -227,12 +245,14 @@
             Self::Refused { .. } => "job refused",
             Self::CallerLeft { .. } => "caller left",
             Self::Sent { .. } => "tasks sent",
+            Self::GivenBack { .. } => "tasks given back",
             Self::Started { .. } => "task started",
             Self::Ended { .. } => "task ended",
             Self::Turned { .. } => "start turned away",
             Self::Claimed { .. } => "target claimed",
             Self::Fenced { .. } => "target fenced",
             Self::TargetLost { .. } => "target lost",
+            Self::Hung { .. } => "target hangs",
             Self::OrphanStopped { .. } => "orphan stopped",
             Self::Steward { .. } => "stewardship taken",
             Self::Yielded { .. } => "stewardship given up",
--- a/crates/fleet/src/speed/book.rs
+++ b/crates/fleet/src/speed/book.rs
@@ -113,6 +113,12 @@
         score.failures += (1.0 - score.failures) * FAILURE_WEIGHT;
     }
 
+    /// Notes that a target hangs: it counts as failing until it has been idle for a while or tasks
+    /// end there.
+    pub fn hung(&mut self, target: &Target, now: Instant) {
+        self.score(target, now).failures = 1.0;
+    }
+
     /// What targets are like now, as logarithms of their run times against the average.
     #[must_use]
     pub fn targets(&self, now: Instant) -> Vec<(Target, f64)> {
--- a/crates/fleet/src/spread/load.rs
+++ b/crates/fleet/src/spread/load.rs
@@ -21,6 +21,8 @@
     pub places: u32,
     /// Run time on the fastest target in thousandths of that on an average one; 0 if not known.
     pub fastest_permille: u32,
+    /// Ends that can be expected in a second of what runs now.
+    pub turnover: u32,
     /// Expected wait of a task that comes now, in milliseconds, by the level of its slack.
     pub waits_ms: [u32; SLACK_LEVELS_MS.len()],
 }
@@ -40,9 +42,10 @@
     /// Expected time until a task sent now starts, by the level of its slack.
     #[must_use]
     pub fn delay(&self, level: usize) -> Duration {
-        if self.load.free > 0 {
-            return self.distance;
-        }
+        if self.load.free > 0 { self.distance } else { self.wait(level) }
+    }
+
+    fn wait(&self, level: usize) -> Duration {
         self.distance + Duration::from_millis(self.load.waits_ms[level].into())
     }
 
@@ -52,6 +55,16 @@
         self.delay(task.level) + if slow { task.run.mul_f64(SLOW_COST) } else { Duration::ZERO }
     }
 
+    /// What a job loses whose tasks all go there: the delay of the last one to start.
+    fn cost_of_all(&self, tasks: usize, task: &Shape) -> Duration {
+        let behind = tasks.saturating_sub(self.load.free as usize) as u32;
+        // What starts at once makes way for the rest, too.
+        let free = f64::from(self.load.free) / task.run.as_secs_f64().max(1e-3);
+        let turnover = (f64::from(self.load.turnover) + free).max(1.0);
+        let turns = Duration::from_secs_f64(f64::from(behind) / turnover);
+        if behind == 0 { self.cost(task) } else { self.wait(task.level) + turns }
+    }
+
     /// Counts one more task as sent that runs for some time.
     fn take(&mut self, task: &Shape) {
         if self.load.free > 0 {
@@ -70,7 +83,9 @@
 /// What the tasks of a job are like.
 #[derive(Clone, Copy, Debug)]
 pub struct Shape {
-    /// Level of the job's slack.
+    /// Time to the job's latest start.
+    pub slack: Duration,
+    /// Level of the slack.
     pub level: usize,
     /// Expected run time on an average target.
     pub run: Duration,
@@ -78,16 +93,27 @@
     pub is_long: bool,
 }
 
-/// Assigns tasks of a job one by one; for each the place of its steward in `offers`.
+/// Assigns the tasks of a job; for each the place of its steward in `offers`.
+///
+/// Tasks go one by one to where they cost least. Where places are free for too few of them, all go to
+/// one steward if it should start the last of them in time: it finishes what it begins, and can turn
+/// the job away as a whole.
 pub fn assign(tasks: usize, shape: &Shape, offers: &mut [Offer]) -> Vec<usize> {
+    let free: usize = offers.iter().map(|offer| offer.load.free as usize).sum();
+    let mut serving = offers.iter().filter(|offer| offer.load.places > 0);
+    let all = free < tasks && serving.any(|offer| offer.cost_of_all(tasks, shape) <= shape.slack);
     let mut assigned = Vec::with_capacity(tasks);
-    for _ in 0..tasks {
-        let best = offers.iter().enumerate().filter(|(_, offer)| offer.load.places > 0);
-        let Some((place, _)) = best.min_by_key(|(place, offer)| (offer.cost(shape), *place)) else {
+    while assigned.len() < tasks {
+        let serving = offers.iter().enumerate().filter(|(_, offer)| offer.load.places > 0);
+        let cost = |offer: &Offer| {
+            if all { offer.cost_of_all(tasks, shape) } else { offer.cost(shape) }
+        };
+        let Some((place, _)) = serving.min_by_key(|(place, offer)| (cost(offer), *place)) else {
             return assigned;
         };
-        offers[place].take(shape);
-        assigned.push(place);
+        let count = if all { tasks } else { 1 };
+        (0..count).for_each(|_| offers[place].take(shape));
+        assigned.extend(std::iter::repeat_n(place, count));
     }
     assigned
 }
--- a/crates/fleet/src/steward/state/place.rs
+++ b/crates/fleet/src/steward/state/place.rs
@@ -6,7 +6,8 @@
 use coltsfootshunt_core::name::Target;
 
 use crate::directory::{self, Entry};
-use crate::lease::Picture;
+use crate::job::{Room, Task};
+use crate::lease::{Attempt, Picture};
 use crate::member::Roster;
 use crate::placement::{Candidate, Choice, Fast, choose, is_fast};
 use crate::queue::Waiting;
@@ -18,79 +19,143 @@
 /// No run is overdue before this: short runs vary by the way there and back.
 pub(super) const OVERDUE_MIN: Duration = Duration::from_millis(120);
 
-/// The target for a task, if it should start now.
-pub(super) fn place(
-    pictures: &BTreeMap<Target, Picture>,
-    one: &Waiting,
-    roster: &Roster,
-    speeds: &Book,
+/// One target in a [`Field`].
+struct Spot<'a> {
+    picture: &'a Picture,
+    /// Room that is left; none if nothing may start.
+    free: Option<Room>,
+    /// Factor of its run times against the average target's.
+    factor: f64,
+    suspect: bool,
+    /// Tasks that were placed on it since the field was drawn up.
+    placed: Vec<Task>,
+}
+
+/// The targets at one moment, with what is placed on them during one pass over the line.
+pub(super) struct Field<'a> {
+    spots: Vec<Spot<'a>>,
     settings: Settings,
     now: Instant,
-) -> Option<Target> {
-    let mut candidates = Vec::new();
-    let mut names = Vec::new();
-    let mut capacities = Vec::new();
-    let mut fastest = Duration::MAX;
-    for (name, picture) in pictures {
-        if !suits(&picture.entry, one, roster) {
-            continue;
+}
+
+impl<'a> Field<'a> {
+    pub(super) fn new(
+        pictures: &'a BTreeMap<Target, Picture>,
+        roster: &Roster,
+        speeds: &Book,
+        settings: Settings,
+        now: Instant,
+    ) -> Self {
+        let usable = |picture: &&Picture| {
+            picture.entry.state == directory::State::Ready && roster.claims(&picture.entry.zone)
+        };
+        let spots = pictures.values().filter(usable).map(|picture| {
+            let name = &picture.entry.name;
+            Spot {
+                picture,
+                free: picture.free(now),
+                factor: speeds.slowness(name, now).exp(),
+                suspect: speeds.is_failing(name, now) || is_stuck(picture, now),
+                placed: Vec::new(),
+            }
+        });
+        Self { spots: spots.collect(), settings, now }
+    }
+
+    /// Places a task, if it should start now: its target, and the expected run time there.
+    pub(super) fn place(&mut self, one: &Waiting) -> Option<(Target, Duration)> {
+        let mut candidates = Vec::new();
+        let mut fastest = Duration::MAX;
+        for (place, spot) in self.spots.iter().enumerate() {
+            if !suits(&spot.picture.entry, one) {
+                continue;
+            }
+            let expected = self.expected(spot, one);
+            if !spot.suspect {
+                fastest = fastest.min(expected);
+            }
+            let Some(free) = spot.free.filter(|free| free.holds(&one.need.room)) else {
+                continue;
+            };
+            if spot.may_spread(one) {
+                candidates.push(Candidate { place, expected, free, suspect: spot.suspect });
+            }
         }
-        let away = one.need.rack.as_ref().is_some_and(|rack| !picture.entry.labels.contains(rack));
-        let factor = if away { settings.remote_factor } else { 1.0 };
-        let expected = speeds.predict(&one.kind, name, one.need.estimate(), now).mul_f64(factor);
-        let suspect = speeds.is_failing(name, now) || is_stuck(picture, now);
-        if !suspect {
-            fastest = fastest.min(expected);
-            capacities.push((expected, picture.entry.capacity.cpu_millis));
+        if fastest == Duration::MAX {
+            // Nothing sound is left at all: a suspect target is better than none.
+            fastest = candidates.iter().map(|one| one.expected).min()?;
+            candidates.iter_mut().for_each(|one| one.suspect = false);
         }
-        let spread = one.need.spread.is_none_or(|most| picture.of_step(&one.task) < most);
-        let Some(free) = picture.free(now).filter(|free| free.holds(&one.need.room)) else {
-            continue;
+        let fast = self.fast(one, &candidates, fastest);
+        let Choice::Start(place) = choose(one, &candidates, fast, self.now) else {
+            return None;
         };
-        if spread {
-            candidates.push(Candidate { place: names.len(), expected, free, suspect });
-            names.push(name);
-        }
+        let expected = self.expected(&self.spots[place], one);
+        let spot = &mut self.spots[place];
+        spot.free = spot.free.map(|free| free.less(&one.need.room));
+        spot.placed.push(one.task.clone());
+        Some((spot.picture.entry.name.clone(), expected))
+    }
+
+    fn expected(&self, spot: &Spot<'_>, one: &Waiting) -> Duration {
+        let rack = one.need.rack.as_ref();
+        let away = rack.is_some_and(|rack| !spot.picture.entry.labels.contains(rack));
+        let factor = if away { self.settings.remote_factor } else { 1.0 };
+        one.typical.mul_f64(spot.factor * factor)
     }
-    if fastest == Duration::MAX {
-        // Nothing sound is left at all: a suspect target is better than none.
-        fastest = candidates.iter().map(|one| one.expected).min()?;
-        candidates.iter_mut().for_each(|one| one.suspect = false);
+
+    /// Room of the fast targets, for tasks like this one.
+    fn fast(&self, one: &Waiting, candidates: &[Candidate], best: Duration) -> Fast {
+        let each = one.need.room.cpu_millis.max(1);
+        let sound = |spot: &&Spot<'_>| !spot.suspect && suits(&spot.picture.entry, one);
+        let fast = |spot: &&Spot<'_>| is_fast(self.expected(spot, one), best);
+        let places = self.spots.iter().filter(sound).filter(fast);
+        let free = candidates.iter().filter(|one| is_fast(one.expected, best));
+        Fast {
+            best,
+            free: free.map(|one| one.free.cpu_millis / each).sum(),
+            places: places.map(|spot| spot.picture.entry.capacity.cpu_millis / each).sum(),
+        }
     }
-    let each = one.need.room.cpu_millis.max(1);
-    let places = capacities.iter().filter(|(expected, _)| is_fast(*expected, fastest));
-    let free = candidates.iter().filter(|one| is_fast(one.expected, fastest));
-    let fast = Fast {
-        best: fastest,
-        free: free.map(|one| one.free.cpu_millis / each).sum(),
-        places: places.map(|(_, capacity)| capacity / each).sum(),
-    };
-    match choose(one, &candidates, fast, now) {
-        Choice::Start(place) => Some(names[place].clone()),
-        Choice::Wait => None,
+}
+
+impl Spot<'_> {
+    /// Whether one more task of the step keeps to its limit for one target.
+    fn may_spread(&self, one: &Waiting) -> bool {
+        let Some(most) = one.need.spread else {
+            return true;
+        };
+        let same = |task: &&Task| task.job == one.task.job && task.step == one.task.step;
+        let placed = self.placed.iter().filter(same).count();
+        self.picture.of_step(&one.task) as usize + placed < most as usize
     }
 }
 
-fn suits(entry: &Entry, one: &Waiting, roster: &Roster) -> bool {
+fn suits(entry: &Entry, one: &Waiting) -> bool {
     entry.service == one.service
-        && entry.state == directory::State::Ready
-        && roster.claims(&entry.zone)
         && one.need.label.as_ref().is_none_or(|label| entry.labels.contains(label))
         && entry.capacity.holds(&one.need.room)
 }
 
+fn is_overdue(attempt: &Attempt, now: Instant) -> bool {
+    let limit = attempt.expected.mul_f64(OVERDUE).max(OVERDUE_MIN);
+    now.duration_since(attempt.since) > limit
+}
+
 /// Whether all that runs on a target is overdue: it hangs or has turned slow.
 fn is_stuck(picture: &Picture, now: Instant) -> bool {
-    let mut running = 0;
-    let mut overdue = 0;
-    for (_, attempt) in picture.attempts() {
-        running += 1;
-        let limit = attempt.expected.mul_f64(OVERDUE).max(OVERDUE_MIN);
-        overdue += u32::from(now.duration_since(attempt.since) > limit);
-    }
+    let running = picture.attempts().count();
+    let overdue = picture.attempts().filter(|(_, attempt)| is_overdue(attempt, now)).count();
     overdue >= 2 && overdue == running
 }
 
+/// Whether a target hangs: runs of two jobs are overdue. Tasks of one job may all be long.
+pub(super) fn hangs(picture: &Picture, now: Instant) -> bool {
+    let overdue = |(_, attempt): &(&Task, &Attempt)| !attempt.recalled && is_overdue(attempt, now);
+    let mut jobs = picture.attempts().filter(overdue).map(|(task, _)| &task.job);
+    jobs.next().is_some_and(|first| jobs.any(|other| other != first))
+}
+
 /// Factor of the fastest target's run time against the average one.
 pub(super) fn fastest(pictures: &BTreeMap<Target, Picture>, speeds: &Book, now: Instant) -> f64 {
     let slowness = pictures.keys().map(|name| speeds.slowness(name, now));
--- a/crates/fleet/src/steward/tests.rs
+++ b/crates/fleet/src/steward/tests.rs
@@ -6,7 +6,7 @@
 use super::{Output, Settings, Steward};
 use crate::directory::{self, tests::entry};
 use crate::job::{Bundle, End, Id, Need, Part, Room};
-use crate::lease::{Answer, Call, Mint, Order, Report, Token};
+use crate::lease::{Answer, Call, Ended, How, Mint, Order, Report, Token};
 use crate::member::tests::card;
 use crate::member::{Beat, Claim, Roster};
 use crate::speed::Book;
@@ -45,7 +45,7 @@
     fn tend(&mut self) -> Output {
         let mut out = Output::default();
         let times = (SystemTime::UNIX_EPOCH, self.now);
-        self.steward.tend(&self.roster, &mut self.mint, times, &mut out);
+        self.steward.tend(&self.roster, &mut self.speeds, &mut self.mint, times, &mut out);
         out
     }
 
@@ -56,8 +56,23 @@
     }
 
     fn accept(&mut self, job: u32, tasks: u32, owner: &str) -> Output {
+        self.accept_bundle(bundle(job, tasks), owner)
+    }
+
+    /// The first attempt on the first target ends well.
+    fn end_first(&mut self) {
+        let picture = self.steward.pictures().next().unwrap();
+        let (task, attempt) = picture.attempts().next().unwrap();
+        let (task, run) = (task.clone(), attempt.run);
+        let ended = vec![Ended { number: 1, task, run, how: How::Done }];
+        let report = Report { clock_ms: 3, born: Some(1), ended, ..Report::default() };
+        for call in self.tend().calls {
+            self.answer(&call, Answer::Report(report.clone()));
+        }
+    }
+
+    fn accept_bundle(&mut self, bundle: Bundle, owner: &str) -> Output {
         let mut out = Output::default();
-        let bundle = bundle(job, tasks);
         let owner = Host::try_from(owner).unwrap();
         self.steward.accept(&owner, bundle, &self.speeds, self.now, &mut out);
         out
@@ -96,8 +111,16 @@
     }
 }
 
+/// The task that a call starts.
+fn started(call: &Call) -> Option<String> {
+    match &call.order {
+        Order::Start { task, .. } => Some(task.to_string()),
+        _ => None,
+    }
+}
+
 fn starts(out: &Output) -> usize {
-    out.calls.iter().filter(|call| matches!(call.order, Order::Start { .. })).count()
+    out.calls.iter().filter_map(started).count()
 }
 
 /// Two tasks of 14 cores fit on a target of 32.
@@ -170,6 +193,64 @@
     assert_eq!(ends, [(second.clone(), End::TooLate), (second, End::TooLate)]);
 }
 
+/// At the crest a job is begun only once all that has begun before it is placed.
+#[test]
+fn what_has_begun_is_finished_before_more_is_begun() {
+    let mut bench = Bench::new(1);
+    bench.accept(1, 3, "owner");
+    assert_eq!(starts(&bench.dispatch()), 2);
+    let mut urgent = bundle(2, 1);
+    urgent.objective_in_ms = 90;
+    bench.accept_bundle(urgent, "owner");
+    bench.end_first();
+    let out = bench.dispatch();
+    let started: Vec<String> = out.calls.iter().filter_map(started).collect();
+    assert_eq!(started, [format!("{:016x}.0.2", 1)]);
+}
+
+/// A crest that hosts can't see yet: each has sent what it believed would fit.
+fn gives_back(ahead: u32, begun: bool, wanted: Option<End>) {
+    let mut bench = Bench::new(1);
+    bench.accept(1, 2, "owner");
+    bench.dispatch();
+    for job in 0..ahead {
+        let mut waits = bundle(10 + job, 1);
+        waits.begun = true;
+        bench.accept_bundle(waits, "owner");
+    }
+    let out = bench.accept_bundle(Bundle { begun, ..bundle(2, 1) }, "owner");
+    assert_eq!(out.endings.first().map(|(_, ending)| ending.end), wanted);
+}
+
+cases! { gives_back:
+    what_would_be_late_behind_the_line(6, false, Some(End::Crowded));
+    nothing_while_the_line_is_short(1, false, None);
+    nothing_that_has_begun(6, true, None);
+}
+
+/// Runs of `jobs` jobs, of 50 ms each, stand still on one target for `ms`.
+fn recalls(jobs: u32, ms: u64, wanted: usize) {
+    let mut bench = Bench::new(1);
+    for job in 1..=jobs {
+        bench.accept(job, 2 / jobs, "owner");
+    }
+    let out = bench.dispatch();
+    for call in out.calls.iter().filter(|call| started(call).is_some()) {
+        bench.answer(call, Answer::Taken { clock_ms: 2 });
+    }
+    bench.now += Duration::from_millis(ms);
+    let out = bench.tend();
+    let stops = out.calls.iter().filter(|call| matches!(call.order, Order::Stop { .. }));
+    assert_eq!(stops.count(), wanted);
+}
+
+cases! { recalls:
+    what_hangs(2, 200, 2);
+    nothing_that_may_just_be_long(2, 100, 0);
+    nothing_of_one_job_whose_tasks_may_all_be_long(1, 200, 0);
+    nothing_that_could_not_end_elsewhere_in_time(2, 1_490, 0);
+}
+
 /// A wave of callers leaves: their work is gone from the line and stopped at targets at once.
 #[test]
 fn a_cancelled_job_frees_its_room_at_once() {
