--- a/crates/fleet/src/lease/mod.rs
+++ b/crates/fleet/src/lease/mod.rs
@@ -9,6 +9,7 @@
 
 mod message;
 mod picture;
+mod timeout;
 mod token;
 
 #[cfg(test)]
@@ -16,4 +17,5 @@
 
 pub use message::{Answer, Call, Ended, How, Listed, Order, Rejection, Report, Runner};
 pub use picture::{Attempt, Finding, Phase, Picture};
+pub use timeout::Timeout;
 pub use token::{Mint, Token};
--- a/crates/fleet/src/lease/picture.rs
+++ b/crates/fleet/src/lease/picture.rs
@@ -9,7 +9,7 @@
 
 use coltsfootshunt_core::name::Target;
 
-use super::{Call, Order, Rejection, Token};
+use super::{Call, Order, Rejection, Timeout, Token};
 use crate::directory::Entry;
 use crate::job::{End, Room, Task};
 
@@ -22,9 +22,6 @@
 const RENEW_WAIT_MIN: Duration = Duration::from_millis(50);
 /// Multiple of its expected run time after which an end is overdue; one run in five takes longer.
 const OVERDUE_FROM: f64 = 1.35;
-/// Time for an answer beyond the wait that was asked for: a connection and a call between regions
-/// (20 ms one way) fit. The target gets nothing new while an answer is outstanding past this.
-const ANSWER_WITHIN: Duration = Duration::from_millis(100);
 /// Time after which an idle target's last ends are taken note of.
 const NOTE_ENDS_AFTER: Duration = Duration::from_millis(250);
 
@@ -73,6 +70,7 @@
     renewing: bool,
     /// Renewals in a row that got no answer.
     silences: u32,
+    timeout: Timeout,
     /// No new work before this.
     closed_until: Instant,
     /// Whether the fence must be raised, since an order's fate is not known.
@@ -96,6 +94,7 @@
             leased_at: None,
             renewing: false,
             silences: 0,
+            timeout: Timeout::default(),
             closed_until: now,
             doubt: false,
         }
@@ -171,7 +170,7 @@
         }
         let lease_until_ms = lease_until_ms.filter(|_| self.silences == 0);
         let order = Order::Renew { lease_until_ms, seen: self.seen, wait: Duration::ZERO };
-        self.call(token, order, ANSWER_WITHIN)
+        self.call(token, order, self.timeout.within())
     }
 
     /// The next renewal, if one is due and none is under way.
@@ -192,7 +191,7 @@
             self.leased_at = Some(now);
         }
         let order = Order::Renew { lease_until_ms, seen: self.seen, wait };
-        Some(self.call(token, order, wait + ANSWER_WITHIN))
+        Some(self.call(token, order, wait + self.timeout.within()))
     }
 
     /// Wait of a renewal: until the next end is overdue. A renewal that gets no answer hides ends
@@ -213,7 +212,7 @@
         let run = attempt.run;
         self.attempts.insert(task.clone(), Attempt { token, ..attempt });
         let order = Order::Start { task: task.clone(), run, spec, lease_until_ms };
-        self.call(token, order, ANSWER_WITHIN)
+        self.call(token, order, self.timeout.within())
     }
 
     /// Stops that are due: attempts that nobody wants or that are recalled, and those that others
@@ -225,7 +224,8 @@
         if self.doubt {
             return Vec::new();
         }
-        let due = |sent: Option<Instant>| sent.is_none_or(|at| now - at > ANSWER_WITHIN);
+        let within = self.timeout.within();
+        let due = |sent: Option<Instant>| sent.is_none_or(|at| now - at > within);
         let mut stop = Vec::new();
         for (task, attempt) in &mut self.attempts {
             let over = attempt.unwanted || attempt.recalled;
@@ -238,7 +238,7 @@
             orphan.stop_sent = Some(now);
             stop.push((task.clone(), orphan.run));
         }
-        let order = |(task, run)| self.call(token, Order::Stop { task, run }, ANSWER_WITHIN);
+        let order = |(task, run)| self.call(token, Order::Stop { task, run }, within);
         stop.into_iter().map(order).collect()
     }
 
--- a/crates/fleet/src/lease/picture/answer.rs
+++ b/crates/fleet/src/lease/picture/answer.rs
@@ -97,6 +97,7 @@
         };
         match *answer {
             Answer::Taken { clock_ms } => {
+                self.timeout.answered(now.duration_since(attempt.since));
                 if attempt.status == Status::Sent {
                     attempt.status = Status::Running(clock_ms);
                 }
@@ -133,7 +134,10 @@
                     self.doubt = true;
                 }
             }
-            Answer::Silent | Answer::Report(_) => self.doubt = true,
+            Answer::Silent | Answer::Report(_) => {
+                self.timeout.missed();
+                self.doubt = true;
+            }
         }
     }
 
