fix(lease): a renewal that is turned away says nothing of what runs

Change: only 'another instance' ends what the steward believes; any other refusal counts as no answer, and the next renewal waits 100 ms. Tests: a renewal turned away keeps its attempt; two properties with targets that turn four calls in ten away. All four fail without the change.

--- a/crates/fleet/src/control/tests/safety.rs
+++ b/crates/fleet/src/control/tests/safety.rs
@@ -115,11 +115,16 @@
     seed_under_all(8_241_656_503_248_976_402, LATE, &[0, 1, 2, 3, 4, 5, 5]);
 }
 
-const LATE: Chances = Chances { call_lost: 0.05, answer_lost: 0.05, late: 0.8, fails: 0.02 };
-const CALM: Chances = Chances { call_lost: 0.0, answer_lost: 0.0, late: 0.0, fails: 0.02 };
+const LATE: Chances =
+    Chances { call_lost: 0.05, answer_lost: 0.05, late: 0.8, fails: 0.02, sheds: 0.0 };
+const CALM: Chances =
+    Chances { call_lost: 0.0, answer_lost: 0.0, late: 0.0, fails: 0.02, sheds: 0.0 };
+const SHEDDING: Chances = Chances { sheds: 0.4, ..CALM };
 
 cases! { property:
     under_calls_that_are_lost_or_carried_out_late(LATE, &[]);
+    under_targets_that_turn_calls_away(SHEDDING, &[]);
+    under_targets_that_turn_calls_away_and_all_of_it(SHEDDING, &[0, 1, 2, 3, 4, 5, 5]);
     under_killed_hosts(CALM, &[0, 5]);
     under_frozen_hosts(CALM, &[1]);
     under_planned_stops(CALM, &[2, 5]);
--- a/crates/fleet/src/control/tests/world.rs
+++ b/crates/fleet/src/control/tests/world.rs
@@ -149,6 +149,8 @@
     pub(super) answer_lost: f64,
     pub(super) late: f64,
     pub(super) fails: f64,
+    /// A target turns the call away and does nothing.
+    pub(super) sheds: f64,
 }
 
 pub(super) struct World {
--- a/crates/fleet/src/control/tests/world/network.rs
+++ b/crates/fleet/src/control/tests/world/network.rs
@@ -9,7 +9,7 @@
 use super::{GIVE_UP_MS, Happening, Lane, World};
 use crate::control::{Event, Request};
 use crate::job::Room;
-use crate::lease::{Answer, Call, Order};
+use crate::lease::{Answer, Call, Order, Rejection};
 use crate::peer::{Batch, Message};
 
 impl World {
@@ -71,6 +71,11 @@
 
     pub(super) fn call(&mut self, host: usize, run: u64, call: Call, answered: bool) {
         let now_ms = self.now_ms();
+        if self.rng.random_bool(self.chances.sheds) {
+            let answer = Answer::Rejected(Rejection::Unhealthy);
+            let event = Event::Called(Box::new(call), answer);
+            return self.happen(1, Happening::Event(host, run, event));
+        }
         let takes = self.takes(&call.order);
         let fails = self.rng.random_bool(self.chances.fails);
         if self.targets.get(&call.target).is_some_and(|target| target.is_down(now_ms)) {
--- a/crates/fleet/src/lease/picture.rs
+++ b/crates/fleet/src/lease/picture.rs
@@ -73,6 +73,8 @@
     timeout: Timeout,
     /// No new work before this.
     closed_until: Instant,
+    /// No renewal before this.
+    asks_after: Instant,
     /// Whether the fence must be raised, since an order's fate is not known.
     doubt: bool,
 }
@@ -96,6 +98,7 @@
             silences: 0,
             timeout: Timeout::default(),
             closed_until: now,
+            asks_after: now,
             doubt: false,
         }
     }
@@ -155,7 +158,7 @@
         match self.phase {
             Phase::Free => now >= self.closed_until,
             Phase::Claiming(_) => false,
-            Phase::Held(_) => self.doubt && now >= self.closed_until,
+            Phase::Held(_) => self.doubt && now >= self.closed_until && now >= self.asks_after,
         }
     }
 
@@ -179,7 +182,8 @@
             return None;
         };
         let note = self.seen > self.noted && now.duration_since(self.seen_at) > NOTE_ENDS_AFTER;
-        if self.renewing || self.doubt || (self.is_idle() && !note) {
+        let pausing = now < self.asks_after;
+        if self.renewing || self.doubt || pausing || (self.is_idle() && !note) {
             return None;
         }
         self.renewing = true;
--- a/crates/fleet/src/lease/picture/answer.rs
+++ b/crates/fleet/src/lease/picture/answer.rs
@@ -10,6 +10,8 @@
 const RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Pause before a target that turned an order away as unhealthy gets the next one.
 const UNHEALTHY_FOR: Duration = Duration::from_millis(500);
+/// Pause after a renewal that was turned away; some of them fit into a lease.
+const ASK_PAUSE: Duration = Duration::from_millis(100);
 /// Milliseconds by which answers may overtake each other.
 const CLOCK_SLACK_MS: u64 = 500;
 /// Slack for a target's slow clock and for the time that ending a task takes.
@@ -54,9 +56,14 @@
                 }
             }
             Answer::Rejected(Rejection::Fenced) => self.fenced(call.token, found),
-            Answer::Rejected(_) | Answer::Taken { .. } => {
+            Answer::Rejected(Rejection::OtherLife) => {
                 self.abandon("it is another life", now, found);
             }
+            // It has done nothing, and what runs there may run on.
+            Answer::Rejected(_) | Answer::Taken { .. } => {
+                self.asks_after = now + ASK_PAUSE;
+                self.silent(claim, now, found);
+            }
             Answer::Unsent { refused: true } => {
                 self.abandon("nothing listens there", now, found);
             }
--- a/crates/fleet/src/lease/tests.rs
+++ b/crates/fleet/src/lease/tests.rs
@@ -210,6 +210,27 @@
     assert_eq!(ends(&found), [(0, End::Lost)]);
 }
 
+/// A target that turns renewals away runs on: nothing there is lost before its lease is over.
+fn turned_away(rejection: Rejection) {
+    let start = Instant::now();
+    let mut picture = held(start);
+    started(&mut picture, 0, start);
+    let renewal = picture.renewal(start).unwrap();
+    let found = picture.answer(&renewal, Answer::Rejected(rejection), start);
+    assert!(found.is_empty());
+    assert_eq!(free_cpu(&picture, start), None);
+    assert!(picture.renewal(start).is_none(), "it is not asked again at once");
+    let later = start + Duration::from_millis(150);
+    let renewal = picture.renewal(later).unwrap();
+    let found = picture.answer(&renewal, report(CLOCK + 9, &[], &[(1, 0, How::Done)]), later);
+    assert_eq!(ends(&found), [(0, End::Done)]);
+}
+
+cases! { turned_away:
+    as_unhealthy(Rejection::Unhealthy);
+    as_malformed(Rejection::Malformed);
+}
+
 /// An attempt that a report should name and does not.
 fn missing(clock_ms: u64, wanted: &[(u32, End)]) {
     let now = Instant::now();
