fix(control): a host that knows no target does not say that none can hold a job

Change: without a target of the service nothing is said about room; stewards decide. The test fails without the change.

--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -7,7 +7,9 @@
 
 use super::{Action, Output, State};
 use crate::admission::{self, Prospect};
-use crate::job::{Bundle, Ending, Id, Open, Outcome, Part, Policy, Refusal, Submission, Ticket};
+use crate::job::{
+    Bundle, Ending, Id, Need, Open, Outcome, Part, Policy, Refusal, Submission, Ticket,
+};
 use crate::peer::Message;
 use crate::queue::slack_level;
 use crate::report::Note;
@@ -73,7 +75,7 @@
             Some(refuse(Refusal::NoSteward))
         } else if self.jobs.len() >= MAX_OPEN {
             Some(refuse(Refusal::Full))
-        } else if !self.fits_anywhere(&route.service, submission) {
+        } else if !self.may_fit(&route.service, submission) {
             Some(Outcome::Failed)
         } else {
             admission::judge(&Prospect { wait, run, hurried, objective, patience })
@@ -100,15 +102,17 @@
         Ok(Open::new(route.kind.clone(), plan.clone(), policy, moments))
     }
 
-    /// Whether some target could hold each task, were it empty.
-    fn fits_anywhere(&self, service: &Service, submission: &Submission) -> bool {
-        submission.plan.steps.iter().all(|step| {
-            self.directory.iter().any(|entry| {
-                entry.service == *service
-                    && entry.capacity.holds(&step.need.room)
-                    && step.need.label.as_ref().is_none_or(|label| entry.labels.contains(label))
+    /// Whether some target could hold each task, were it empty. A host that knows no target of the
+    /// service can't tell: it may have started just now.
+    fn may_fit(&self, service: &Service, submission: &Submission) -> bool {
+        let serving = || self.directory.iter().filter(|entry| entry.service == *service);
+        let fits = |need: &Need| {
+            serving().any(|entry| {
+                entry.capacity.holds(&need.room)
+                    && need.label.as_ref().is_none_or(|label| entry.labels.contains(label))
             })
-        })
+        };
+        serving().next().is_none() || submission.plan.steps.iter().all(|step| fits(&step.need))
     }
 
     /// Stewards that can be reached.
--- a/crates/fleet/src/control/tests/mod.rs
+++ b/crates/fleet/src/control/tests/mod.rs
@@ -2,5 +2,6 @@
 
 mod jobs;
 mod safety;
+mod start;
 mod target;
 mod world;
--- /dev/null
+++ b/crates/fleet/src/control/tests/start.rs
@@ -0,0 +1,62 @@
+//! What a host says that has just started.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootshunt_core::clock::System;
+use coltsfootshunt_core::name::{Kind, Zone};
+
+use crate::config::tests::{document, route};
+use crate::control::{Action, Event, Output, Request, Settings, State};
+use crate::job::{Id, Need, Outcome, Plan, Room, Step, Submission, Ticket};
+use crate::lease::Token;
+use crate::member::tests::card;
+use crate::member::{Beat, Claim};
+use crate::peer::{Batch, Message};
+use crate::spread::Load;
+use crate::steward;
+use crate::store::News;
+
+/// A host that knows the configuration and a steward, but no target yet.
+fn started() -> State {
+    let lease = Duration::from_secs(1);
+    let settings = Settings {
+        card: card("me", "a", 250),
+        seeds: Vec::new(),
+        steward: steward::Settings { lease, remote_factor: 1.5 },
+        stop_within: Duration::from_secs(5),
+    };
+    let mut state = State::new(settings, Arc::new(System));
+    let document = Arc::new(document(1, vec![route("cut", "/a/")]));
+    state.handle(Event::Store(News::Document(document)));
+    let claims = vec![Claim { zone: Zone::try_from("b").unwrap(), token: Token(2) }];
+    let load = Load { free: 8, places: 10, ..Load::default() };
+    let beat = Message::Beat(Beat { claims, load, ..Beat::default() });
+    let from = card("steward", "b", 250);
+    let batch = Batch { from, session: 1, number: 1, messages: vec![beat] };
+    state.handle(Event::Request(Ticket(1), Request::Deliver(batch)));
+    state.settle();
+    state
+}
+
+#[test]
+fn nothing_of_what_targets_can_hold_before_one_is_known() {
+    let mut state = started();
+    let room = Room { cpu_millis: 14_000, memory_mb: 64, accelerators: 0 };
+    let need = Need { room, estimate_ms: 50, ..Need::default() };
+    let plan = Plan::new("work".into(), vec![Step { count: 2, need, after: Vec::new() }]).unwrap();
+    let submission = Submission {
+        id: Id::try_from("0000000000000001").unwrap(),
+        kind: Kind::try_from("cut").unwrap(),
+        plan: Arc::new(plan),
+        patience: Duration::from_millis(1_500),
+    };
+    state.handle(Event::Request(Ticket(2), Request::Submit(submission)));
+    let actions = state.settle();
+    let failed = |action: &Action| {
+        matches!(action, Action::Answer(Ticket(2), Output::Outcome(Outcome::Failed)))
+    };
+    assert!(!actions.iter().any(failed), "{actions:?}");
+    let sent = |action: &Action| matches!(action, Action::Send(_, Message::Run(_)));
+    assert!(actions.iter().any(sent), "{actions:?}");
+}
