--- a/crates/entry/tests/explained.rs
+++ b/crates/entry/tests/explained.rs
@@ -35,7 +35,7 @@
         lines.retain(|line| line["job"] == job);
         let has = |text: &&str| lines.iter().any(|line| line["msg"] == **text);
         let end = lines.iter().find(|line| line["msg"] == *texts.last().expect("some lines"))?;
-        let told = texts.iter().all(|text| has(text)) && end[last.0] == last.1;
+        let told = texts.iter().all(has) && end[last.0] == last.1;
         told.then_some(())
     })
     .await;
