--- a/crates/fleet/src/control/tests/world.rs
+++ b/crates/fleet/src/control/tests/world.rs
@@ -3,13 +3,13 @@
 mod callers;
 mod network;
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime};
 
 use coltsfootshunt_core::clock::Clock;
+use coltsfootshunt_model::agenda::Agenda;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -77,28 +77,6 @@
     GiveUp(Id, u32),
 }
 
-struct Due(u64, u64, Happening);
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        (self.0, self.1) == (other.0, other.1)
-    }
-}
-
-impl Eq for Due {}
-
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
-    }
-}
-
 /// What a host has for another, as the sending side of a session does it.
 struct Lane {
     session: u64,
@@ -157,8 +135,7 @@
     time: Arc<Time>,
     hosts: Vec<Host>,
     pub(super) targets: BTreeMap<coltsfootshunt_core::name::Target, Target>,
-    due: BinaryHeap<Reverse<Due>>,
-    order: u64,
+    agenda: Agenda<u64, Happening>,
     callers: BTreeMap<Id, Caller>,
     tickets: BTreeMap<(usize, Ticket), Id>,
     next_ticket: u64,
@@ -178,8 +155,7 @@
             time,
             hosts: Vec::new(),
             targets: BTreeMap::new(),
-            due: BinaryHeap::new(),
-            order: 0,
+            agenda: Agenda::default(),
             callers: BTreeMap::new(),
             tickets: BTreeMap::new(),
             next_ticket: 1,
@@ -304,10 +280,7 @@
     /// Lets time pass.
     pub(super) fn run_for(&mut self, for_ms: u64) {
         let end = self.now_ms() + for_ms;
-        while self.due.peek().is_some_and(|Reverse(due)| due.0 <= end) {
-            let Some(Reverse(Due(at, _, happening))) = self.due.pop() else {
-                break;
-            };
+        while let Some((at, happening)) = self.agenda.next_by(end) {
             *self.time.now_ms.lock().unwrap() = at;
             self.pass();
             self.act(happening);
@@ -343,8 +316,7 @@
     }
 
     fn happen(&mut self, in_ms: u64, happening: Happening) {
-        self.order += 1;
-        self.due.push(Reverse(Due(self.now_ms() + in_ms, self.order, happening)));
+        self.agenda.put(self.now_ms() + in_ms, happening);
     }
 
     fn act(&mut self, happening: Happening) {
--- /dev/null
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -0,0 +1,150 @@
+//! Starts what waits, and gives back what waits in vain.
+
+use std::collections::HashSet;
+use std::time::{Duration, Instant};
+
+use coltsfootshunt_core::name::Target;
+
+use super::finding::not_run;
+use super::place::{Field, fastest};
+use super::{OPTIMISM, Steward};
+use crate::job::{End, Ending, Task};
+use crate::lease::{Attempt, Picture};
+use crate::member::Roster;
+use crate::queue::Waiting;
+use crate::report::Note;
+use crate::speed::Book;
+use crate::steward::Output;
+
+/// Steps of jobs that fit nowhere after which the rest of the line is left for later.
+const FITLESS: usize = 24;
+/// Wait after which a task may go to another steward that has places free: some round trips between
+/// zones, and about the age of what is known of the others' loads.
+const SHARE_AFTER: Duration = Duration::from_millis(25);
+/// Shortest wait after which a task is given back as late: what comes late already was sent on
+/// purpose.
+const LATE_AFTER: Duration = Duration::from_millis(30);
+
+impl Steward {
+    /// Starts what can start, and returns what can't end in time any more.
+    pub fn dispatch(&mut self, roster: &Roster, speeds: &Book, now: Instant, out: &mut Output) {
+        if self.line.is_empty() {
+            return;
+        }
+        self.drop_hopeless(speeds, now, out);
+        self.line.sort(now);
+        let placed = self.place_all(roster, speeds, now);
+        let mut started = HashSet::new();
+        let mut jobs = HashSet::new();
+        for (one, name, expected) in placed {
+            jobs.insert((one.task.job.clone(), one.opening));
+            started.insert(one.task.clone());
+            self.start(&one, &name, expected, now, out);
+        }
+        self.line.remove(&started);
+        self.line.begin(&jobs);
+        self.share(roster, now, out);
+    }
+
+    /// The tasks that start now, each with its target and its expected run time there.
+    fn place_all(
+        &self,
+        roster: &Roster,
+        speeds: &Book,
+        now: Instant,
+    ) -> Vec<(Waiting, Target, Duration)> {
+        let mut field = Field::new(&self.pictures, roster, speeds, self.settings, now);
+        let being_stopped = self.being_stopped();
+        let mut placed = Vec::new();
+        // What holds for one task of a step holds for the others.
+        let mut fitless = HashSet::new();
+        for one in self.line.iter() {
+            if fitless.len() >= FITLESS {
+                break;
+            }
+            let step = (&one.task.job, one.task.step);
+            if fitless.contains(&step) || being_stopped.contains(&one.task) {
+                continue;
+            }
+            match field.place(one) {
+                Some((name, expected)) => placed.push((one.clone(), name, expected)),
+                None => {
+                    fitless.insert(step);
+                }
+            }
+        }
+        placed
+    }
+
+    /// Tasks of which an earlier attempt is still being stopped.
+    fn being_stopped(&self) -> HashSet<&Task> {
+        let attempts = self.pictures.values().flat_map(Picture::attempts);
+        attempts.filter(|(_, attempt)| attempt.unwanted).map(|(task, _)| task).collect()
+    }
+
+    fn start(
+        &mut self,
+        one: &Waiting,
+        name: &Target,
+        expected: Duration,
+        now: Instant,
+        out: &mut Output,
+    ) {
+        let Some(picture) = self.pictures.get_mut(name) else {
+            return;
+        };
+        let mut attempt =
+            Attempt::new(one.owner.clone(), one.kind.clone(), one.run, one.need.room, now);
+        attempt.opening = one.opening;
+        attempt.estimate = one.need.estimate();
+        attempt.expected = expected;
+        attempt.objective = one.objective;
+        attempt.due = one.due;
+        out.notes.push(Note::Started {
+            task: one.task.clone(),
+            run: one.run,
+            target: name.clone(),
+            waited: now.duration_since(one.since),
+            expected,
+        });
+        out.calls.push(picture.start(&one.task, one.spec.clone(), attempt, now));
+    }
+
+    /// Returns tasks that have waited here while another steward has places free.
+    fn share(&mut self, roster: &Roster, now: Instant, out: &mut Output) {
+        let elsewhere = || roster.alive().filter(|peer| !peer.beat.claims.is_empty());
+        // Others may see the same places.
+        let mut free = elsewhere().map(|peer| peer.beat.load.free).sum::<u32>() / 2;
+        let mut fast = elsewhere().map(|peer| peer.beat.load.free_fast).sum::<u32>() / 2;
+        let shared = self.line.take(|one| {
+            let waited = now.duration_since(one.since) > SHARE_AFTER;
+            // What only a fast target ends in time does not gain from a slow one elsewhere.
+            let needs_fast = now + one.typical > one.objective;
+            let places = if needs_fast { &mut fast } else { &mut free };
+            let goes = waited && *places > 0;
+            *places -= u32::from(goes);
+            goes
+        });
+        out.endings.extend(shared.into_iter().map(not_run));
+    }
+
+    /// Returns tasks that would end after their caller has gone even on the fastest target, and
+    /// those of jobs that have waited until they are late and of which nothing has started.
+    fn drop_hopeless(&mut self, speeds: &Book, now: Instant, out: &mut Output) {
+        let fastest = fastest(&self.pictures, speeds, now);
+        let end = |one: &Waiting| {
+            let needed = one.typical.mul_f64(fastest * OPTIMISM);
+            let waited = now.duration_since(one.since) > LATE_AFTER;
+            match (now + needed > one.due, !one.begun && one.is_late(now) && waited) {
+                (true, _) => Some(End::OutOfTime),
+                (false, true) => Some(End::TooLate),
+                (false, false) => None,
+            }
+        };
+        for one in self.line.take(|one| end(one).is_some()) {
+            let why = end(&one).unwrap_or(End::TooLate);
+            let (owner, ending) = not_run(one);
+            out.endings.push((owner, Ending { end: why, ..ending }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/steward/state/intake.rs
@@ -0,0 +1,106 @@
+//! Takes tasks in from their owners, or gives them back as they came.
+
+use std::time::{Duration, Instant};
+
+use coltsfootshunt_core::name::Host;
+
+use super::Steward;
+use super::finding::not_run;
+use super::place::fastest;
+use crate::job::{Bundle, End, Ending, Task};
+use crate::queue::Waiting;
+use crate::report::Note;
+use crate::speed::Book;
+use crate::steward::Output;
+
+/// Weight of one task in the running mean of what a task takes.
+const TYPICAL_WEIGHT: f64 = 0.02;
+
+impl Steward {
+    /// Takes tasks in for their owner.
+    ///
+    /// A caller's repeat may bring a task here through another owner while the first one still has
+    /// it here: the repeat takes its place.
+    pub fn accept(
+        &mut self,
+        owner: &Host,
+        bundle: Bundle,
+        speeds: &Book,
+        now: Instant,
+        out: &mut Output,
+    ) {
+        self.displace(owner, &bundle, out);
+        let (job, begun) = (bundle.job.clone(), bundle.begun);
+        let tasks = self.waiting_tasks(owner, bundle, speeds, now);
+        let crowd = self.crowd(&tasks, speeds, now).filter(|_| !begun);
+        let Some((wait, slack)) = crowd else {
+            tasks.into_iter().for_each(|one| self.line.push(one));
+            return;
+        };
+        out.notes.push(Note::GivenBack { job, tasks: tasks.len(), wait, slack });
+        for one in tasks {
+            let (owner, ending) = not_run(one);
+            out.endings.push((owner, Ending { end: End::Crowded, ..ending }));
+        }
+    }
+
+    fn waiting_tasks(
+        &mut self,
+        owner: &Host,
+        bundle: Bundle,
+        speeds: &Book,
+        now: Instant,
+    ) -> Vec<Waiting> {
+        let objective = shift(now, bundle.objective_in_ms);
+        let due = shift(now, bundle.due_in_ms);
+        let fastest = fastest(&self.pictures, speeds, now);
+        let mut tasks = Vec::with_capacity(bundle.parts.len());
+        for part in bundle.parts {
+            let task = Task { job: bundle.job.clone(), step: part.step, index: part.index };
+            let millis = part.need.room.cpu_millis as f64;
+            let usual = self.typical.get_or_insert(millis);
+            *usual += (millis - *usual) * TYPICAL_WEIGHT;
+            let typical = speeds.typical(&bundle.kind, part.need.estimate());
+            tasks.push(Waiting {
+                task,
+                owner: owner.clone(),
+                opening: bundle.opening,
+                kind: bundle.kind.clone(),
+                service: bundle.service.clone(),
+                priority: bundle.priority,
+                run: part.run,
+                typical,
+                quickest: typical.mul_f64(fastest),
+                begun: bundle.begun,
+                need: part.need,
+                spec: bundle.spec.clone(),
+                objective,
+                due,
+                since: now,
+            });
+        }
+        tasks
+    }
+
+    /// Takes a job's tasks from an earlier opening.
+    fn displace(&mut self, owner: &Host, bundle: &Bundle, out: &mut Output) {
+        let other = |at: &Host, opening: u64| at != owner || opening != bundle.opening;
+        for one in
+            self.line.take(|one| one.task.job == bundle.job && other(&one.owner, one.opening))
+        {
+            let (owner, ending) = not_run(one);
+            out.endings.push((owner, Ending { end: End::Adrift, ..ending }));
+        }
+        for picture in self.pictures.values_mut() {
+            picture.unwant(|task, attempt| {
+                task.job == bundle.job && other(&attempt.owner, attempt.opening)
+            });
+        }
+    }
+}
+
+/// `now`, later or earlier by some milliseconds.
+fn shift(now: Instant, by_ms: i64) -> Instant {
+    let by = Duration::from_millis(by_ms.unsigned_abs());
+    if by_ms >= 0 { now + by } else { now.checked_sub(by).unwrap_or(now) }
+}
--- /dev/null
+++ b/crates/fleet/src/steward/state/load.rs
@@ -0,0 +1,108 @@
+//! What the targets can do, and whether work that comes now would wait too long for them.
+
+use std::time::{Duration, Instant};
+
+use super::Steward;
+use super::place::fastest;
+use crate::admission::is_hopeless;
+use crate::directory;
+use crate::job::Room;
+use crate::lease::Picture;
+use crate::member::Roster;
+use crate::placement::is_fast;
+use crate::queue::Waiting;
+use crate::speed::Book;
+use crate::spread::Load;
+
+/// Shortest run time that counts: the way to a target and back.
+const SHORTEST_RUN: Duration = Duration::from_millis(5);
+
+/// What some targets can do, for tasks of the usual size.
+#[derive(Clone, Copy, Debug, Default)]
+struct Capacity {
+    places: u32,
+    free: u32,
+    free_fast: u32,
+    /// Work of an average target that they do in a second with all places taken, in thousandths of a
+    /// core times seconds.
+    rate: f64,
+}
+
+impl Steward {
+    /// Wait and slack of a job that comes now and would be late here. Its owner's view of the load is
+    /// some heartbeats old, and others send here at the same time.
+    pub(super) fn crowd(
+        &self,
+        tasks: &[Waiting],
+        speeds: &Book,
+        now: Instant,
+    ) -> Option<(Duration, Duration)> {
+        let latest = tasks.iter().filter_map(Waiting::latest_start).min()?;
+        let capacity = self.capacity(&self.usable(now), speeds, now);
+        let fits = capacity.free as usize >= self.line.len() + tasks.len();
+        if self.line.is_empty() || capacity.places == 0 || fits {
+            return None;
+        }
+        let before = self.line.work_before(latest, now) / capacity.rate.max(1.0);
+        let behind = tasks.len().saturating_sub(capacity.free as usize) as f64;
+        // What starts at once makes way for the rest, too.
+        let run = tasks.iter().map(|one| one.typical).max()?.max(SHORTEST_RUN);
+        let turnover = self.turnover() + f64::from(capacity.free) / run.as_secs_f64();
+        let wait = Duration::from_secs_f64(before + behind / turnover.max(1.0));
+        let slack = latest.saturating_duration_since(now);
+        is_hopeless(wait, slack).then_some((wait, slack))
+    }
+
+    /// Targets that may get new work, each with the room that it has left.
+    fn usable(&self, now: Instant) -> Vec<(&Picture, Room)> {
+        let ready = |picture: &&Picture| picture.entry.state == directory::State::Ready;
+        let free = |picture| Picture::free(picture, now).map(|free| (picture, free));
+        self.pictures.values().filter(ready).filter_map(free).collect()
+    }
+
+    /// What targets can do with tasks of the usual size.
+    fn capacity(&self, usable: &[(&Picture, Room)], speeds: &Book, now: Instant) -> Capacity {
+        let mut sum = Capacity::default();
+        let fastest = fastest(&self.pictures, speeds, now);
+        for (picture, free) in usable {
+            let all = picture.entry.capacity.cpu_millis as f64;
+            let each = self.typical.unwrap_or(all / 2.0).max(1.0);
+            let factor = speeds.slowness(&picture.entry.name, now).exp();
+            let places = (all / each).floor();
+            sum.places += places as u32;
+            sum.rate += places * each / factor;
+            let free = (free.cpu_millis as f64 / each) as u32;
+            sum.free += free;
+            if is_fast(Duration::from_secs_f64(factor), Duration::from_secs_f64(fastest)) {
+                sum.free_fast += free;
+            }
+        }
+        sum
+    }
+
+    /// Ends that can be expected in a second of what runs now.
+    fn turnover(&self) -> f64 {
+        let running = self.pictures.values().flat_map(Picture::attempts);
+        let expected = running.map(|(_, attempt)| attempt.expected.max(SHORTEST_RUN).as_secs_f64());
+        expected.map(f64::recip).sum()
+    }
+
+    /// Load to tell other hosts.
+    #[must_use]
+    pub fn load(&self, roster: &Roster, speeds: &Book, now: Instant) -> Load {
+        let mut usable = self.usable(now);
+        usable.retain(|(picture, _)| roster.claims(&picture.entry.zone));
+        let capacity = self.capacity(&usable, speeds, now);
+        let fastest = fastest(&self.pictures, speeds, now);
+        let waiting = u32::try_from(self.line.len()).unwrap_or(u32::MAX);
+        let work = self.line.work(now);
+        Load {
+            places: capacity.places,
+            free: capacity.free.saturating_sub(waiting),
+            free_fast: capacity.free_fast.saturating_sub(waiting),
+            fastest_permille: (fastest * 1_000.0) as u32,
+            turnover: self.turnover() as u32,
+            waits_ms: work.map(|work| (work / capacity.rate.max(1.0) * 1_000.0) as u32),
+        }
+    }
+}
--- a/crates/model/src/product.rs
+++ b/crates/model/src/product.rs
@@ -1,7 +1,6 @@
 //! The product's own decisions: a steward, and an owner for each job, without their I/O.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -19,6 +18,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use crate::agenda::Agenda;
 use crate::load::{ALLOWANCE, KINDS, Load, PATIENCE, STRETCH, is_middle};
 use crate::policy::{Answer, Policy};
 
@@ -63,28 +63,6 @@
     Tick,
 }
 
-struct Due(Duration, u64, Event);
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        (self.0, self.1) == (other.0, other.1)
-    }
-}
-
-impl Eq for Due {}
-
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
-    }
-}
-
 /// A target's side.
 #[derive(Default)]
 struct Machine {
@@ -98,8 +76,7 @@
 struct Play<'a> {
     load: &'a Load,
     start: Instant,
-    due: BinaryHeap<Reverse<Due>>,
-    order: u64,
+    agenda: Agenda<Duration, Event>,
     rng: StdRng,
     me: Host,
     steward: Steward,
@@ -152,8 +129,7 @@
         Self {
             load,
             start,
-            due: BinaryHeap::new(),
-            order: 0,
+            agenda: Agenda::default(),
             rng: StdRng::seed_from_u64(SEED),
             me,
             steward: Steward::new(Settings { lease: LEASE, remote_factor: 1.0 }),
@@ -174,10 +150,7 @@
         }
         self.happen(Duration::ZERO, Event::Tick);
         let end = self.load.length + PATIENCE;
-        while let Some(Reverse(Due(at, _, event))) = self.due.pop() {
-            if at > end {
-                return;
-            }
+        while let Some((at, event)) = self.agenda.next_by(end) {
             self.act(event, at);
             let mut out = Output::default();
             let now = self.start + at;
@@ -188,8 +161,7 @@
     }
 
     fn happen(&mut self, at: Duration, event: Event) {
-        self.order += 1;
-        self.due.push(Reverse(Due(at, self.order, event)));
+        self.agenda.put(at, event);
     }
 
     fn act(&mut self, event: Event, at: Duration) {
