--- a/crates/entry/tests/explained.rs
+++ b/crates/entry/tests/explained.rs
@@ -10,16 +10,9 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_coltsfootshunt-entry");
 const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
 
-async fn fleet(names: &[(&str, &str)], zones: &[&str], targets: usize) -> (Fleet, Vec<Host>) {
-    let fleet = Fleet::start(PROGRAM, FOLDER, zones, targets).await;
-    let mut hosts: Vec<Host> = Vec::new();
-    for (name, zone) in names {
-        let seeds: Vec<&Host> = hosts.iter().take(2).collect();
-        let mut host = fleet.host(name, zone, &seeds);
-        fleet.launch(&mut host);
-        hosts.push(host);
-    }
-    fleet.settled(&hosts.iter().collect::<Vec<_>>()).await;
+async fn fleet(names: &[(&str, &str)], targets: usize) -> (Fleet, Vec<Host>) {
+    let fleet = Fleet::start(PROGRAM, FOLDER, &["a"], targets).await;
+    let hosts = fleet.start_hosts(names).await;
     (fleet, hosts)
 }
 
@@ -44,7 +37,7 @@
 /// More jobs than a small fleet can have on time come at once.
 #[tokio::test]
 async fn turned_away_at_a_crest() {
-    let (fleet, hosts) = fleet(&[("a-1", "a")], &["a"], 1).await;
+    let (fleet, hosts) = fleet(&[("a-1", "a")], 1).await;
     let ids: Vec<String> = (1..=60).map(id).collect();
     let jobs = ids.iter().map(|id| fleet.submit(&hosts[0], id, (1, 14_000, 100)));
     let answers = futures_util::future::join_all(jobs).await;
@@ -64,7 +57,7 @@
 /// A job's only task stands still on its target until the caller goes.
 #[tokio::test]
 async fn given_up_after_its_target_hung() {
-    let (fleet, hosts) = fleet(&[("a-1", "a")], &["a"], 1).await;
+    let (fleet, hosts) = fleet(&[("a-1", "a")], 1).await;
     let hang = async {
         tokio::time::sleep(Duration::from_millis(100)).await;
         fleet.targets[0].hang(Duration::from_secs(5));
@@ -80,7 +73,7 @@
 #[tokio::test]
 async fn lost_with_a_host() {
     let names = [("a-1", "a"), ("a-2", "a")];
-    let (fleet, mut hosts) = fleet(&names, &["a"], 2).await;
+    let (fleet, mut hosts) = fleet(&names, 2).await;
     let state = fleet.state(&hosts[0]).await.expect("the host answers");
     let steward = usize::from(state["claims"].as_array().is_none_or(Vec::is_empty));
     let owner = 1 - steward;
--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -15,14 +15,8 @@
 /// Two zones with two hosts each.
 async fn fleet() -> (Fleet, Vec<Host>) {
     let fleet = Fleet::start(PROGRAM, FOLDER, &["a", "b"], 3).await;
-    let mut hosts: Vec<Host> = Vec::new();
-    for (name, zone) in [("a-1", "a"), ("a-2", "a"), ("b-1", "b"), ("b-2", "b")] {
-        let seeds: Vec<&Host> = hosts.iter().take(2).collect();
-        let mut host = fleet.host(name, zone, &seeds);
-        fleet.launch(&mut host);
-        hosts.push(host);
-    }
-    fleet.settled(&hosts.iter().collect::<Vec<_>>()).await;
+    let names = [("a-1", "a"), ("a-2", "a"), ("b-1", "b"), ("b-2", "b")];
+    let hosts = fleet.start_hosts(&names).await;
     (fleet, hosts)
 }
 
--- a/crates/fleet/src/report/note.rs
+++ b/crates/fleet/src/report/note.rs
@@ -84,7 +84,7 @@
         job: Id,
         /// Number of tasks.
         tasks: usize,
-        /// Core time ahead of it over what targets do in that time.
+        /// Expected time until the last of them would have started.
         wait: Duration,
         /// Time to its latest start.
         slack: Duration,
