--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -7,6 +7,7 @@
 mod dump;
 mod explain;
 mod load;
+mod losses;
 mod model;
 mod show;
 mod submit;
@@ -32,6 +33,7 @@
         .subcommand(submit::command())
         .subcommand(dump::command())
         .subcommand(explain::command())
+        .subcommand(losses::command())
         .subcommand(load::command())
         .subcommand(model::command())
         .subcommand(demo::command())
@@ -49,6 +51,7 @@
         Some(("submit", matches)) => submit::run(matches).await,
         Some(("dump", matches)) => dump::run(matches).await,
         Some(("explain", matches)) => explain::run(matches),
+        Some(("losses", matches)) => losses::run(matches),
         Some(("load", matches)) => load::run(matches).await,
         Some(("model", matches)) => model::run(matches),
         Some(("demo", matches)) => demo::run(matches).await,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,8 @@
 mod command;
 mod fleet;
 mod load;
+mod logs;
+mod losses;
 mod problem;
 
 use std::process::ExitCode;
--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -63,10 +63,14 @@
         let hurried = hurried(run, objective, &offers);
         let level = slack_level(objective, hurried);
         let wait = offers.iter().map(|offer| offer.delay(level)).min().unwrap_or_default();
+        let size = self.scale.weigh(&route.kind, plan);
         let refused = |outcome| Note::Refused {
             job: submission.id.clone(),
             kind: route.kind.clone(),
+            tasks: plan.tasks(),
+            size,
             outcome,
+            declared: plan.chain(),
             wait,
             run,
             patience,
@@ -87,7 +91,9 @@
         self.note(Note::Accepted {
             job: submission.id.clone(),
             kind: route.kind.clone(),
-            tasks: plan.steps.iter().map(|step| step.count as usize).sum(),
+            tasks: plan.tasks(),
+            size,
+            declared: plan.chain(),
             wait,
             run,
             patience,
@@ -99,7 +105,7 @@
             attempts: route.attempts,
         };
         let moments = (now, now + objective, now + patience);
-        Ok(Open::new(route.kind.clone(), plan.clone(), policy, moments))
+        Ok(Open::new(route.kind.clone(), plan.clone(), policy, moments, size))
     }
 
     /// Whether some target could hold each task, were it empty. A host that knows no target of the
@@ -224,6 +230,7 @@
         self.note(Note::Answered {
             job: id.clone(),
             kind: open.kind.clone(),
+            size: open.size,
             outcome,
             took: now.duration_since(open.since),
             why,
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -48,6 +48,7 @@
     pub(super) holder: config::Holder,
     pub(super) directory: directory::List,
     pub(super) jobs: job::Book,
+    pub(super) scale: job::Scale,
     /// Jobs with tasks that have found no steward.
     pub(super) stalled: BTreeSet<Id>,
     pub(super) steward: Steward,
@@ -81,6 +82,7 @@
             holder: config::Holder::default(),
             directory: directory::List::default(),
             jobs: job::Book::default(),
+            scale: job::Scale::default(),
             stalled: BTreeSet::new(),
             steward: Steward::new(settings.steward),
             speeds: speed::Book::default(),
--- a/crates/fleet/src/job/book.rs
+++ b/crates/fleet/src/job/book.rs
@@ -6,7 +6,7 @@
 
 use coltsfootshunt_core::name::{Host, Kind, Service};
 
-use super::{End, Ending, Id, Need, Outcome, Plan, Refusal};
+use super::{End, Ending, Id, Need, Outcome, Plan, Refusal, Size};
 
 /// Attempts of one task, whatever their ends, before it counts as too late.
 const MAX_TRIES: u32 = 8;
@@ -64,6 +64,8 @@
     pub plan: Arc<Plan>,
     /// Its kind's policy when it was taken.
     pub policy: Policy,
+    /// Its size among jobs of its kind.
+    pub size: Size,
     /// When it was taken.
     pub since: Instant,
     /// From when on its answer counts as late.
@@ -107,6 +109,7 @@
         plan: Arc<Plan>,
         policy: Policy,
         (since, objective, due): (Instant, Instant, Instant),
+        size: Size,
     ) -> Self {
         let mut parts = Vec::new();
         for (step, shape) in (0..).zip(&plan.steps) {
@@ -123,6 +126,7 @@
             kind,
             plan,
             policy,
+            size,
             since,
             objective,
             due,
--- a/crates/fleet/src/job/mod.rs
+++ b/crates/fleet/src/job/mod.rs
@@ -3,6 +3,7 @@
 mod book;
 mod message;
 mod plan;
+mod scale;
 
 #[cfg(test)]
 mod tests;
@@ -10,3 +11,4 @@
 pub use book::{Book, Open, Policy, Ready, Ticket};
 pub use message::{Bundle, End, Ending, Outcome, Part, Refusal, Submission, Task};
 pub use plan::{Id, Invalid, Need, Plan, Room, Step};
+pub use scale::{Scale, Size};
--- a/crates/fleet/src/job/plan.rs
+++ b/crates/fleet/src/job/plan.rs
@@ -155,6 +155,22 @@
         Ok(Self { spec, steps })
     }
 
+    /// Declared work, in thousandths of a core times seconds.
+    #[must_use]
+    pub fn work(&self) -> f64 {
+        let work = |step: &Step| {
+            let each = step.need.estimate().as_secs_f64() * step.need.room.cpu_millis as f64;
+            f64::from(step.count) * each
+        };
+        self.steps.iter().map(work).sum()
+    }
+
+    /// Number of tasks.
+    #[must_use]
+    pub fn tasks(&self) -> usize {
+        self.steps.iter().map(|step| step.count as usize).sum()
+    }
+
     /// Declared run time of the longest chain of steps.
     #[must_use]
     pub fn chain(&self) -> Duration {
--- a/crates/fleet/src/job/tests.rs
+++ b/crates/fleet/src/job/tests.rs
@@ -5,7 +5,8 @@
 use coltsfootshunt_testkit::cases;
 
 use super::{
-    Book, End, Ending, Id, Invalid, Need, Open, Outcome, Plan, Policy, Refusal, Step, Task, Ticket,
+    Book, End, Ending, Id, Invalid, Need, Open, Outcome, Plan, Policy, Refusal, Room, Scale, Size,
+    Step, Task, Ticket,
 };
 
 fn id() -> Id {
@@ -27,7 +28,7 @@
     let service = Service::try_from("mill").unwrap();
     let policy = Policy { service, priority: 0, attempts };
     let later = now + Duration::from_secs(1);
-    Open::new(Kind::try_from("cut").unwrap(), plan, policy, (now, later, later))
+    Open::new(Kind::try_from("cut").unwrap(), plan, policy, (now, later, later), Size::Usual)
 }
 
 /// Sends all that is ready; how much that was.
@@ -176,3 +177,22 @@
     }
     assert_eq!(job.ready()[0].run, 1);
 }
+
+fn weighs(widths: &[u32], wanted: Size) {
+    let kind = Kind::try_from("cut").unwrap();
+    let need = Need { estimate_ms: 100, ..Need::default() };
+    let need = Need { room: Room { cpu_millis: 1_000, ..Room::default() }, ..need };
+    let step = |count| Step { count, need: need.clone(), after: Vec::new() };
+    let mut scale = Scale::default();
+    let sizes = widths.iter().map(|width| {
+        let plan = Plan::new("work".into(), vec![step(*width)]).unwrap();
+        scale.weigh(&kind, &plan)
+    });
+    assert_eq!(sizes.last(), Some(wanted));
+}
+
+cases! { weighs:
+    the_first_job_as_usual(&[9], Size::Usual);
+    a_job_like_the_others_as_usual(&[4, 4, 5], Size::Usual);
+    a_job_of_twice_the_usual_work_as_large(&[4, 4, 9], Size::Large);
+}
--- a/crates/fleet/src/report/lines.rs
+++ b/crates/fleet/src/report/lines.rs
@@ -71,18 +71,20 @@
 fn write(log: &Logger, note: &Note) {
     let name = note.name();
     match note {
-        Note::Accepted { job, kind, tasks, wait, run, patience, version } => {
+        Note::Accepted { job, kind, tasks, size, declared, wait, run, patience, version } => {
             info!(log, "{}", name; "job" => %job, "kind" => %kind, "tasks" => tasks,
-                "wait_ms" => millis(*wait), "run_ms" => millis(*run),
-                "patience_ms" => millis(*patience), "configuration" => version);
+                "size" => %size, "declared_ms" => millis(*declared), "wait_ms" => millis(*wait),
+                "run_ms" => millis(*run), "patience_ms" => millis(*patience),
+                "configuration" => version);
         }
-        Note::Answered { job, kind, outcome, took, why } => {
-            info!(log, "{}", name; "job" => %job, "kind" => %kind, "outcome" => label(outcome),
-                "took_ms" => millis(*took), "reason" => why);
+        Note::Answered { job, kind, size, outcome, took, why } => {
+            info!(log, "{}", name; "job" => %job, "kind" => %kind, "size" => %size,
+                "outcome" => label(outcome), "took_ms" => millis(*took), "reason" => why);
         }
-        Note::Refused { job, kind, outcome, wait, run, patience } => {
-            info!(log, "{}", name; "job" => %job, "kind" => %kind, "reason" => label(outcome),
-                "wait_ms" => millis(*wait), "run_ms" => millis(*run),
+        Note::Refused { job, kind, tasks, size, outcome, declared, wait, run, patience } => {
+            info!(log, "{}", name; "job" => %job, "kind" => %kind, "tasks" => tasks,
+                "size" => %size, "reason" => label(outcome),
+                "declared_ms" => millis(*declared), "wait_ms" => millis(*wait), "run_ms" => millis(*run),
                 "patience_ms" => millis(*patience));
         }
         Note::CallerLeft { job, after } => {
@@ -96,14 +98,19 @@
             info!(log, "{}", name; "job" => %job, "tasks" => tasks, "wait_ms" => millis(*wait),
                 "slack_ms" => millis(*slack));
         }
-        Note::Started { task, run, target, waited, expected } => {
+        Note::Returned { task, end, waited, best, left } => {
+            info!(log, "{}", name; "job" => %task.job, "task" => %task, "end" => %end,
+                "waited_ms" => millis(*waited), "best_ms" => millis(*best),
+                "left_ms" => millis(*left));
+        }
+        Note::Started { task, run, target, waited, expected, best } => {
             info!(log, "{}", name; "job" => %task.job, "task" => %task, "run" => run,
                 "target" => %target, "waited_ms" => millis(*waited),
-                "expected_ms" => millis(*expected));
+                "expected_ms" => millis(*expected), "best_ms" => millis(*best));
         }
-        Note::Ended { task, run, target, end } => {
+        Note::Ended { task, run, target, end, took } => {
             info!(log, "{}", name; "job" => %task.job, "task" => %task, "run" => run,
-                "target" => %target, "end" => %end);
+                "target" => %target, "end" => %end, "took_ms" => millis(*took));
         }
         Note::Turned { target, task, rejection } => {
             warn!(log, "{}", name; "job" => %task.job, "task" => %task, "target" => %target,
@@ -162,18 +169,22 @@
 
 fn count(note: &Note) {
     match note {
-        Note::Answered { kind, outcome, took, .. } => {
+        Note::Answered { kind, size, outcome, took, .. } => {
             let (kind, outcome) = (kind.to_string(), label(outcome));
             counter!("coltsfootshunt_jobs_answered_total", "kind" => kind.clone(),
-                "outcome" => outcome.clone())
+                "size" => size.to_string(), "outcome" => outcome.clone())
             .increment(1);
             histogram!("coltsfootshunt_job_seconds", "kind" => kind, "outcome" => outcome)
                 .record(took.as_secs_f64());
         }
-        Note::Refused { kind, outcome, .. } => {
+        Note::Refused { kind, size, outcome, .. } => {
             let (kind, reason) = (kind.to_string(), label(outcome));
-            counter!("coltsfootshunt_jobs_refused_total", "kind" => kind, "reason" => reason)
-                .increment(1);
+            counter!("coltsfootshunt_jobs_refused_total", "kind" => kind,
+                "size" => size.to_string(), "reason" => reason)
+            .increment(1);
+        }
+        Note::Returned { end, .. } => {
+            counter!("coltsfootshunt_tasks_returned_total", "end" => end.to_string()).increment(1);
         }
         Note::Started { waited, .. } => {
             histogram!("coltsfootshunt_task_wait_seconds").record(waited.as_secs_f64());
--- a/crates/fleet/src/report/note.rs
+++ b/crates/fleet/src/report/note.rs
@@ -6,7 +6,7 @@
 
 use coltsfootshunt_core::name::{Host, Kind, Target, Zone};
 
-use crate::job::{End, Id, Outcome, Task};
+use crate::job::{End, Id, Outcome, Size, Task};
 use crate::lease::{Rejection, Token};
 use crate::store::Failure;
 
@@ -21,6 +21,10 @@
         kind: Kind,
         /// Its tasks.
         tasks: usize,
+        /// Its size among jobs of its kind.
+        size: Size,
+        /// Declared run time of its longest chain of steps.
+        declared: Duration,
         /// Expected wait.
         wait: Duration,
         /// Expected run time.
@@ -36,6 +40,8 @@
         job: Id,
         /// Its kind.
         kind: Kind,
+        /// Its size among jobs of its kind.
+        size: Size,
         /// The answer.
         outcome: Outcome,
         /// Time since it was taken.
@@ -49,8 +55,14 @@
         job: Id,
         /// Its kind.
         kind: Kind,
+        /// Its tasks.
+        tasks: usize,
+        /// Its size among jobs of its kind.
+        size: Size,
         /// The answer.
         outcome: Outcome,
+        /// Declared run time of its longest chain of steps.
+        declared: Duration,
         /// Expected wait.
         wait: Duration,
         /// Expected run time.
@@ -89,6 +101,19 @@
         /// Time to its latest start.
         slack: Duration,
     },
+    /// A steward returned a task that waited, unstarted, to its owner.
+    Returned {
+        /// The task.
+        task: Task,
+        /// Why: room elsewhere, or no time left.
+        end: End,
+        /// How long it waited here.
+        waited: Duration,
+        /// Expected run time on the fastest target here.
+        best: Duration,
+        /// Time until its caller goes.
+        left: Duration,
+    },
     /// A task was started.
     Started {
         /// The task.
@@ -101,6 +126,8 @@
         waited: Duration,
         /// Expected run time.
         expected: Duration,
+        /// Expected run time on the fastest target here, free or not.
+        best: Duration,
     },
     /// An attempt came to its end.
     Ended {
@@ -112,6 +139,8 @@
         target: Target,
         /// How.
         end: End,
+        /// Time since its start was sent.
+        took: Duration,
     },
     /// A target turned a start away.
     Turned {
@@ -246,6 +275,7 @@
             Self::CallerLeft { .. } => "caller left",
             Self::Sent { .. } => "tasks sent",
             Self::GivenBack { .. } => "tasks given back",
+            Self::Returned { .. } => "task returned",
             Self::Started { .. } => "task started",
             Self::Ended { .. } => "task ended",
             Self::Turned { .. } => "start turned away",
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -136,7 +136,7 @@
         };
         for finding in picture.answer(call, answer, now) {
             learn(&call.target, &finding, speeds, now);
-            note(&call.target, &finding, out);
+            note(&call.target, &finding, now, out);
             if let Finding::Ended { attempt, .. } = &finding
                 && attempt.unwanted
             {
--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -3,10 +3,8 @@
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
-use coltsfootshunt_core::name::Target;
-
 use super::finding::not_run;
-use super::place::{Field, fastest};
+use super::place::{Field, Placing, fastest};
 use super::{OPTIMISM, Steward};
 use crate::job::{End, Ending, Task};
 use crate::lease::{Attempt, Picture};
@@ -36,23 +34,18 @@
         let placed = self.place_all(roster, speeds, now);
         let mut started = HashSet::new();
         let mut jobs = HashSet::new();
-        for (one, name, expected) in placed {
+        for (one, placing) in placed {
             jobs.insert((one.task.job.clone(), one.opening));
             started.insert(one.task.clone());
-            self.start(&one, &name, expected, now, out);
+            self.start(&one, placing, now, out);
         }
         self.line.remove(&started);
         self.line.begin(&jobs);
         self.share(roster, now, out);
     }
 
-    /// The tasks that start now, each with its target and its expected run time there.
-    fn place_all(
-        &self,
-        roster: &Roster,
-        speeds: &Book,
-        now: Instant,
-    ) -> Vec<(Waiting, Target, Duration)> {
+    /// The tasks that start now, and where.
+    fn place_all(&self, roster: &Roster, speeds: &Book, now: Instant) -> Vec<(Waiting, Placing)> {
         let mut field = Field::new(&self.pictures, roster, speeds, self.settings, now);
         let being_stopped = self.being_stopped();
         let mut placed = Vec::new();
@@ -67,7 +60,7 @@
                 continue;
             }
             match field.place(one) {
-                Some((name, expected)) => placed.push((one.clone(), name, expected)),
+                Some(placing) => placed.push((one.clone(), placing)),
                 None => {
                     fitless.insert(step);
                 }
@@ -82,15 +75,9 @@
         attempts.filter(|(_, attempt)| attempt.unwanted).map(|(task, _)| task).collect()
     }
 
-    fn start(
-        &mut self,
-        one: &Waiting,
-        name: &Target,
-        expected: Duration,
-        now: Instant,
-        out: &mut Output,
-    ) {
-        let Some(picture) = self.pictures.get_mut(name) else {
+    fn start(&mut self, one: &Waiting, placing: Placing, now: Instant, out: &mut Output) {
+        let Placing { target, expected, best } = placing;
+        let Some(picture) = self.pictures.get_mut(&target) else {
             return;
         };
         let mut attempt =
@@ -103,9 +90,10 @@
         out.notes.push(Note::Started {
             task: one.task.clone(),
             run: one.run,
-            target: name.clone(),
+            target,
             waited: now.duration_since(one.since),
             expected,
+            best,
         });
         out.calls.push(picture.start(&one.task, one.spec.clone(), attempt, now));
     }
@@ -125,7 +113,9 @@
             *places -= u32::from(goes);
             goes
         });
-        out.endings.extend(shared.into_iter().map(not_run));
+        for one in shared {
+            give_back(one, End::NotRun, now, out);
+        }
     }
 
     /// Returns tasks that would end after their caller has gone even on the fastest target, and
@@ -143,8 +133,20 @@
         };
         for one in self.line.take(|one| end(one).is_some()) {
             let why = end(&one).unwrap_or(End::TooLate);
-            let (owner, ending) = not_run(one);
-            out.endings.push((owner, Ending { end: why, ..ending }));
+            give_back(one, why, now, out);
         }
     }
 }
+
+/// Returns a task that waited to its owner.
+fn give_back(one: Waiting, end: End, now: Instant, out: &mut Output) {
+    out.notes.push(Note::Returned {
+        task: one.task.clone(),
+        end,
+        waited: now.duration_since(one.since),
+        best: one.quickest,
+        left: one.due.saturating_duration_since(now),
+    });
+    let (owner, ending) = not_run(one);
+    out.endings.push((owner, Ending { end, ..ending }));
+}
--- a/crates/fleet/src/steward/state/finding.rs
+++ b/crates/fleet/src/steward/state/finding.rs
@@ -33,11 +33,12 @@
     }
 }
 
-pub(super) fn note(target: &Target, finding: &Finding, out: &mut Output) {
+pub(super) fn note(target: &Target, finding: &Finding, now: Instant, out: &mut Output) {
     let target = target.clone();
     out.notes.push(match finding {
         Finding::Ended { task, attempt, end } => {
-            Note::Ended { task: task.clone(), run: attempt.run, target, end: *end }
+            let took = now.duration_since(attempt.since);
+            Note::Ended { task: task.clone(), run: attempt.run, target, end: *end, took }
         }
         Finding::Claimed(token) => Note::Claimed { target, token: *token },
         Finding::Fenced(token) => Note::Fenced { target, token: *token },
--- a/crates/fleet/src/steward/state/place.rs
+++ b/crates/fleet/src/steward/state/place.rs
@@ -19,6 +19,15 @@
 /// No run is overdue before this: short runs vary by the way there and back.
 pub(super) const OVERDUE_MIN: Duration = Duration::from_millis(120);
 
+/// Where a task starts.
+pub(super) struct Placing {
+    pub(super) target: Target,
+    /// Expected run time there.
+    pub(super) expected: Duration,
+    /// Expected run time on the fastest target, free or not.
+    pub(super) best: Duration,
+}
+
 /// One target in a [`Field`].
 struct Spot<'a> {
     picture: &'a Picture,
@@ -62,8 +71,8 @@
         Self { spots: spots.collect(), settings, now }
     }
 
-    /// Places a task, if it should start now: its target, and the expected run time there.
-    pub(super) fn place(&mut self, one: &Waiting) -> Option<(Target, Duration)> {
+    /// Places a task, if it should start now.
+    pub(super) fn place(&mut self, one: &Waiting) -> Option<Placing> {
         let mut candidates = Vec::new();
         let mut fastest = Duration::MAX;
         for (place, spot) in self.spots.iter().enumerate() {
@@ -94,7 +103,7 @@
         let spot = &mut self.spots[place];
         spot.free = spot.free.map(|free| free.less(&one.need.room));
         spot.placed.push(one.task.clone());
-        Some((spot.picture.entry.name.clone(), expected))
+        Some(Placing { target: spot.picture.entry.name.clone(), expected, best: fast.best })
     }
 
     fn expected(&self, spot: &Spot<'_>, one: &Waiting) -> Duration {
--- a/crates/model/src/product.rs
+++ b/crates/model/src/product.rs
@@ -7,7 +7,8 @@
 use coltsfootshunt_core::name::{Host, Kind, Service, Target, Zone};
 use coltsfootshunt_fleet::directory::{self, Entry};
 use coltsfootshunt_fleet::job::{
-    Bundle, End, Ending, Id, Need, Open, Outcome, Part, Plan, Policy as Route, Room, Step, Task,
+    Bundle, End, Ending, Id, Need, Open, Outcome, Part, Plan, Policy as Route, Room, Size, Step,
+    Task,
 };
 use coltsfootshunt_fleet::lease::{
     Answer as Reply, Call, Ended, How, Listed, Mint, Order, Report, Token,
@@ -218,7 +219,7 @@
         let route = Route { service, priority: 0, attempts: ATTEMPTS };
         let now = self.start + at;
         let objective = now + (typical.mul_f64(STRETCH) + ALLOWANCE).min(PATIENCE);
-        let open = Open::new(kind, plan, route, (now, objective, now + PATIENCE));
+        let open = Open::new(kind, plan, route, (now, objective, now + PATIENCE), Size::Usual);
         self.open.insert(number, open);
         self.push(number, at);
     }
