fix(job): a part that one steward has no time for goes to another at once

Cause: a steward that has no target to end its part in time gives it back; the owner kept the part until all other parts had come back. It did not ask another steward, nor end the job. Class: a verdict of one on its own share taken as the verdict on the whole.

Change: while other parts are with other stewards the part goes to one that has not declined; where all have, the job is answered at once and the rest is called off.

Evidence: the new test failed before (the part was not ready to be sent).

--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -149,6 +149,11 @@
             return;
         }
         let mut offers = self.offers();
+        let reachable = offers.len();
+        offers.retain(|offer| !open.has_declined(&offer.host));
+        if offers.is_empty() && reachable > 0 {
+            return self.close(id, Outcome::Unknown, "no steward can end it in time", now);
+        }
         let believed: Vec<_> = offers.iter().map(|offer| offer.load).collect();
         let run = ready[0].need.estimate();
         let left = open.objective.saturating_duration_since(now);
--- a/crates/fleet/src/job/book.rs
+++ b/crates/fleet/src/job/book.rs
@@ -80,6 +80,8 @@
     pub committed: bool,
     /// Number of this opening.
     pub opening: u64,
+    /// Stewards on whose targets a part of it can't end in time.
+    declined: Vec<Host>,
     /// Whether a steward that was too busy has given all of it back once.
     bounced: bool,
     tickets: Vec<Ticket>,
@@ -134,6 +136,7 @@
             begun: false,
             committed: false,
             opening: 0,
+            declined: Vec::new(),
             bounced: false,
             tickets: Vec::new(),
             parts,
@@ -179,6 +182,12 @@
         self.parts.iter().any(|part| part.state == State::Sent(host.clone()))
     }
 
+    /// Whether a steward gave a part of it back since its targets can't end it in time.
+    #[must_use]
+    pub fn has_declined(&self, host: &Host) -> bool {
+        self.declined.contains(host)
+    }
+
     /// Stewards that have tasks of it.
     #[must_use]
     pub fn stewards(&self) -> Vec<Host> {
@@ -199,7 +208,11 @@
         if ending.opening != self.opening {
             return None;
         }
-        let goes_on = self.begun || (!self.committed && self.is_with_another(from));
+        let split = self.is_with_another(from);
+        let goes_on = self.begun || (!self.committed && split);
+        if *end == End::OutOfTime && !self.declined.contains(from) {
+            self.declined.push(from.clone());
+        }
         let part = self.parts.iter_mut().find(|part| {
             part.step == task.step
                 && part.index == task.index
@@ -229,6 +242,7 @@
             }
             End::Crowded | End::TooLate => part.state = State::Late,
             End::OutOfTime if self.begun => return Some(Outcome::Unknown),
+            End::OutOfTime if split => part.state = State::Waiting,
             End::OutOfTime => part.state = State::Late,
             End::Adrift => return Some(Outcome::Unknown),
         }
--- a/crates/fleet/src/job/tests.rs
+++ b/crates/fleet/src/job/tests.rs
@@ -96,6 +96,18 @@
     assert_eq!(job.ready().iter().map(|one| one.index).collect::<Vec<_>>(), [0]);
 }
 
+/// One of two stewards has no time for its part: the part is not kept back until the rest has ended.
+#[test]
+fn a_part_that_one_steward_has_no_time_for_goes_to_another_at_once() {
+    let mut job = open(vec![step(2, &[])], 1);
+    let other = Host::try_from("other").unwrap();
+    job.sent(0, host());
+    job.sent(1, other.clone());
+    assert_eq!(end(&mut job, 0, 0, End::OutOfTime), None);
+    assert_eq!(job.ready().iter().map(|one| one.index).collect::<Vec<_>>(), [0]);
+    assert!(job.has_declined(&host()) && !job.has_declined(&other));
+}
+
 /// Numbers of attempts rise, also where nothing ran.
 #[test]
 fn a_task_that_is_sent_again_has_a_higher_number() {
