fix(speed,admission,queue): a declared time counts for what it has turned out to be worth

Cause: admission, slack, the wait for a fast target and giving up all took one figure for the run time: the declared one times a factor of the kind, as if it were exact. Over 3,529 jobs the run time follows the declared one with a slope of 0.44 to 0.47 and a deviation of 0.28 in the logarithm, against 0.40 when taken at its word. Class: a point estimate without its uncertainty, guarded by factors (0.48, 0.7, 0.6, 1.4, 2.0) in six places. The same cause elsewhere: owners that are no stewards had learned nothing of kinds, since only targets' speeds were told, and only within a zone; and the choice of stewards took the declared time as it came.

Change: speed::Trend keeps a line through run times against declared ones for each kind, with its deviation; stewards tell all hosts theirs, sums add up. speed::Forecast gives the chance to end in the time left; admission, placement and the line ask for a chance in place of the factors. Times declared four and a half times over the usual are taken at their word: most of these jobs are as long as they say. In the tests of admission a job that needs 2,500 ms on an average target and half on a fast one is now taken while work waits; 3,600 ms takes its place as what is not.

--- a/crates/fleet/src/admission/gate.rs
+++ b/crates/fleet/src/admission/gate.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use crate::job::{Outcome, Refusal};
+use crate::speed::Forecast;
 
-/// Share of a job's expected run time that is asked for where targets are free: trying costs nobody
-/// else anything, and declared times are off by tens of per cent and made for an average target.
-const OPTIMISM_FREE: f64 = 0.48;
-/// Share of a job's expected time that is asked for where work waits.
-const OPTIMISM_BUSY: f64 = 0.7;
+/// Least chance to end before the caller goes where targets are free: trying costs others little.
+const LEAST_FREE: f64 = 0.1;
+/// The same where work waits.
+const LEAST_BUSY: f64 = 0.3;
 /// Expected wait from which work counts as waiting.
 const BUSY_FROM: Duration = Duration::from_millis(20);
 /// Multiple of a job's slack that its expected wait may reach: what is behind that would be late and
@@ -22,9 +22,9 @@
 pub struct Prospect {
     /// Expected time until its first task starts at the best steward.
     pub wait: Duration,
-    /// Expected run time of its longest chain of steps.
-    pub run: Duration,
-    /// The same on the targets that it needs to be on time.
+    /// Run time of its longest chain of steps on the fastest targets.
+    pub run: Forecast,
+    /// Expected run time on the targets that it needs to be on time.
     pub hurried: Duration,
     /// Time in which its answer is on time.
     pub objective: Duration,
@@ -45,12 +45,9 @@
     if is_hopeless(prospect.wait, slack) {
         return Some(turn_away(prospect.wait - slack));
     }
-    let optimism = if prospect.wait < BUSY_FROM { OPTIMISM_FREE } else { OPTIMISM_BUSY };
-    let expected = (prospect.wait + prospect.run).mul_f64(optimism);
-    if expected <= prospect.patience {
-        return None;
-    }
-    Some(turn_away(prospect.wait))
+    let least = if prospect.wait < BUSY_FROM { LEAST_FREE } else { LEAST_BUSY };
+    let left = prospect.patience.saturating_sub(prospect.wait);
+    (prospect.run.chance(left) < least).then(|| turn_away(prospect.wait))
 }
 
 fn turn_away(backlog: Duration) -> Outcome {
--- a/crates/fleet/src/admission/tests.rs
+++ b/crates/fleet/src/admission/tests.rs
@@ -3,12 +3,14 @@
 use coltsfootshunt_testkit::cases;
 
 use super::{Prospect, judge};
+use crate::speed::Forecast;
 
 fn judges(wait_ms: u64, run_ms: u64, taken: bool) {
+    // The fastest targets take half as long as the average.
     let run = Duration::from_millis(run_ms);
     let prospect = Prospect {
         wait: Duration::from_millis(wait_ms),
-        run,
+        run: Forecast { median: run / 2, deviation: 0.3 },
         hurried: run,
         objective: run.mul_f64(1.6) + Duration::from_millis(60),
         patience: Duration::from_millis(1_500),
@@ -21,8 +23,9 @@
     what_may_just_be_on_time(500, 760, true);
     what_would_be_late_behind_the_backlog(900, 760, false);
     short_work_behind_a_long_backlog(200, 51, false);
-    what_may_end_in_time_on_a_fast_target_while_one_is_free(0, 2_500, true);
-    not_that_while_work_waits(100, 2_500, false);
+    what_probably_ends_in_time_on_a_fast_target(100, 2_500, true);
+    what_may_end_in_time_on_a_fast_target_while_one_is_free(0, 3_600, true);
+    not_that_while_work_waits(100, 3_600, false);
     what_will_not_end_in_time(2_000, 760, false);
     what_is_too_long_by_itself(0, 8_000, false);
 }
--- a/crates/fleet/src/control/fleet.rs
+++ b/crates/fleet/src/control/fleet.rs
@@ -22,6 +22,9 @@
 const CONTACT_EVERY: Duration = Duration::from_millis(250);
 /// Time between messages that tell what was learned of targets; it is lost with a host otherwise.
 const TEACH_EVERY: Duration = Duration::from_secs(1);
+/// Kinds in one message that tells what was learned: their trends make about half a kilobyte, from each
+/// steward to each host.
+const KINDS_TAUGHT: usize = 8;
 /// Time between questions for the configuration or the list of targets.
 const ASK_EVERY: Duration = Duration::from_millis(300);
 
@@ -71,7 +74,8 @@
                     self.note(Note::InForce { version, from: "a peer" });
                 }
             }
-            Message::Learned(targets) => {
+            Message::Learned { targets, kinds } => {
+                self.speeds.hear_kinds(&from.host, kinds);
                 // What this host's own targets are like it learns itself.
                 let targets = targets.into_iter().filter(|(target, _)| !self.steward.has(target));
                 self.speeds.hear(targets.collect(), now);
@@ -223,15 +227,19 @@
         }
     }
 
-    /// Tells the hosts that may replace this one what it has learned of its targets.
+    /// Tells all hosts what it has learned of kinds, and those that may replace it what it has learned of
+    /// its targets.
     fn teach(&mut self, now: Instant) {
+        let mut kinds = self.speeds.kinds();
+        kinds.truncate(KINDS_TAUGHT);
         let mut targets = self.speeds.targets(now);
         targets.retain(|(target, _)| self.steward.has(target));
         let me = self.roster.me();
-        let near = self.roster.alive().filter(|peer| peer.card.zone == me.zone);
-        let addresses: Vec<SocketAddr> = near.map(|peer| peer.card.address).collect();
-        for address in addresses {
-            self.send(address, Message::Learned(targets.clone()));
+        let peers = self.roster.alive().map(|peer| (peer.card.address, peer.card.zone == me.zone));
+        let peers: Vec<(SocketAddr, bool)> = peers.collect();
+        for (address, is_near) in peers {
+            let targets = if is_near { targets.clone() } else { Vec::new() };
+            self.send(address, Message::Learned { targets, kinds: kinds.clone() });
         }
     }
 
--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -56,7 +56,8 @@
         let route = document.kind(&submission.kind).ok_or(refuse(Refusal::UnknownKind))?;
         let plan = &submission.plan;
         let patience = submission.patience.min(route.timeout);
-        let run = self.speeds.typical(&route.kind, plan.chain());
+        let forecast = self.speeds.forecast(&route.kind, plan.chain());
+        let run = forecast.median;
         let offers = self.offers();
         let objective = (run.mul_f64(route.stretch) + route.allowance)
             .min(patience.saturating_sub(ANSWER_WITHIN));
@@ -82,6 +83,7 @@
         } else if !self.may_fit(&route.service, submission) {
             Some(Outcome::Failed)
         } else {
+            let run = forecast.times(fastest(&offers));
             admission::judge(&Prospect { wait, run, hurried, objective, patience })
         };
         if let Some(outcome) = outcome {
@@ -155,7 +157,7 @@
             return self.close(id, Outcome::Unknown, "no steward can end it in time", now);
         }
         let believed: Vec<_> = offers.iter().map(|offer| offer.load).collect();
-        let run = ready[0].need.estimate();
+        let run = self.speeds.forecast(&open.kind, ready[0].need.estimate()).median;
         let left = open.objective.saturating_duration_since(now);
         let hurried = hurried(run, left, &offers);
         let level = slack_level(left, hurried);
@@ -318,9 +320,13 @@
 /// Run time that a job's slack is reckoned with: on an average target, or on the fastest one known
 /// where only that would do.
 fn hurried(run: Duration, objective: Duration, offers: &[Offer]) -> Duration {
+    if run > objective { run.mul_f64(fastest(offers)) } else { run }
+}
+
+/// Factor of the fastest known target's run time against the average one.
+fn fastest(offers: &[Offer]) -> f64 {
     let known = offers.iter().map(|offer| offer.load.fastest_permille).filter(|one| *one > 0);
-    let fastest = known.min().unwrap_or(1_000);
-    if run > objective { run.mul_f64(f64::from(fastest) / 1_000.0) } else { run }
+    f64::from(known.min().unwrap_or(1_000)) / 1_000.0
 }
 
 /// Milliseconds from one moment to another, below zero if that was before.
--- a/crates/fleet/src/peer/message.rs
+++ b/crates/fleet/src/peer/message.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use coltsfootshunt_core::name::Target;
+use coltsfootshunt_core::name::{Kind, Target};
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
@@ -12,6 +12,7 @@
 use crate::directory::Entry;
 use crate::job::{Bundle, Ending, Id};
 use crate::member::{Beat, Card};
+use crate::speed::Trend;
 use crate::spread::Load;
 
 /// What one host tells another.
@@ -34,8 +35,13 @@
     Document(Arc<Document>),
     /// The targets that the sender knows.
     Targets(Vec<Entry>),
-    /// Logarithms of the run times of the sender's targets against the average.
-    Learned(Vec<(Target, f64)>),
+    /// What the sender's targets have taught it.
+    Learned {
+        /// Logarithms of the targets' run times against the average.
+        targets: Vec<(Target, f64)>,
+        /// Run times of kinds against the declared ones.
+        kinds: Vec<(Kind, Trend)>,
+    },
 }
 
 /// Messages of one session, in order.
--- a/crates/fleet/src/placement/choice.rs
+++ b/crates/fleet/src/placement/choice.rs
@@ -11,17 +11,14 @@
 const FAST: f64 = 1.25;
 /// Share of the fast targets' room that is left to work that needs it.
 const RESERVE: f64 = 0.75;
-/// Factor on an expected run time that must still end before the caller goes: declared times are off
-/// by tens of per cent.
-const SURE: f64 = 1.4;
-/// Factor on an expected run time that long work should have left until its caller goes; one run in
-/// twenty takes longer than this.
-const SAFE: f64 = 2.0;
+/// Chance to end before the caller goes from which a target will do for work that could have a fast one.
+const SURE: f64 = 0.95;
+/// Chance that a fast target must add for a task to wait for it.
+const GAIN: f64 = 0.02;
 /// Time for which long work waits for a fast target while others are free: some runs of short work.
 const LONG_WAIT: Duration = Duration::from_millis(150);
-/// Share of an expected run time that must still fit before the caller goes: a start that is bound to
-/// be in vain only keeps others out.
-const HOPE: f64 = 0.6;
+/// Least chance to end before the caller goes: a start that is bound to be in vain only keeps others out.
+pub const LEAST: f64 = 0.05;
 /// Time by which an end must be expected before the job is late: the way there and back.
 const AHEAD: Duration = Duration::from_millis(15);
 
@@ -59,8 +56,9 @@
 /// its caller's patience there, and hardly on a fast one.
 #[must_use]
 pub fn wants_fast(task: &Waiting, expected: Duration, best: Duration, now: Instant) -> bool {
-    let safe = |run: Duration| now + run.mul_f64(SAFE) <= task.due;
-    !is_fast(expected, best) && !safe(expected) && safe(best) && now < task.since + LONG_WAIT
+    let chance = |run: Duration| task.chance(run, Duration::ZERO, now);
+    let gains = chance(best) > chance(expected) + GAIN;
+    !is_fast(expected, best) && gains && now < task.since + LONG_WAIT
 }
 
 /// What to do with a task.
@@ -76,21 +74,21 @@
 #[must_use]
 pub fn choose(task: &Waiting, candidates: &[Candidate], fast: Fast, now: Instant) -> Choice {
     let on_time = |expected: Duration| now + expected <= task.objective;
-    let in_time = |expected: Duration| now + expected <= task.due;
+    let chance = |expected: Duration| task.chance(expected, Duration::ZERO, now);
     let sound: Vec<&Candidate> = candidates.iter().filter(|one| !one.suspect).collect();
     let Some(best) = sound.iter().map(|one| one.expected).min() else {
         return Choice::Wait;
     };
-    let hopes = (on_time(fast.best) && !on_time(best)) || (in_time(fast.best) && !in_time(best));
+    let hopes = on_time(fast.best) && !on_time(best);
     let waits = wants_fast(task, best, fast.best, now);
-    if hopes || waits || !in_time(best.mul_f64(HOPE)) {
+    if hopes || waits || chance(best) < LEAST {
         return Choice::Wait;
     }
     let scarce = fast.free as f64 <= fast.places as f64 * RESERVE;
     let sure = |one: &&&Candidate| {
         !is_fast(one.expected, fast.best)
             && on_time(one.expected + AHEAD)
-            && in_time(one.expected.mul_f64(SURE))
+            && chance(one.expected) >= SURE
     };
     let elsewhere = sound.iter().filter(sure).map(|one| one.expected).min();
     let wanted = elsewhere.filter(|_| scarce && is_fast(best, fast.best)).unwrap_or(best);
--- a/crates/fleet/src/queue/line.rs
+++ b/crates/fleet/src/queue/line.rs
@@ -8,6 +8,7 @@
 
 use crate::job::{Id, Need, Task};
 use crate::placement::wants_fast;
+use crate::speed::Forecast;
 
 /// A task that waits for a target.
 #[derive(Clone, Debug)]
@@ -40,6 +41,8 @@
     pub typical: Duration,
     /// Expected run time on the fastest target.
     pub quickest: Duration,
+    /// Deviation of its run time's natural logarithm from these.
+    pub deviation: f64,
     /// Whether anything of its job has started.
     pub begun: bool,
 }
@@ -72,6 +75,14 @@
         wants_fast(self, self.typical, self.quickest, now)
     }
 
+    /// Chance, from 0 to 1, that a run expected to take `run` ends before the caller goes if it starts
+    /// after `wait`.
+    #[must_use]
+    pub fn chance(&self, run: Duration, wait: Duration, now: Instant) -> f64 {
+        let left = self.due.saturating_duration_since(now + wait);
+        Forecast { median: run, deviation: self.deviation }.chance(left)
+    }
+
     /// Core time that it takes, in thousandths of a core times seconds.
     #[must_use]
     pub fn work(&self) -> f64 {
--- a/crates/fleet/src/queue/tests.rs
+++ b/crates/fleet/src/queue/tests.rs
@@ -29,6 +29,7 @@
         since: now,
         typical: Duration::from_millis(100),
         quickest: Duration::from_millis(100),
+        deviation: 0.3,
         begun: false,
     }
 }
--- a/crates/fleet/src/speed/book.rs
+++ b/crates/fleet/src/speed/book.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use coltsfootshunt_core::name::{Kind, Target};
+use coltsfootshunt_core::name::{Host, Kind, Target};
 use serde::Serialize;
 
+use super::{Forecast, Trend};
+
 /// Weight of one end in a target's factor: about the last eight ends count.
 const TARGET_WEIGHT: f64 = 0.12;
-/// Weight of one end in a kind's factor; kinds change more slowly than targets.
-const KIND_WEIGHT: f64 = 0.02;
 /// Bounds of one observation against the prediction, so that one straggler says little.
 const OBSERVED: (f64, f64) = (0.25, 4.0);
 /// Bound of a target's factor either way, as a natural logarithm: sixteen times.
@@ -53,8 +53,13 @@
 /// What ends have taught.
 #[derive(Debug, Default, Serialize)]
 pub struct Book {
-    /// Run time against the declared one, as a natural logarithm.
-    kinds: BTreeMap<Kind, f64>,
+    /// Run times against declared ones, by the ends of this host's targets.
+    kinds: BTreeMap<Kind, Trend>,
+    /// The same by those of others.
+    heard: BTreeMap<Host, BTreeMap<Kind, Trend>>,
+    /// All of these together.
+    #[serde(skip)]
+    all: BTreeMap<Kind, Trend>,
     targets: BTreeMap<Target, Score>,
 }
 
@@ -68,14 +73,13 @@
         estimate: Duration,
         now: Instant,
     ) -> Duration {
-        let factor = (self.kind(kind) + self.slowness(target, now)).exp();
-        estimate.mul_f64(factor)
+        self.forecast(kind, estimate).times(self.slowness(target, now).exp()).median
     }
 
-    /// Expected run time of a task of a kind on an average target.
+    /// Forecast for a task of a kind on an average target.
     #[must_use]
-    pub fn typical(&self, kind: &Kind, estimate: Duration) -> Duration {
-        estimate.mul_f64(self.kind(kind).exp())
+    pub fn forecast(&self, kind: &Kind, estimate: Duration) -> Forecast {
+        self.all.get(kind).copied().unwrap_or_default().forecast(estimate)
     }
 
     /// Run time on this target against the average one, as a natural logarithm.
@@ -100,13 +104,43 @@
     ) {
         let predicted = self.predict(kind, target, estimate, now).as_secs_f64().max(1e-4);
         let ratio = (took.as_secs_f64() / predicted).clamp(OBSERVED.0, OBSERVED.1).ln();
-        *self.kinds.entry(kind.clone()).or_default() += ratio * KIND_WEIGHT;
+        self.ran(kind, target, (estimate, took), now);
         let score = self.score(target, now);
         score.slowness = (score.slowness + ratio * TARGET_WEIGHT).clamp(-SLOWNESS, SLOWNESS);
         score.lasting += (score.slowness - score.lasting) * LASTING_WEIGHT;
         score.failures *= 1.0 - FAILURE_WEIGHT;
     }
 
+    /// Learns of a kind alone from a run that was stopped when it had taken longer than expected.
+    pub fn ran(
+        &mut self,
+        kind: &Kind,
+        target: &Target,
+        (estimate, took): (Duration, Duration),
+        now: Instant,
+    ) {
+        let on_average = took.mul_f64((-self.slowness(target, now)).exp());
+        self.kinds.entry(kind.clone()).or_default().learn(estimate, on_average);
+        self.all.entry(kind.clone()).or_default().learn(estimate, on_average);
+    }
+
+    /// What this host's own targets have taught of kinds, those with most ends first.
+    #[must_use]
+    pub fn kinds(&self) -> Vec<(Kind, Trend)> {
+        let mut kinds: Vec<_> = self.kinds.iter().map(|(kind, one)| (kind.clone(), *one)).collect();
+        kinds.sort_by(|(_, one), (_, other)| other.ends().total_cmp(&one.ends()));
+        kinds
+    }
+
+    /// Takes over what another host's targets have taught of kinds.
+    pub fn hear_kinds(&mut self, from: &Host, kinds: Vec<(Kind, Trend)>) {
+        self.heard.insert(from.clone(), kinds.into_iter().collect());
+        self.all = self.kinds.clone();
+        for (kind, trend) in self.heard.values().flatten() {
+            *self.all.entry(kind.clone()).or_default() += *trend;
+        }
+    }
+
     /// Learns from a task that failed.
     pub fn failed(&mut self, target: &Target, now: Instant) {
         let score = self.score(target, now);
@@ -140,10 +174,6 @@
         self.targets.remove(target);
     }
 
-    fn kind(&self, kind: &Kind) -> f64 {
-        self.kinds.get(kind).copied().unwrap_or_default()
-    }
-
     /// The target's score as it counts now.
     fn score(&mut self, target: &Target, now: Instant) -> &mut Score {
         let blank = Score { slowness: 0.0, lasting: 0.0, failures: 0.0, at: now };
--- /dev/null
+++ b/crates/fleet/src/speed/forecast.rs
@@ -0,0 +1,36 @@
+//! A run time that is not known yet.
+
+use std::time::Duration;
+
+/// Steepness of the logistic curve that comes closest to a normal distribution's.
+const STEEPNESS: f64 = 1.702;
+
+/// What is expected of a run time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Forecast {
+    /// Half of the runs end within it.
+    pub median: Duration,
+    /// Deviation of the run time's natural logarithm.
+    pub deviation: f64,
+}
+
+impl Forecast {
+    /// Chance, from 0 to 1, that a run with this median ends within some time.
+    ///
+    /// Its distribution is log-logistic: long runs are more frequent than a normal one would have them.
+    #[must_use]
+    pub fn chance(&self, within: Duration) -> f64 {
+        if within.is_zero() {
+            return 0.0;
+        }
+        let median = self.median.as_secs_f64().max(f64::MIN_POSITIVE);
+        let distance = (within.as_secs_f64() / median).ln() / self.deviation.max(f64::MIN_POSITIVE);
+        1.0 / (1.0 + (-STEEPNESS * distance).exp())
+    }
+
+    /// The same run on a target that takes this many times as long.
+    #[must_use]
+    pub fn times(&self, factor: f64) -> Self {
+        Self { median: self.median.mul_f64(factor), ..*self }
+    }
+}
--- a/crates/fleet/src/speed/tests.rs
+++ b/crates/fleet/src/speed/tests.rs
@@ -1,9 +1,9 @@
 use std::time::{Duration, Instant};
 
-use coltsfootshunt_core::name::{Kind, Target};
+use coltsfootshunt_core::name::{Host, Kind, Target};
 use coltsfootshunt_testkit::cases;
 
-use super::Book;
+use super::{Book, Forecast, Trend};
 
 fn kind() -> Kind {
     Kind::try_from("cut").unwrap()
@@ -99,3 +99,59 @@
     let plain = successor.predict(&kind(), &target("plain"), estimate, now).as_secs_f64();
     assert!((slow / plain / 2.0 - 1.0).abs() < 0.15, "{}", slow / plain);
 }
+
+/// Runs whose logarithm is `slope` times as far from the usual as the declared one's.
+fn taught(slope: f64) -> Trend {
+    let mut trend = Trend::default();
+    for turn in 0..400 {
+        let declared = f64::from(turn % 41 - 20) / 20.0;
+        let error = f64::from(turn % 7 - 3) / 10.0;
+        let took = declared * slope + error;
+        trend.learn(Duration::from_secs_f64(declared.exp()), Duration::from_secs_f64(took.exp()));
+    }
+    trend
+}
+
+fn forecasts(slope: f64, declared_ms: u64, wanted_ms: u64) {
+    let median = taught(slope).forecast(Duration::from_millis(declared_ms)).median;
+    let ratio = median.as_secs_f64() * 1e3 / wanted_ms as f64;
+    assert!((ratio - 1.0).abs() < 0.15, "{median:?} for {wanted_ms} ms");
+}
+
+cases! { forecasts:
+    exact_declarations_as_they_are(1.0, 500, 500);
+    declarations_that_say_half_nearer_to_the_usual(0.5, 500, 707);
+    the_same_above_the_usual(0.5, 2_000, 1_414);
+    what_is_declared_far_above_the_usual_at_its_word(0.5, 16_000, 16_000);
+    declarations_that_say_nothing_as_usual(0.0, 500, 930);
+}
+
+/// An owner of jobs that gives no target its orders knows what stewards have learned of kinds.
+#[test]
+fn what_several_hosts_learned_of_a_kind_adds_up() {
+    let estimate = Duration::from_millis(100);
+    let now = Instant::now();
+    let mut owner = Book::default();
+    for host in ["one", "other"] {
+        let mut steward = Book::default();
+        for _ in 0..100 {
+            steward.ran(&kind(), &target("plain"), (estimate, estimate * 2), now);
+        }
+        owner.hear_kinds(&Host::try_from(host).unwrap(), steward.kinds());
+    }
+    let median = owner.forecast(&kind(), estimate).median;
+    assert!((median.as_secs_f64() / 0.2 - 1.0).abs() < 0.1, "{median:?}");
+}
+
+fn chances(within_ms: u64, low: f64, high: f64) {
+    let forecast = Forecast { median: Duration::from_millis(500), deviation: 0.3 };
+    let chance = forecast.chance(Duration::from_millis(within_ms));
+    assert!((low..=high).contains(&chance), "{chance}");
+}
+
+cases! { chances:
+    none_without_time(0, 0.0, 0.0);
+    little_in_half_the_median(250, 0.0, 0.03);
+    even_in_the_median(500, 0.5, 0.5);
+    good_in_twice_the_median(1_000, 0.97, 0.99);
+}
--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -3,12 +3,13 @@
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
+use super::Steward;
 use super::finding::not_run;
 use super::place::{Field, Placing, fastest};
-use super::{OPTIMISM, Steward};
 use crate::job::{End, Ending, Task};
 use crate::lease::{Attempt, Picture};
 use crate::member::Roster;
+use crate::placement::LEAST;
 use crate::queue::Waiting;
 use crate::report::Note;
 use crate::speed::Book;
@@ -123,9 +124,9 @@
     fn drop_hopeless(&mut self, speeds: &Book, now: Instant, out: &mut Output) {
         let fastest = fastest(&self.pictures, speeds, now);
         let end = |one: &Waiting| {
-            let needed = one.typical.mul_f64(fastest * OPTIMISM);
+            let chance = one.chance(one.typical.mul_f64(fastest), Duration::ZERO, now);
             let waited = now.duration_since(one.since) > LATE_AFTER;
-            match (now + needed > one.due, !one.begun && one.is_late(now) && waited) {
+            match (chance < LEAST, !one.begun && one.is_late(now) && waited) {
                 (true, _) => Some(End::OutOfTime),
                 (false, true) => Some(End::TooLate),
                 (false, false) => None,
--- a/crates/fleet/src/steward/state/finding.rs
+++ b/crates/fleet/src/steward/state/finding.rs
@@ -24,8 +24,11 @@
         // A run that was stopped had needed longer still.
         Finding::Ended { attempt, end: End::Lost, .. } => {
             let took = now.duration_since(attempt.since);
+            let times = (attempt.estimate, took);
             if took > attempt.expected.mul_f64(OVERDUE) {
-                speeds.done(&attempt.kind, target, (attempt.estimate, took), now);
+                speeds.done(&attempt.kind, target, times, now);
+            } else if took > attempt.expected {
+                speeds.ran(&attempt.kind, target, times, now);
             }
         }
         Finding::Lost(_) => speeds.forget(target),
--- a/crates/fleet/src/steward/state/intake.rs
+++ b/crates/fleet/src/steward/state/intake.rs
@@ -60,7 +60,7 @@
             let millis = part.need.room.cpu_millis as f64;
             let usual = self.typical.get_or_insert(millis);
             *usual += (millis - *usual) * TYPICAL_WEIGHT;
-            let typical = speeds.typical(&bundle.kind, part.need.estimate());
+            let forecast = speeds.forecast(&bundle.kind, part.need.estimate());
             tasks.push(Waiting {
                 task,
                 owner: owner.clone(),
@@ -69,8 +69,9 @@
                 service: bundle.service.clone(),
                 priority: bundle.priority,
                 run: part.run,
-                typical,
-                quickest: typical.mul_f64(fastest),
+                typical: forecast.median,
+                quickest: forecast.times(fastest).median,
+                deviation: forecast.deviation,
                 begun: bundle.begun,
                 need: part.need,
                 spec: bundle.spec.clone(),
