fix(placement,queue,spread): long work waits for fast targets as long as that is its better chance

Cause: while long tasks were started on slow targets, which end them in time or not by a hair, short tasks, which end in time anywhere, held 13 to 14 of the 28 places on fast targets (long ones 7). The wait for a fast place was cut off at 150 ms, whatever was left of the time; a task counted as safe elsewhere with twice its expected time; begun short work came before begun long work on fast places as well; owners sent long jobs whole to one steward at a crest, or by the wait of short work. Class: a scarce resource given out in order of urgency, without asking who can use no other.

Change: a task waits for a fast target if its chance to end before its caller goes is better there after the expected wait, worked out from what runs there and waits for it (steward::state::ends). Long work comes first on fast places and holds nobody up on others. Stewards tell the wait for fast places apart; owners send each long task to where one is free first. A job for which that wait leaves no chance is given back at once. The tests that pinned the 150 ms and the twofold time are replaced by ones on the better chance; the test of sharing now has targets of unlike speed, without which no work is long.

--- a/crates/fleet/src/admission/gate.rs
+++ b/crates/fleet/src/admission/gate.rs
@@ -38,6 +38,12 @@
     wait >= BUSY_FROM && wait > slack.mul_f64(TOLERANCE)
 }
 
+/// Whether work that waits has too little chance to end before its caller goes.
+#[must_use]
+pub fn is_vain(chance: f64) -> bool {
+    chance < LEAST_BUSY
+}
+
 /// Whether the job is turned away, and with which answer.
 #[must_use]
 pub fn judge(prospect: &Prospect) -> Option<Outcome> {
--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -11,17 +11,16 @@
     Bundle, Ending, Id, Need, Open, Outcome, Part, Policy, Refusal, Submission, Ticket,
 };
 use crate::peer::Message;
+use crate::placement::GAIN;
 use crate::queue::slack_level;
 use crate::report::Note;
+use crate::speed::Forecast;
 use crate::spread::{Offer, Shape, assign};
 
 /// Open jobs of one host; what it needs for each is far below its memory.
 const MAX_OPEN: usize = 4_000;
 /// Time after which a caller that was turned away for want of a steward may come back.
 const STEWARD_BACK_IN: Duration = Duration::from_secs(1);
-/// Multiple of a task's run time that must fit before its caller goes, if it may go to any target:
-/// targets differ in speed by a factor of two and more.
-const LONG: f64 = 2.0;
 /// Time before the caller goes at which an answer must be ready: the way back, and a margin for it.
 const ANSWER_WITHIN: Duration = Duration::from_millis(40);
 /// Way to the steward in this process and back.
@@ -63,7 +62,9 @@
             .min(patience.saturating_sub(ANSWER_WITHIN));
         let hurried = hurried(run, objective, &offers);
         let level = slack_level(objective, hurried);
-        let wait = offers.iter().map(|offer| offer.delay(level)).min().unwrap_or_default();
+        let is_long = needs_fast(&forecast, patience, &offers);
+        let delay = |offer: &Offer| if is_long { offer.fast_delay() } else { offer.delay(level) };
+        let wait = offers.iter().map(delay).min().unwrap_or_default();
         let size = self.scale.weigh(&route.kind, plan);
         let refused = |outcome| Note::Refused {
             job: submission.id.clone(),
@@ -157,12 +158,13 @@
             return self.close(id, Outcome::Unknown, "no steward can end it in time", now);
         }
         let believed: Vec<_> = offers.iter().map(|offer| offer.load).collect();
-        let run = self.speeds.forecast(&open.kind, ready[0].need.estimate()).median;
+        let forecast = self.speeds.forecast(&open.kind, ready[0].need.estimate());
+        let run = forecast.median;
         let left = open.objective.saturating_duration_since(now);
         let hurried = hurried(run, left, &offers);
         let level = slack_level(left, hurried);
         let slack = left.saturating_sub(hurried);
-        let is_long = run.mul_f64(LONG) > open.due.saturating_duration_since(now);
+        let is_long = needs_fast(&forecast, open.due.saturating_duration_since(now), &offers);
         let assigned = assign(ready.len(), &Shape { slack, level, run, is_long }, &mut offers);
         if assigned.len() < ready.len() {
             self.stalled.insert(id.clone());
@@ -323,6 +325,11 @@
     if run > objective { run.mul_f64(fastest(offers)) } else { run }
 }
 
+/// Whether only fast targets will do for a task whose caller goes after `left`.
+fn needs_fast(forecast: &Forecast, left: Duration, offers: &[Offer]) -> bool {
+    forecast.times(fastest(offers)).chance(left) > forecast.chance(left) + GAIN
+}
+
 /// Factor of the fastest known target's run time against the average one.
 fn fastest(offers: &[Offer]) -> f64 {
     let known = offers.iter().map(|offer| offer.load.fastest_permille).filter(|one| *one > 0);
--- a/crates/fleet/src/placement/choice.rs
+++ b/crates/fleet/src/placement/choice.rs
@@ -14,9 +14,7 @@
 /// Chance to end before the caller goes from which a target will do for work that could have a fast one.
 const SURE: f64 = 0.95;
 /// Chance that a fast target must add for a task to wait for it.
-const GAIN: f64 = 0.02;
-/// Time for which long work waits for a fast target while others are free: some runs of short work.
-const LONG_WAIT: Duration = Duration::from_millis(150);
+pub const GAIN: f64 = 0.05;
 /// Least chance to end before the caller goes: a start that is bound to be in vain only keeps others out.
 pub const LEAST: f64 = 0.05;
 /// Time by which an end must be expected before the job is late: the way there and back.
@@ -44,6 +42,8 @@
     pub free: u64,
     /// Tasks that they hold when empty.
     pub places: u64,
+    /// Expected time until one more task can start on them.
+    pub wait: Duration,
 }
 
 /// Whether a target is fast, by run times there and on the fastest one.
@@ -52,13 +52,17 @@
     expected <= best.mul_f64(FAST)
 }
 
-/// Whether a task should wait for a fast target although another could start it: it may well run past
-/// its caller's patience there, and hardly on a fast one.
+/// Whether a task should wait for a fast target although another could start it: its chance to end before
+/// its caller goes is better there, even after the wait.
 #[must_use]
-pub fn wants_fast(task: &Waiting, expected: Duration, best: Duration, now: Instant) -> bool {
-    let chance = |run: Duration| task.chance(run, Duration::ZERO, now);
-    let gains = chance(best) > chance(expected) + GAIN;
-    !is_fast(expected, best) && gains && now < task.since + LONG_WAIT
+pub fn wants_fast(
+    task: &Waiting,
+    expected: Duration,
+    (best, wait): (Duration, Duration),
+    now: Instant,
+) -> bool {
+    let here = task.chance(expected, Duration::ZERO, now);
+    !is_fast(expected, best) && task.chance(best, wait, now) > here + GAIN
 }
 
 /// What to do with a task.
@@ -80,7 +84,7 @@
         return Choice::Wait;
     };
     let hopes = on_time(fast.best) && !on_time(best);
-    let waits = wants_fast(task, best, fast.best, now);
+    let waits = wants_fast(task, best, (fast.best, fast.wait), now);
     if hopes || waits || chance(best) < LEAST {
         return Choice::Wait;
     }
--- a/crates/fleet/src/placement/tests.rs
+++ b/crates/fleet/src/placement/tests.rs
@@ -14,7 +14,8 @@
 fn chooses(candidates: &[Candidate], fastest_ms: u64, wanted: Choice) {
     let now = Instant::now();
     let task = waiting("0000000000000001", 0, now, 200, 1_500);
-    let fast = Fast { best: Duration::from_millis(fastest_ms), free: 9, places: 10 };
+    let fast =
+        Fast { best: Duration::from_millis(fastest_ms), free: 9, places: 10, ..Fast::default() };
     assert_eq!(choose(&task, candidates, fast, now), wanted);
 }
 
@@ -34,7 +35,7 @@
 fn leaves(slow_ms: u64, objective_ms: u64, free: u64, wanted: usize) {
     let now = Instant::now();
     let task = waiting("0000000000000001", 0, now, objective_ms, 1_500);
-    let fast = Fast { best: Duration::from_millis(50), free, places: 10 };
+    let fast = Fast { best: Duration::from_millis(50), free, places: 10, ..Fast::default() };
     let candidates = [candidate(0, 50, 9, false), candidate(1, slow_ms, 9, false)];
     assert_eq!(choose(&task, &candidates, fast, now), Choice::Start(wanted));
 }
@@ -46,18 +47,19 @@
     nothing_when_the_caller_might_be_gone(1_200, 1_400, 3, 0);
 }
 
-/// Long work whose free target may well be too slow, while fast ones are taken.
-fn waits(waited_ms: u64, slow_ms: u64, wanted: Choice) {
-    let since = Instant::now();
-    let task = waiting("0000000000000001", 0, since, 1_450, 1_500);
-    let fast = Fast { best: Duration::from_millis(400), free: 0, places: 10 };
+/// Long work whose free target may well be too slow, while fast ones are expected to be free after a wait.
+fn waits(fast_in_ms: u64, slow_ms: u64, wanted: Choice) {
+    let now = Instant::now();
+    let task = waiting("0000000000000001", 0, now, 1_450, 1_500);
+    let wait = Duration::from_millis(fast_in_ms);
+    let fast = Fast { best: Duration::from_millis(400), free: 0, places: 10, wait };
     let candidates = [candidate(0, slow_ms, 9, false)];
-    let now = since + Duration::from_millis(waited_ms);
     assert_eq!(choose(&task, &candidates, fast, now), wanted);
 }
 
 cases! { waits:
-    for_a_fast_target_at_first(20, 900, Choice::Wait);
-    no_longer_than_some_short_runs(160, 900, Choice::Start(0));
-    not_where_the_slow_one_is_safe(20, 700, Choice::Start(0));
+    for_a_fast_target(20, 1_100, Choice::Wait);
+    for_a_fast_target_as_long_as_that_is_the_better_chance(700, 1_100, Choice::Wait);
+    no_longer(1_000, 1_100, Choice::Start(0));
+    not_where_the_slow_one_is_safe(20, 500, Choice::Start(0));
 }
--- a/crates/fleet/src/queue/line.rs
+++ b/crates/fleet/src/queue/line.rs
@@ -39,6 +39,8 @@
     pub since: Instant,
     /// Expected run time on an average target.
     pub typical: Duration,
+    /// Expected run time on the slower half of the targets at best.
+    pub usual: Duration,
     /// Expected run time on the fastest target.
     pub quickest: Duration,
     /// Deviation of its run time's natural logarithm from these.
@@ -70,9 +72,10 @@
         now + self.quickest > self.objective
     }
 
-    /// Whether it waits for a fast target; until then others lose nothing by its place in the line.
-    fn is_long(&self, now: Instant) -> bool {
-        wants_fast(self, self.typical, self.quickest, now)
+    /// Whether only fast targets will do for it; on others nobody loses by its place in the line.
+    #[must_use]
+    pub fn is_long(&self, now: Instant) -> bool {
+        wants_fast(self, self.usual, (self.quickest, Duration::ZERO), now)
     }
 
     /// Chance, from 0 to 1, that a run expected to take `run` ends before the caller goes if it starts
@@ -143,15 +146,22 @@
     pub fn sort(&mut self, now: Instant) {
         self.waiting.sort_by_cached_key(|one| {
             let latest = one.latest_start().unwrap_or(now);
-            match (one.begun, one.is_late(now)) {
-                (true, _) => (0, 0, latest, one.task.clone()),
-                (false, false) if one.is_long(now) => (1, 0, latest, one.task.clone()),
-                (false, false) => (2, 0, latest, one.task.clone()),
-                (false, true) => (3, one.priority, one.objective, one.task.clone()),
+            match (one.is_long(now), one.begun, one.is_late(now)) {
+                (true, true, _) => (0, 0, latest, one.task.clone()),
+                (false, true, _) => (1, 0, latest, one.task.clone()),
+                (true, false, false) => (2, 0, latest, one.task.clone()),
+                (false, false, false) => (3, 0, latest, one.task.clone()),
+                (_, false, true) => (4, one.priority, one.objective, one.task.clone()),
             }
         });
     }
 
+    /// Tasks for which only fast targets will do.
+    #[must_use]
+    pub fn long(&self, now: Instant) -> usize {
+        self.waiting.iter().filter(|one| one.is_long(now)).count()
+    }
+
     /// Notes that something of these openings of jobs has started.
     pub fn begin(&mut self, jobs: &HashSet<(Id, u64)>) {
         for one in self.waiting.iter_mut().filter(|one| !one.begun) {
--- a/crates/fleet/src/queue/tests.rs
+++ b/crates/fleet/src/queue/tests.rs
@@ -28,6 +28,7 @@
         due: now + Duration::from_millis(due_ms),
         since: now,
         typical: Duration::from_millis(100),
+        usual: Duration::from_millis(100),
         quickest: Duration::from_millis(100),
         deviation: 0.3,
         begun: false,
--- a/crates/fleet/src/spread/load.rs
+++ b/crates/fleet/src/spread/load.rs
@@ -7,9 +7,6 @@
 
 use crate::queue::SLACK_LEVELS_MS;
 
-/// Share of its run time that a long task loses on a slow target.
-const SLOW_COST: f64 = 0.3;
-
 /// What a steward says of its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
@@ -17,6 +14,11 @@
     pub free: u32,
     /// Typical tasks that could start now on fast targets.
     pub free_fast: u32,
+    /// Places for typical tasks on fast targets, free or not.
+    pub places_fast: u32,
+    /// Expected wait of a task for which only fast targets will do, once none of these places is free, in
+    /// milliseconds.
+    pub fast_wait_ms: u32,
     /// Places for typical tasks, free or not.
     pub places: u32,
     /// Run time on the fastest target in thousandths of that on an average one; 0 if not known.
@@ -49,10 +51,16 @@
         self.distance + Duration::from_millis(self.load.waits_ms[level].into())
     }
 
-    /// What a task loses there: its delay, and the longer run of a long one on a slow target.
+    /// What a task loses there: its delay, that until a fast place is free if only such will do.
     fn cost(&self, task: &Shape) -> Duration {
-        let slow = task.is_long && self.load.free_fast == 0;
-        self.delay(task.level) + if slow { task.run.mul_f64(SLOW_COST) } else { Duration::ZERO }
+        if task.is_long { self.fast_delay() } else { self.delay(task.level) }
+    }
+
+    /// Expected time until a task for fast targets, sent now, starts.
+    #[must_use]
+    pub fn fast_delay(&self) -> Duration {
+        let wait = if self.load.free_fast > 0 { 0 } else { self.load.fast_wait_ms };
+        self.distance + Duration::from_millis(wait.into())
     }
 
     /// What a job loses whose tasks all go there: the delay of the last one to start.
@@ -67,10 +75,12 @@
 
     /// Counts one more task as sent that runs for some time.
     fn take(&mut self, task: &Shape) {
+        if task.is_long {
+            return self.take_fast(task);
+        }
         if self.load.free > 0 {
             self.load.free -= 1;
-            let fast = u32::from(task.is_long || self.load.free < self.load.free_fast);
-            self.load.free_fast = self.load.free_fast.saturating_sub(fast);
+            self.load.free_fast = self.load.free_fast.min(self.load.free);
             return;
         }
         let cost = task.run.as_millis() as u32 / self.load.places.max(1);
@@ -78,6 +88,18 @@
             *wait = wait.saturating_add(cost.max(1));
         }
     }
+
+    /// Counts one more task as sent for which only fast targets will do.
+    fn take_fast(&mut self, task: &Shape) {
+        self.load.free = self.load.free.saturating_sub(1);
+        if self.load.free_fast > 0 {
+            self.load.free_fast -= 1;
+            return;
+        }
+        let run = task.run.as_millis() as u32 * self.load.fastest_permille / 1_000;
+        let cost = run / self.load.places_fast.max(1);
+        self.load.fast_wait_ms = self.load.fast_wait_ms.saturating_add(cost.max(1));
+    }
 }
 
 /// What the tasks of a job are like.
@@ -89,7 +111,7 @@
     pub level: usize,
     /// Expected run time on an average target.
     pub run: Duration,
-    /// Whether a slow target may well end it too late.
+    /// Whether only fast targets will do.
     pub is_long: bool,
 }
 
@@ -101,7 +123,10 @@
 pub fn assign(tasks: usize, shape: &Shape, offers: &mut [Offer]) -> Vec<usize> {
     let free: usize = offers.iter().map(|offer| offer.load.free as usize).sum();
     let mut serving = offers.iter().filter(|offer| offer.load.places > 0);
-    let all = free < tasks && serving.any(|offer| offer.cost_of_all(tasks, shape) <= shape.slack);
+    // Places on fast targets are few: long work takes them wherever they are.
+    let all = !shape.is_long
+        && free < tasks
+        && serving.any(|offer| offer.cost_of_all(tasks, shape) <= shape.slack);
     let mut assigned = Vec::with_capacity(tasks);
     while assigned.len() < tasks {
         let serving = offers.iter().enumerate().filter(|(_, offer)| offer.load.places > 0);
--- a/crates/fleet/src/spread/tests.rs
+++ b/crates/fleet/src/spread/tests.rs
@@ -41,6 +41,7 @@
     let mut offers = vec![offer("a", 0, 8, 0), offer("b", 5, 8, 0)];
     for (offer, fast) in offers.iter_mut().zip(fast) {
         offer.load.free_fast = fast;
+        offer.load.fast_wait_ms = 100;
     }
     let slack = Duration::from_millis(300);
     let shape = Shape { slack, level: 3, run: Duration::from_millis(800), is_long: true };
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -1,6 +1,7 @@
 //! State of a steward.
 
 mod dispatch;
+mod ends;
 mod finding;
 mod intake;
 mod load;
--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -108,8 +108,7 @@
         let shared = self.line.take(|one| {
             let waited = now.duration_since(one.since) > SHARE_AFTER;
             // What only a fast target ends in time does not gain from a slow one elsewhere.
-            let needs_fast = now + one.typical > one.objective;
-            let places = if needs_fast { &mut fast } else { &mut free };
+            let places = if one.is_long(now) { &mut fast } else { &mut free };
             let goes = waited && *places > 0;
             *places -= u32::from(goes);
             goes
--- a/crates/fleet/src/steward/state/intake.rs
+++ b/crates/fleet/src/steward/state/intake.rs
@@ -6,7 +6,7 @@
 
 use super::Steward;
 use super::finding::not_run;
-use super::place::fastest;
+use super::place::{fastest, usual};
 use crate::job::{Bundle, End, Ending, Task};
 use crate::queue::Waiting;
 use crate::report::Note;
@@ -54,12 +54,13 @@
         let objective = shift(now, bundle.objective_in_ms);
         let due = shift(now, bundle.due_in_ms);
         let fastest = fastest(&self.pictures, speeds, now);
+        let usual = usual(&self.pictures, speeds, now);
         let mut tasks = Vec::with_capacity(bundle.parts.len());
         for part in bundle.parts {
             let task = Task { job: bundle.job.clone(), step: part.step, index: part.index };
             let millis = part.need.room.cpu_millis as f64;
-            let usual = self.typical.get_or_insert(millis);
-            *usual += (millis - *usual) * TYPICAL_WEIGHT;
+            let mean = self.typical.get_or_insert(millis);
+            *mean += (millis - *mean) * TYPICAL_WEIGHT;
             let forecast = speeds.forecast(&bundle.kind, part.need.estimate());
             tasks.push(Waiting {
                 task,
@@ -70,6 +71,7 @@
                 priority: bundle.priority,
                 run: part.run,
                 typical: forecast.median,
+                usual: forecast.times(usual).median,
                 quickest: forecast.times(fastest).median,
                 deviation: forecast.deviation,
                 begun: bundle.begun,
--- a/crates/fleet/src/steward/state/load.rs
+++ b/crates/fleet/src/steward/state/load.rs
@@ -3,8 +3,9 @@
 use std::time::{Duration, Instant};
 
 use super::Steward;
+use super::ends::Ends;
 use super::place::fastest;
-use crate::admission::is_hopeless;
+use crate::admission::{is_hopeless, is_vain};
 use crate::directory;
 use crate::job::Room;
 use crate::lease::Picture;
@@ -23,6 +24,7 @@
     places: u32,
     free: u32,
     free_fast: u32,
+    places_fast: u32,
     /// Work of an average target that they do in a second with all places taken, in thousandths of a
     /// core times seconds.
     rate: f64,
@@ -37,8 +39,11 @@
         speeds: &Book,
         now: Instant,
     ) -> Option<(Duration, Duration)> {
-        let latest = tasks.iter().filter_map(Waiting::latest_start).min()?;
         let capacity = self.capacity(&self.usable(now), speeds, now);
+        if tasks.iter().any(|one| one.is_long(now)) {
+            return self.long_crowd(tasks, &capacity, speeds, now);
+        }
+        let latest = tasks.iter().filter_map(Waiting::latest_start).min()?;
         let fits = capacity.free as usize >= self.line.len() + tasks.len();
         if self.line.is_empty() || capacity.places == 0 || fits {
             return None;
@@ -53,6 +58,22 @@
         is_hopeless(wait, slack).then_some((wait, slack))
     }
 
+    /// The same for work for which only fast targets will do.
+    fn long_crowd(
+        &self,
+        tasks: &[Waiting],
+        capacity: &Capacity,
+        speeds: &Book,
+        now: Instant,
+    ) -> Option<(Duration, Duration)> {
+        let before = self.line.long(now) + tasks.len();
+        let behind = before.checked_sub(capacity.free_fast as usize + 1)?;
+        let wait = Ends::new(&self.pictures, speeds, now).after(behind);
+        let slack = tasks.iter().map(|one| one.due.saturating_duration_since(now)).min()?;
+        let vain = tasks.iter().any(|one| is_vain(one.chance(one.quickest, wait, now)));
+        vain.then_some((wait, slack))
+    }
+
     /// Targets that may get new work, each with the room that it has left.
     fn usable(&self, now: Instant) -> Vec<(&Picture, Room)> {
         let ready = |picture: &&Picture| picture.entry.state == directory::State::Ready;
@@ -75,6 +96,7 @@
             sum.free += free;
             if is_fast(Duration::from_secs_f64(factor), Duration::from_secs_f64(fastest)) {
                 sum.free_fast += free;
+                sum.places_fast += places as u32;
             }
         }
         sum
@@ -95,11 +117,17 @@
         let capacity = self.capacity(&usable, speeds, now);
         let fastest = fastest(&self.pictures, speeds, now);
         let waiting = u32::try_from(self.line.len()).unwrap_or(u32::MAX);
+        let long = self.line.long(now);
+        let free_fast = capacity.free_fast.saturating_sub(u32::try_from(long).unwrap_or(u32::MAX));
+        let behind = long.saturating_sub(capacity.free_fast as usize);
+        let fast_wait = Ends::new(&self.pictures, speeds, now).after(behind);
         let work = self.line.work(now);
         Load {
             places: capacity.places,
             free: capacity.free.saturating_sub(waiting),
-            free_fast: capacity.free_fast.saturating_sub(waiting),
+            free_fast,
+            places_fast: capacity.places_fast,
+            fast_wait_ms: u32::try_from(fast_wait.as_millis()).unwrap_or(u32::MAX),
             fastest_permille: (fastest * 1_000.0) as u32,
             turnover: self.turnover() as u32,
             waits_ms: work.map(|work| (work / capacity.rate.max(1.0) * 1_000.0) as u32),
--- a/crates/fleet/src/steward/state/place.rs
+++ b/crates/fleet/src/steward/state/place.rs
@@ -5,6 +5,7 @@
 
 use coltsfootshunt_core::name::Target;
 
+use super::ends::Ends;
 use crate::directory::{self, Entry};
 use crate::job::{Room, Task};
 use crate::lease::{Attempt, Picture};
@@ -43,6 +44,10 @@
 /// The targets at one moment, with what is placed on them during one pass over the line.
 pub(super) struct Field<'a> {
     spots: Vec<Spot<'a>>,
+    /// When places on fast targets become free.
+    ends: Ends,
+    /// Tasks that wait for these.
+    waiting: usize,
     settings: Settings,
     now: Instant,
 }
@@ -68,7 +73,8 @@
                 placed: Vec::new(),
             }
         });
-        Self { spots: spots.collect(), settings, now }
+        let ends = Ends::new(pictures, speeds, now);
+        Self { spots: spots.collect(), ends, waiting: 0, settings, now }
     }
 
     /// Places a task, if it should start now.
@@ -97,6 +103,7 @@
         }
         let fast = self.fast(one, &candidates, fastest);
         let Choice::Start(place) = choose(one, &candidates, fast, self.now) else {
+            self.waiting += usize::from(one.is_long(self.now));
             return None;
         };
         let expected = self.expected(&self.spots[place], one);
@@ -124,6 +131,7 @@
             best,
             free: free.map(|one| one.free.cpu_millis / each).sum(),
             places: places.map(|spot| spot.picture.entry.capacity.cpu_millis / each).sum(),
+            wait: self.ends.after(self.waiting),
         }
     }
 }
@@ -152,7 +160,7 @@
 }
 
 /// Whether all that runs on a target is overdue: it hangs or has turned slow.
-fn is_stuck(picture: &Picture, now: Instant) -> bool {
+pub(super) fn is_stuck(picture: &Picture, now: Instant) -> bool {
     let running = picture.attempts().count();
     let overdue = picture.attempts().filter(|(_, attempt)| is_overdue(attempt, now)).count();
     overdue >= 2 && overdue == running
@@ -165,6 +173,13 @@
     jobs.next().is_some_and(|first| jobs.any(|other| other != first))
 }
 
+/// Factor of the middle one of all targets' run times against the average one.
+pub(super) fn usual(pictures: &BTreeMap<Target, Picture>, speeds: &Book, now: Instant) -> f64 {
+    let mut slowness: Vec<f64> = pictures.keys().map(|name| speeds.slowness(name, now)).collect();
+    slowness.sort_by(f64::total_cmp);
+    slowness.get(slowness.len() / 2).copied().unwrap_or_default().exp()
+}
+
 /// Factor of the fastest target's run time against the average one.
 pub(super) fn fastest(pictures: &BTreeMap<Target, Picture>, speeds: &Book, now: Instant) -> f64 {
     let slowness = pictures.keys().map(|name| speeds.slowness(name, now));
--- a/crates/fleet/src/steward/tests.rs
+++ b/crates/fleet/src/steward/tests.rs
@@ -61,12 +61,18 @@
 
     /// The first attempt on the first target ends well.
     fn end_first(&mut self) {
-        let picture = self.steward.pictures().next().unwrap();
-        let (task, attempt) = picture.attempts().next().unwrap();
+        let name = self.steward.pictures().next().unwrap().entry.name.to_string();
+        self.end_on(&name);
+    }
+
+    /// The first attempt on a target ends well.
+    fn end_on(&mut self, target: &str) {
+        let picture = self.steward.pictures().find(|one| &*one.entry.name.to_string() == target);
+        let (task, attempt) = picture.unwrap().attempts().next().unwrap();
         let (task, run) = (task.clone(), attempt.run);
         let ended = vec![Ended { number: 1, task, run, how: How::Done }];
         let report = Report { clock_ms: 3, born: Some(1), ended, ..Report::default() };
-        for call in self.tend().calls {
+        for call in self.tend().calls.into_iter().filter(|call| call.target.to_string() == target) {
             self.answer(&call, Answer::Report(report.clone()));
         }
     }
@@ -78,6 +84,19 @@
         out
     }
 
+    /// The first target turns out to take half as long as the others.
+    fn learn_speeds(&mut self) {
+        let kind = Kind::try_from("cut").unwrap();
+        let estimate = Duration::from_millis(100);
+        let names: Vec<_> = self.directory.iter().map(|entry| entry.name.clone()).collect();
+        for _ in 0..40 {
+            for (place, name) in names.iter().enumerate() {
+                let took = if place == 0 { estimate / 2 } else { estimate };
+                self.speeds.done(&kind, name, (estimate, took), self.now);
+            }
+        }
+    }
+
     fn dispatch(&mut self) -> Output {
         let mut out = Output::default();
         self.steward.dispatch(&self.roster, &self.speeds, self.now, &mut out);
@@ -111,6 +130,14 @@
     }
 }
 
+/// Tasks that an average target may well not end before their caller goes.
+fn long(job: u32, tasks: u32) -> Bundle {
+    let mut long = bundle(job, tasks);
+    long.objective_in_ms = 1_450;
+    long.parts.iter_mut().for_each(|part| part.need.estimate_ms = 1_300);
+    long
+}
+
 /// The task that a call starts.
 fn started(call: &Call) -> Option<String> {
     match &call.order {
@@ -158,21 +185,34 @@
 
 /// Long work that waits for a fast target, while another steward has some places free.
 fn shares_long(free: u32, free_fast: u32, given_back: usize) {
-    let mut bench = Bench::new(1);
-    bench.accept(1, 2, "owner");
-    bench.dispatch();
-    let mut long = bundle(2, 3);
-    long.objective_in_ms = 60;
-    long.begun = true;
-    long.parts.iter_mut().for_each(|part| part.need.estimate_ms = 80);
-    let owner = Host::try_from("owner").unwrap();
-    let mut out = Output::default();
-    bench.steward.accept(&owner, long, &bench.speeds, bench.now, &mut out);
+    let mut bench = Bench::new(3);
+    bench.learn_speeds();
+    bench.accept(1, 6, "owner");
+    assert_eq!(starts(&bench.dispatch()), 6);
+    bench.accept_bundle(Bundle { begun: true, ..long(2, 3) }, "owner");
     bench.other_steward(free, free_fast);
     bench.now += Duration::from_millis(40);
     assert_eq!(bench.dispatch().endings.len(), given_back);
 }
 
+/// Only fast places are free where a short and a long task wait, and only slow ones.
+fn long_work_waits(free: &str, wanted: &[&str]) {
+    let mut bench = Bench::new(3);
+    bench.learn_speeds();
+    bench.accept(1, 6, "owner");
+    assert_eq!(starts(&bench.dispatch()), 6);
+    bench.accept_bundle(bundle(2, 1), "owner");
+    bench.accept_bundle(long(3, 1), "owner");
+    bench.end_on(free);
+    let started: Vec<_> = bench.dispatch().calls.iter().filter_map(started).collect();
+    assert_eq!(started, wanted);
+}
+
+cases! { long_work_waits:
+    and_comes_first_on_fast_targets("t0", &["0000000000000003.0.0"]);
+    while_short_work_takes_slow_ones("t1", &["0000000000000002.0.0"]);
+}
+
 cases! { shares_long:
     not_for_slow_places(8, 0, 0);
     for_fast_places(8, 4, 2);
