fix(steward): a large task that waits for a fast target is not starved by smaller ones

Cause: such a task starts only where most of a target is free at one moment. Its runs end one by one, and each half went to whatever smaller task came next. Class: starvation by fragmentation.

Change: while a long task waits for want of room, the fast target that is expected to have that room first is kept for it; others start there only if they are expected to end before.

--- a/crates/fleet/src/steward/state/ends.rs
+++ b/crates/fleet/src/steward/state/ends.rs
@@ -33,12 +33,8 @@
             let sound = !speeds.is_failing(name, now) && !is_stuck(picture, now);
             sound && picture.entry.state == directory::State::Ready && is_fast(factor, best)
         };
-        let left = |attempt: &Attempt| {
-            let ran = now.saturating_duration_since(attempt.since);
-            attempt.expected.saturating_sub(ran).max(attempt.expected.mul_f64(LEFT))
-        };
         let running = pictures.values().filter(serves).flat_map(Picture::attempts);
-        let mut next: Vec<Duration> = running.map(|(_, attempt)| left(attempt)).collect();
+        let mut next: Vec<Duration> = running.map(|(_, attempt)| left(attempt, now)).collect();
         next.sort_unstable();
         Self { next }
     }
@@ -52,3 +48,9 @@
         last.saturating_mul(rounds) + self.next[others % self.next.len()]
     }
 }
+
+/// Expected time until a run ends.
+pub(super) fn left(attempt: &Attempt, now: Instant) -> Duration {
+    let ran = now.saturating_duration_since(attempt.since);
+    attempt.expected.saturating_sub(ran).max(attempt.expected.mul_f64(LEFT))
+}
--- a/crates/fleet/src/steward/state/place.rs
+++ b/crates/fleet/src/steward/state/place.rs
@@ -5,7 +5,7 @@
 
 use coltsfootshunt_core::name::Target;
 
-use super::ends::Ends;
+use super::ends::{self, Ends};
 use crate::directory::{self, Entry};
 use crate::job::{Room, Task};
 use crate::lease::{Attempt, Picture};
@@ -37,6 +37,9 @@
     /// Factor of its run times against the average target's.
     factor: f64,
     suspect: bool,
+    /// Time until it has room for a long task that waits for it; others only start there if they are
+    /// expected to end before.
+    kept: Option<Duration>,
     /// Tasks that were placed on it since the field was drawn up.
     placed: Vec<Task>,
 }
@@ -70,6 +73,7 @@
                 free: picture.free(now),
                 factor: speeds.slowness(name, now).exp(),
                 suspect: speeds.is_failing(name, now) || is_stuck(picture, now),
+                kept: None,
                 placed: Vec::new(),
             }
         });
@@ -92,7 +96,8 @@
             let Some(free) = spot.free.filter(|free| free.holds(&one.need.room)) else {
                 continue;
             };
-            if spot.may_spread(one) {
+            let is_kept = spot.kept.is_some_and(|until| expected > until);
+            if spot.may_spread(one) && !is_kept {
                 candidates.push(Candidate { place, expected, free, suspect: spot.suspect });
             }
         }
@@ -103,7 +108,10 @@
         }
         let fast = self.fast(one, &candidates, fastest);
         let Choice::Start(place) = choose(one, &candidates, fast, self.now) else {
-            self.waiting += usize::from(one.is_long(self.now));
+            if one.is_long(self.now) {
+                self.waiting += 1;
+                self.keep(one, fast.best);
+            }
             return None;
         };
         let expected = self.expected(&self.spots[place], one);
@@ -113,6 +121,22 @@
         Some(Placing { target: spot.picture.entry.name.clone(), expected, best: fast.best })
     }
 
+    /// Keeps the fast target that first has room for a long task, so that smaller tasks don't take one half
+    /// of it after the other.
+    fn keep(&mut self, one: &Waiting, best: Duration) {
+        let room = &one.need.room;
+        let ready_of = |spot: &Spot<'_>| {
+            let fast = !spot.suspect && is_fast(self.expected(spot, one), best);
+            let unkept = spot.kept.is_none() && suits(&spot.picture.entry, one);
+            if fast && unkept { spot.room_in(room, self.now) } else { None }
+        };
+        let ready = self.spots.iter().enumerate();
+        let ready = ready.filter_map(|(place, spot)| Some((ready_of(spot)?, place)));
+        if let Some((until, place)) = ready.min() {
+            self.spots[place].kept = Some(until);
+        }
+    }
+
     fn expected(&self, spot: &Spot<'_>, one: &Waiting) -> Duration {
         let rack = one.need.rack.as_ref();
         let away = rack.is_some_and(|rack| !spot.picture.entry.labels.contains(rack));
@@ -137,6 +161,22 @@
 }
 
 impl Spot<'_> {
+    /// Expected time until its runs have left so much room.
+    fn room_in(&self, room: &Room, now: Instant) -> Option<Duration> {
+        let mut free = self.free?;
+        let mut runs: Vec<_> = self.picture.attempts().collect();
+        runs.sort_by_key(|(_, attempt)| ends::left(attempt, now));
+        let mut after = Duration::ZERO;
+        for (_, attempt) in runs {
+            if free.holds(room) {
+                break;
+            }
+            free = free + attempt.room;
+            after = ends::left(attempt, now);
+        }
+        free.holds(room).then_some(after)
+    }
+
     /// Whether one more task of the step keeps to its limit for one target.
     fn may_spread(&self, one: &Waiting) -> bool {
         let Some(most) = one.need.spread else {
--- a/crates/fleet/src/steward/tests.rs
+++ b/crates/fleet/src/steward/tests.rs
@@ -21,6 +21,8 @@
     speeds: Book,
     mint: Mint,
     now: Instant,
+    /// Number of the last end that a target listed.
+    ended: u64,
 }
 
 impl Bench {
@@ -33,7 +35,7 @@
         directory.read((0..targets).map(|one| entry(&format!("t{one}"), "a")).collect(), now);
         let steward = Steward::new(Settings { lease: LEASE, remote_factor: 1.5 });
         let (speeds, mint) = (Book::default(), Mint::new(1));
-        let mut bench = Self { steward, roster, directory, speeds, mint, now };
+        let mut bench = Self { steward, roster, directory, speeds, mint, now, ended: 0 };
         bench.steward.sync(&bench.directory, &bench.roster, now);
         for call in bench.tend().calls {
             let report = Report { clock_ms: 1, born: Some(1), ..Report::default() };
@@ -70,7 +72,8 @@
         let picture = self.steward.pictures().find(|one| &*one.entry.name.to_string() == target);
         let (task, attempt) = picture.unwrap().attempts().next().unwrap();
         let (task, run) = (task.clone(), attempt.run);
-        let ended = vec![Ended { number: 1, task, run, how: How::Done }];
+        self.ended += 1;
+        let ended = vec![Ended { number: self.ended, task, run, how: How::Done }];
         let report = Report { clock_ms: 3, born: Some(1), ended, ..Report::default() };
         for call in self.tend().calls.into_iter().filter(|call| call.target.to_string() == target) {
             self.answer(&call, Answer::Report(report.clone()));
@@ -213,6 +216,27 @@
     while_short_work_takes_slow_ones("t1", &["0000000000000002.0.0"]);
 }
 
+/// A long task that needs a whole fast target, of which one half becomes free after the other.
+#[test]
+fn a_large_task_is_not_starved_by_smaller_ones() {
+    let mut bench = Bench::new(3);
+    bench.learn_speeds();
+    bench.accept(1, 6, "owner");
+    assert_eq!(starts(&bench.dispatch()), 6);
+    let mut large = long(2, 1);
+    large.parts[0].need.room.cpu_millis = 28_000;
+    bench.accept_bundle(large, "owner");
+    let mut small = bundle(3, 1);
+    small.objective_in_ms = 1_000;
+    small.parts[0].need.estimate_ms = 400;
+    bench.accept_bundle(small, "owner");
+    bench.end_on("t0");
+    assert_eq!(starts(&bench.dispatch()), 0, "the free half is kept for the large task");
+    bench.end_on("t0");
+    let started: Vec<_> = bench.dispatch().calls.iter().filter_map(started).collect();
+    assert_eq!(started, ["0000000000000002.0.0"]);
+}
+
 cases! { shares_long:
     not_for_slow_places(8, 0, 0);
     for_fast_places(8, 4, 2);
