fix(job): all parts that a busy steward gives back go on with the rest

Cause: the first part that came back marked the job as going on, and that mark kept the parts after it from going on, since it was meant for jobs of which a part comes back a second time. They were kept until all else had ended. The same class as the part that one steward declines: the state of one part decides for another.

Change: a part goes on if its job has begun, goes on already or has parts elsewhere. Parts sent on are taken by any steward, so none of them comes back a second time.

--- a/crates/fleet/src/job/book.rs
+++ b/crates/fleet/src/job/book.rs
@@ -209,7 +209,7 @@
             return None;
         }
         let split = self.is_with_another(from);
-        let goes_on = self.begun || (!self.committed && split);
+        let goes_on = self.begun || self.committed || split;
         if *end == End::OutOfTime && !self.declined.contains(from) {
             self.declined.push(from.clone());
         }
--- a/crates/fleet/src/job/tests.rs
+++ b/crates/fleet/src/job/tests.rs
@@ -96,6 +96,20 @@
     assert_eq!(job.ready().iter().map(|one| one.index).collect::<Vec<_>>(), [0]);
 }
 
+/// A busy steward gives back several parts while another has the rest: none of them is kept back.
+#[test]
+fn all_parts_that_are_given_back_go_on_with_the_rest() {
+    let mut job = open(vec![step(3, &[])], 1);
+    let other = Host::try_from("other").unwrap();
+    job.sent(0, host());
+    job.sent(1, host());
+    job.sent(2, other);
+    for index in 0..2 {
+        assert_eq!(end(&mut job, index, 0, End::Crowded), None);
+    }
+    assert_eq!(job.ready().iter().map(|one| one.index).collect::<Vec<_>>(), [0, 1]);
+}
+
 /// One of two stewards has no time for its part: the part is not kept back until the rest has ended.
 #[test]
 fn a_part_that_one_steward_has_no_time_for_goes_to_another_at_once() {
