fix(steward): a long job that slow targets may end is not given back for want of fast ones

Cause, of the change to the wait for fast places: whether a long job has a chance was asked of the fast targets alone. Class: a verdict on one way taken as the verdict on all.

Change: a job is given back only if neither the fast targets after the wait nor the usual ones leave it a chance.

--- a/crates/fleet/src/steward/state/load.rs
+++ b/crates/fleet/src/steward/state/load.rs
@@ -70,7 +70,11 @@
         let behind = before.checked_sub(capacity.free_fast as usize + 1)?;
         let wait = Ends::new(&self.pictures, speeds, now).after(behind);
         let slack = tasks.iter().map(|one| one.due.saturating_duration_since(now)).min()?;
-        let vain = tasks.iter().any(|one| is_vain(one.chance(one.quickest, wait, now)));
+        let chance = |one: &Waiting| {
+            let slow = one.chance(one.usual, Duration::ZERO, now);
+            one.chance(one.quickest, wait, now).max(slow)
+        };
+        let vain = tasks.iter().any(|one| is_vain(chance(one)));
         vain.then_some((wait, slack))
     }
 
--- a/crates/fleet/src/steward/tests.rs
+++ b/crates/fleet/src/steward/tests.rs
@@ -237,6 +237,18 @@
     assert_eq!(started, ["0000000000000002.0.0"]);
 }
 
+/// The wait for fast places alone leaves no chance; the slow targets, which are free, may do.
+#[test]
+fn a_long_job_that_slow_targets_may_end_is_not_given_back() {
+    let mut bench = Bench::new(3);
+    bench.learn_speeds();
+    bench.accept_bundle(long(1, 2), "owner");
+    bench.dispatch();
+    bench.accept_bundle(long(2, 1), "owner");
+    let many = bench.accept_bundle(long(3, 8), "owner");
+    assert!(many.endings.is_empty(), "{:?}", many.endings);
+}
+
 cases! { shares_long:
     not_for_slow_places(8, 0, 0);
     for_fast_places(8, 4, 2);
