fix(speed,queue): a wide job's chance is that of its longest task

Cause: the chance to end in time was asked of each task alone; a job is worth nothing until its last task has ended. Class: a job judged by its parts.

Change: chances are those of the longest of the job's tasks, whose number goes along to stewards. The test of long jobs that slow targets may end now asks with 900 ms a task: eight of 1,300 ms have no chance there; it fails as before without the change that it guards.

--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -62,7 +62,8 @@
             .min(patience.saturating_sub(ANSWER_WITHIN));
         let hurried = hurried(run, objective, &offers);
         let level = slack_level(objective, hurried);
-        let is_long = needs_fast(&forecast, patience, &offers);
+        let longest = forecast.longest_of(plan.tasks() as u32);
+        let is_long = needs_fast(&longest, patience, &offers);
         let delay = |offer: &Offer| if is_long { offer.fast_delay() } else { offer.delay(level) };
         let wait = offers.iter().map(delay).min().unwrap_or_default();
         let size = self.scale.weigh(&route.kind, plan);
@@ -84,7 +85,7 @@
         } else if !self.may_fit(&route.service, submission) {
             Some(Outcome::Failed)
         } else {
-            let run = forecast.times(fastest(&offers));
+            let run = longest.times(fastest(&offers));
             admission::judge(&Prospect { wait, run, hurried, objective, patience })
         };
         if let Some(outcome) = outcome {
@@ -164,6 +165,7 @@
         let hurried = hurried(run, left, &offers);
         let level = slack_level(left, hurried);
         let slack = left.saturating_sub(hurried);
+        let forecast = forecast.longest_of(open.plan.tasks() as u32);
         let is_long = needs_fast(&forecast, open.due.saturating_duration_since(now), &offers);
         let assigned = assign(ready.len(), &Shape { slack, level, run, is_long }, &mut offers);
         if assigned.len() < ready.len() {
@@ -187,6 +189,7 @@
             spec: open.plan.spec.clone(),
             objective_in_ms: between(now, open.objective),
             due_in_ms: between(now, open.due),
+            width: open.plan.tasks() as u32,
             begun: open.begun || open.committed,
             parts: Vec::new(),
         };
--- a/crates/fleet/src/job/message.rs
+++ b/crates/fleet/src/job/message.rs
@@ -53,6 +53,8 @@
     pub objective_in_ms: i64,
     /// Time left until the caller goes, in milliseconds.
     pub due_in_ms: i64,
+    /// Number of tasks of the whole job: it ends with the longest of them.
+    pub width: u32,
     /// Whether anything of the job has started or starts at once elsewhere: it is then worth going
     /// on with when it is late.
     pub begun: bool,
--- a/crates/fleet/src/queue/line.rs
+++ b/crates/fleet/src/queue/line.rs
@@ -45,6 +45,8 @@
     pub quickest: Duration,
     /// Deviation of its run time's natural logarithm from these.
     pub deviation: f64,
+    /// Number of tasks of its job.
+    pub width: u32,
     /// Whether anything of its job has started.
     pub begun: bool,
 }
@@ -78,12 +80,13 @@
         wants_fast(self, self.usual, (self.quickest, Duration::ZERO), now)
     }
 
-    /// Chance, from 0 to 1, that a run expected to take `run` ends before the caller goes if it starts
-    /// after `wait`.
+    /// Chance, from 0 to 1, that the job's longest task ends before the caller goes if it starts after
+    /// `wait` where a run is expected to take `run`.
     #[must_use]
     pub fn chance(&self, run: Duration, wait: Duration, now: Instant) -> f64 {
         let left = self.due.saturating_duration_since(now + wait);
-        Forecast { median: run, deviation: self.deviation }.chance(left)
+        let forecast = Forecast { median: run, deviation: self.deviation };
+        forecast.longest_of(self.width).chance(left)
     }
 
     /// Core time that it takes, in thousandths of a core times seconds.
--- a/crates/fleet/src/queue/tests.rs
+++ b/crates/fleet/src/queue/tests.rs
@@ -31,6 +31,7 @@
         usual: Duration::from_millis(100),
         quickest: Duration::from_millis(100),
         deviation: 0.3,
+        width: 1,
         begun: false,
     }
 }
@@ -127,3 +128,17 @@
     let first = line.iter().next().map(|one| one.task.job.to_string());
     assert_eq!(first.as_deref(), Some(FIRST));
 }
+
+/// Of many tasks one is likely to be too long for a slow target where one task alone is not.
+fn is_long(width: u32, wanted: bool) {
+    let now = Instant::now();
+    let usual = Duration::from_millis(860);
+    let quickest = Duration::from_millis(400);
+    let one = Waiting { usual, quickest, width, ..waiting(FIRST, 0, now, 1_400, 1_500) };
+    assert_eq!(one.is_long(now), wanted);
+}
+
+cases! { is_long:
+    not_a_single_task(1, false);
+    a_task_of_a_wide_job(8, true);
+}
--- a/crates/fleet/src/speed/forecast.rs
+++ b/crates/fleet/src/speed/forecast.rs
@@ -5,6 +5,12 @@
 /// Steepness of the logistic curve that comes closest to a normal distribution's.
 const STEEPNESS: f64 = 1.702;
 
+/// Deviation of the tasks of one job among each other, as a natural logarithm: ten to twenty per cent.
+const UNEVEN: f64 = 0.15;
+/// Mean of the largest of some draws from a normal distribution over the logarithm of their number; within
+/// a tenth from 2 to 30.
+const LARGEST: f64 = 0.7;
+
 /// What is expected of a run time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Forecast {
@@ -28,6 +34,12 @@
         1.0 / (1.0 + (-STEEPNESS * distance).exp())
     }
 
+    /// The longest of the runs of so many tasks of one job.
+    #[must_use]
+    pub fn longest_of(&self, tasks: u32) -> Self {
+        self.times(f64::from(tasks.max(1)).powf(UNEVEN * LARGEST))
+    }
+
     /// The same run on a target that takes this many times as long.
     #[must_use]
     pub fn times(&self, factor: f64) -> Self {
--- a/crates/fleet/src/speed/tests.rs
+++ b/crates/fleet/src/speed/tests.rs
@@ -155,3 +155,18 @@
     even_in_the_median(500, 0.5, 0.5);
     good_in_twice_the_median(1_000, 0.97, 0.99);
 }
+
+/// A job ends with the longest of its tasks: of eight, it takes about a quarter longer than one.
+fn longest(tasks: u32, wanted_ms: u64) {
+    let forecast = Forecast { median: Duration::from_millis(500), deviation: 0.3 };
+    let median = forecast.longest_of(tasks).median;
+    assert!(
+        median.abs_diff(Duration::from_millis(wanted_ms)) < Duration::from_millis(10),
+        "{median:?}"
+    );
+}
+
+cases! { longest:
+    of_one_task_is_that_task(1, 500);
+    of_eight_tasks_takes_longer(8, 622);
+}
--- a/crates/fleet/src/steward/state/intake.rs
+++ b/crates/fleet/src/steward/state/intake.rs
@@ -74,6 +74,7 @@
                 usual: forecast.times(usual).median,
                 quickest: forecast.times(fastest).median,
                 deviation: forecast.deviation,
+                width: bundle.width,
                 begun: bundle.begun,
                 need: part.need,
                 spec: bundle.spec.clone(),
--- a/crates/fleet/src/steward/tests.rs
+++ b/crates/fleet/src/steward/tests.rs
@@ -128,6 +128,7 @@
         spec: "work".into(),
         objective_in_ms: 140,
         due_in_ms: 1_500,
+        width: tasks,
         begun: false,
         parts: (0..tasks).map(part).collect(),
     }
@@ -245,7 +246,9 @@
     bench.accept_bundle(long(1, 2), "owner");
     bench.dispatch();
     bench.accept_bundle(long(2, 1), "owner");
-    let many = bench.accept_bundle(long(3, 8), "owner");
+    let mut wide = long(3, 8);
+    wide.parts.iter_mut().for_each(|part| part.need.estimate_ms = 900);
+    let many = bench.accept_bundle(wide, "owner");
     assert!(many.endings.is_empty(), "{:?}", many.endings);
 }
 
