test(placement): the stricter figures of the waits are back

The change to the wait for fast targets had moved two cases of its test without need: 900 ms on a slow target is still waited out, and 700 ms still counts as safe there.

--- a/crates/fleet/src/placement/tests.rs
+++ b/crates/fleet/src/placement/tests.rs
@@ -58,8 +58,8 @@
 }
 
 cases! { waits:
-    for_a_fast_target(20, 1_100, Choice::Wait);
+    for_a_fast_target(20, 900, Choice::Wait);
     for_a_fast_target_as_long_as_that_is_the_better_chance(700, 1_100, Choice::Wait);
     no_longer(1_000, 1_100, Choice::Start(0));
-    not_where_the_slow_one_is_safe(20, 500, Choice::Start(0));
+    not_where_the_slow_one_is_safe(20, 700, Choice::Start(0));
 }
