--- a/crates/model/src/load.rs
+++ b/crates/model/src/load.rs
@@ -95,6 +95,14 @@
         longest.mul_f64(STRETCH) + ALLOWANCE
     }
 
+    /// Whether its longest task ends before its caller goes, were it started at once on the fastest target.
+    #[must_use]
+    pub fn is_reachable(&self) -> bool {
+        let longest = self.tasks.iter().max().copied().unwrap_or_default();
+        let fastest = SLOWNESS.iter().copied().fold(f64::INFINITY, f64::min);
+        longest.mul_f64(fastest) < PATIENCE
+    }
+
     /// What it takes, in thousandths of a core times seconds.
     #[must_use]
     pub fn work(&self) -> f64 {
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -10,6 +10,8 @@
 pub struct Served {
     /// Of the largest tenth by work.
     pub largest: f64,
+    /// Of those of them that can end before their caller goes.
+    pub reachable: f64,
     /// Of all.
     pub all: f64,
 }
@@ -57,8 +59,14 @@
                 let done = some.iter().filter(|(_, one)| matches!(one, Answer::Completed(_)));
                 share(done.count(), some.len())
             };
-            let largest = of_kind.len().div_ceil(10);
-            Served { largest: completed(&of_kind[..largest]), all: completed(&of_kind) }
+            let largest = &of_kind[..of_kind.len().div_ceil(10)];
+            let reachable = largest.iter().filter(|(job, _)| job.is_reachable());
+            let reachable: Vec<_> = reachable.copied().collect();
+            Served {
+                largest: completed(largest),
+                reachable: completed(&reachable),
+                all: completed(&of_kind),
+            }
         };
         let mut waits: Vec<Duration> = answers
             .iter()
--- a/crates/model/src/summary.rs
+++ b/crates/model/src/summary.rs
@@ -34,9 +34,9 @@
     #[must_use]
     pub fn head() -> String {
         let kinds: String = KINDS.iter().map(|kind| format!("{:>8}", kind.name)).collect();
-        let (on_time, largest) = ("on time", "largest");
+        let (on_time, largest, within) = ("on time", "largest", "in reach");
         let refusals = format!("{:>9}{:>9}{:>12}", "refused", "given up", "heard in ms");
-        format!("{on_time:>8}{kinds}{largest:>9}{:>9}{:>7}{refusals}", "of long", "short")
+        format!("{on_time:>8}{kinds}{largest:>9}{within:>9}{:>9}{:>7}{refusals}", "of long", "short")
     }
 
     /// The figures as one row.
@@ -47,9 +47,10 @@
         let heard: Duration = self.reports.iter().map(|report| report.refused_after).sum();
         let heard = heard.as_millis() / self.reports.len().max(1) as u128;
         format!(
-            "{:>8.3}{kinds}{:>9.3}{:>9.3}{:>7}{:>9.3}{:>9.3}{heard:>12}",
+            "{:>8.3}{kinds}{:>9.3}{:>9.3}{:>9.3}{:>7}{:>9.3}{:>9.3}{heard:>12}",
             self.mean(|report| report.on_time),
             self.mean(|report| report.served[LONG].largest),
+            self.mean(|report| report.served[LONG].reachable),
             self.mean(|report| report.served[LONG].all),
             self.short(),
             self.mean(|report| report.refused),
