--- a/crates/cli/src/losses/account.rs
+++ b/crates/cli/src/losses/account.rs
@@ -15,8 +15,17 @@
     /// Completed.
     #[display("served")]
     Served,
-    /// Turned away when it came.
-    #[display("refused on arrival")]
+    /// Turned away when it came: no target could have ended it in time.
+    #[display("out of reach")]
+    Hopeless,
+    /// Turned away when it came: it would have been late behind the work that waited.
+    #[display("refused as crowded")]
+    Crowded,
+    /// Turned away when it came: no host had targets.
+    #[display("refused without a steward")]
+    NoSteward,
+    /// Turned away when it came, for another reason.
+    #[display("refused otherwise")]
     Refused,
     /// Turned away after stewards had given it back.
     #[display("given back")]
@@ -73,7 +82,7 @@
             "job accepted" => self.name(line),
             "job refused" => {
                 self.name(line);
-                self.fate = Some(Fate::Refused);
+                self.fate = Some(refused(line));
             }
             "task started" => {
                 let is_slow =
@@ -110,6 +119,15 @@
     }
 }
 
+fn refused(line: &Line) -> Fate {
+    match text(line, "reason") {
+        "hopeless" => Fate::Hopeless,
+        "too_late" => Fate::Crowded,
+        "no_steward" => Fate::NoSteward,
+        _ => Fate::Refused,
+    }
+}
+
 /// Names one attempt.
 fn run(line: &Line) -> (String, u64) {
     (text(line, "task").to_owned(), number(line, "run"))
--- a/crates/cli/src/losses/table.rs
+++ b/crates/cli/src/losses/table.rs
@@ -29,8 +29,11 @@
         for ((kind, size), fates) in &self.rows {
             let all: usize = fates.values().sum();
             let served = fates.get(&Fate::Served).copied().unwrap_or_default();
-            let share = served as f64 / all as f64;
-            writeln!(to, "{kind} {size}: {all} jobs, {served} served ({share:.3})")?;
+            let reach = all - fates.get(&Fate::Hopeless).copied().unwrap_or_default();
+            let share = |of: usize| served as f64 / of.max(1) as f64;
+            let (share, within) = (share(all), share(reach));
+            write!(to, "{kind} {size}: {all} jobs, {served} served ({share:.3}), ")?;
+            writeln!(to, "{within:.3} of the {reach} within reach")?;
             for (fate, count) in fates.iter().filter(|(fate, _)| **fate != Fate::Served) {
                 writeln!(to, "{count:>8} {fate}")?;
             }
--- a/crates/fleet/src/admission/gate.rs
+++ b/crates/fleet/src/admission/gate.rs
@@ -49,14 +49,18 @@
 pub fn judge(prospect: &Prospect) -> Option<Outcome> {
     let slack = prospect.objective.saturating_sub(prospect.hurried);
     if is_hopeless(prospect.wait, slack) {
-        return Some(turn_away(prospect.wait - slack));
+        return Some(turn_away(Refusal::TooLate, prospect.wait - slack));
     }
     let least = if prospect.wait < BUSY_FROM { LEAST_FREE } else { LEAST_BUSY };
     let left = prospect.patience.saturating_sub(prospect.wait);
-    (prospect.run.chance(left) < least).then(|| turn_away(prospect.wait))
+    if prospect.run.chance(left) >= least {
+        return None;
+    }
+    let is_hopeless = prospect.run.chance(prospect.patience) < LEAST_FREE;
+    let refusal = if is_hopeless { Refusal::Hopeless } else { Refusal::TooLate };
+    Some(turn_away(refusal, prospect.wait))
 }
 
-fn turn_away(backlog: Duration) -> Outcome {
-    let retry_after = backlog.max(SHORTEST_RETRY);
-    Outcome::Refused { refusal: Refusal::TooLate, retry_after }
+fn turn_away(refusal: Refusal, backlog: Duration) -> Outcome {
+    Outcome::Refused { refusal, retry_after: backlog.max(SHORTEST_RETRY) }
 }
--- a/crates/fleet/src/job/message.rs
+++ b/crates/fleet/src/job/message.rs
@@ -131,7 +131,10 @@
     /// No steward of targets can be reached.
     #[display("no_steward")]
     NoSteward,
-    /// It can't end before its caller goes.
+    /// It can't end before its caller goes, even if it starts at once on the fastest targets.
+    #[display("hopeless")]
+    Hopeless,
+    /// It would be late behind the work that waits.
     #[display("too_late")]
     TooLate,
     /// This host holds as many jobs as it can.
--- a/crates/fleet/src/report/lines.rs
+++ b/crates/fleet/src/report/lines.rs
@@ -103,9 +103,9 @@
                 "waited_ms" => millis(*waited), "best_ms" => millis(*best),
                 "left_ms" => millis(*left));
         }
-        Note::Started { task, run, target, waited, expected, best } => {
+        Note::Started { task, run, target, cpu_millis, waited, expected, best } => {
             info!(log, "{}", name; "job" => %task.job, "task" => %task, "run" => run,
-                "target" => %target, "waited_ms" => millis(*waited),
+                "target" => %target, "cpu_millis" => cpu_millis, "waited_ms" => millis(*waited),
                 "expected_ms" => millis(*expected), "best_ms" => millis(*best));
         }
         Note::Ended { task, run, target, end, took } => {
--- a/crates/fleet/src/report/note.rs
+++ b/crates/fleet/src/report/note.rs
@@ -122,6 +122,8 @@
         run: u32,
         /// Where.
         target: Target,
+        /// Thousandths of a core that it takes there.
+        cpu_millis: u64,
         /// How long it waited here.
         waited: Duration,
         /// Expected run time.
--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -92,6 +92,7 @@
             task: one.task.clone(),
             run: one.run,
             target,
+            cpu_millis: one.need.room.cpu_millis,
             waited: now.duration_since(one.since),
             expected,
             best,
--- a/crates/model/src/summary.rs
+++ b/crates/model/src/summary.rs
@@ -36,7 +36,10 @@
         let kinds: String = KINDS.iter().map(|kind| format!("{:>8}", kind.name)).collect();
         let (on_time, largest, within) = ("on time", "largest", "in reach");
         let refusals = format!("{:>9}{:>9}{:>12}", "refused", "given up", "heard in ms");
-        format!("{on_time:>8}{kinds}{largest:>9}{within:>9}{:>9}{:>7}{refusals}", "of long", "short")
+        format!(
+            "{on_time:>8}{kinds}{largest:>9}{within:>9}{:>9}{:>7}{refusals}",
+            "of long", "short"
+        )
     }
 
     /// The figures as one row.
