fix(control): a job that comes before the first steward waits for it

Cause: no steward known now was taken for no steward in time.

The job is taken, as any other whose tasks find no place, and is sent when a steward is heard. It is turned away as soon as it has no chance to end before its caller goes, and at once at a host that is cut off from all others.

--- a/crates/cli/src/losses/account.rs
+++ b/crates/cli/src/losses/account.rs
@@ -21,7 +21,7 @@
     /// Turned away when it came: it would have been late behind the work that waited.
     #[display("refused as crowded")]
     Crowded,
-    /// Turned away when it came: no host had targets.
+    /// Turned away when it came, or after a wait for it: no host had targets.
     #[display("refused without a steward")]
     NoSteward,
     /// Turned away when it came, for another reason.
@@ -110,6 +110,7 @@
         match (text(line, "outcome"), text(line, "reason")) {
             ("completed", _) => Fate::Served,
             ("failed", _) => Fate::Failed,
+            ("no_steward", _) => Fate::NoSteward,
             ("unknown", "its steward is gone") => Fate::StewardGone,
             ("unknown", _) if self.running.is_empty() => Fate::Unstarted,
             ("unknown", _) if self.running.values().any(|run| run.is_slow) => Fate::OverOnSlow,
--- a/crates/fleet/src/admission/gate.rs
+++ b/crates/fleet/src/admission/gate.rs
@@ -44,6 +44,12 @@
     chance < LEAST_BUSY
 }
 
+/// Whether a job has a chance to end in the time left if it starts now.
+#[must_use]
+pub fn has_chance(run: &Forecast, left: Duration) -> bool {
+    run.chance(left) >= LEAST_FREE
+}
+
 /// Whether the job is turned away, and with which answer.
 #[must_use]
 pub fn judge(prospect: &Prospect) -> Option<Outcome> {
@@ -56,8 +62,8 @@
     if prospect.run.chance(left) >= least {
         return None;
     }
-    let is_hopeless = prospect.run.chance(prospect.patience) < LEAST_FREE;
-    let refusal = if is_hopeless { Refusal::Hopeless } else { Refusal::TooLate };
+    let in_time = has_chance(&prospect.run, prospect.patience);
+    let refusal = if in_time { Refusal::TooLate } else { Refusal::Hopeless };
     Some(turn_away(refusal, prospect.wait))
 }
 
--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -6,7 +6,7 @@
 use coltsfootshunt_core::name::{Host, Service};
 
 use super::{Action, Output, State};
-use crate::admission::{self, Prospect};
+use crate::admission::{self, Prospect, has_chance};
 use crate::job::{
     Bundle, Ending, Id, Need, Open, Outcome, Part, Policy, Refusal, Submission, Ticket,
 };
@@ -78,7 +78,8 @@
             run,
             patience,
         };
-        let outcome = if offers.is_empty() {
+        // A steward is about to come unless this host is cut off from all: the job waits for it.
+        let outcome = if offers.is_empty() && self.roster.is_isolated(now) {
             Some(refuse(Refusal::NoSteward))
         } else if self.jobs.len() >= MAX_OPEN {
             Some(refuse(Refusal::Full))
@@ -315,10 +316,36 @@
             };
             self.close(&id, outcome, "its deadline", now);
         }
+        self.drop_stalled(now);
+        self.jobs.forget(now);
+    }
+
+    /// Turns away what has waited for a steward until it has no chance to end in time.
+    fn drop_stalled(&mut self, now: Instant) {
+        let is_over = |open: &Open| {
+            let forecast = self.speeds.forecast(&open.kind, open.plan.chain());
+            let left = open.due.saturating_duration_since(now + ANSWER_WITHIN);
+            !open.touched && !has_chance(&forecast.longest_of(open.plan.tasks() as u32), left)
+        };
+        let jobs = &self.jobs;
+        let over = |id: &&Id| jobs.get(id).is_some_and(is_over);
+        let over: Vec<Id> = self.stalled.iter().filter(over).cloned().collect();
+        for id in over {
+            let refusal = Refusal::NoSteward;
+            let outcome = Outcome::Refused { refusal, retry_after: STEWARD_BACK_IN };
+            self.close(&id, outcome, "no steward came in time", now);
+        }
+    }
+
+    /// Sends what found no steward, once there is one.
+    pub(super) fn push_stalled(&mut self, now: Instant) {
+        let is_serving = |offer: &Offer| offer.load.places > 0;
+        if self.stalled.is_empty() || !self.offers().iter().any(is_serving) {
+            return;
+        }
         for id in std::mem::take(&mut self.stalled) {
             self.push(&id, now);
         }
-        self.jobs.forget(now);
     }
 }
 
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -141,6 +141,7 @@
             self.ticked = now;
             self.tick(now);
         }
+        self.push_stalled(now);
         self.work(now);
         self.publish(now);
         self.finish_stop(now);
--- a/crates/fleet/src/control/tests/start.rs
+++ b/crates/fleet/src/control/tests/start.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfootshunt_core::clock::System;
+use coltsfootshunt_core::clock::Clock;
 use coltsfootshunt_core::name::{Kind, Zone};
 
+use super::world::Time;
 use crate::config::tests::{document, route};
 use crate::control::{Action, Event, Output, Request, Settings, State};
-use crate::job::{Id, Need, Outcome, Plan, Room, Step, Submission, Ticket};
+use crate::job::{Id, Need, Outcome, Plan, Refusal, Room, Step, Submission, Ticket};
 use crate::lease::Token;
 use crate::member::tests::card;
 use crate::member::{Beat, Claim};
@@ -18,7 +19,7 @@
 use crate::store::News;
 
 /// A host that knows the configuration, and nobody yet.
-fn alone() -> State {
+fn alone(clock: &Arc<Time>) -> State {
     let lease = Duration::from_secs(1);
     let settings = Settings {
         card: card("me", "a", 250),
@@ -26,7 +27,7 @@
         steward: steward::Settings { lease, remote_factor: 1.5 },
         stop_within: Duration::from_secs(5),
     };
-    let mut state = State::new(settings, Arc::new(System));
+    let mut state = State::new(settings, Arc::clone(clock) as Arc<dyn Clock>);
     let document = Arc::new(document(1, vec![route("cut", "/a/")]));
     state.handle(Event::Store(News::Document(document)));
     state
@@ -63,7 +64,7 @@
 
 #[test]
 fn nothing_of_what_targets_can_hold_before_one_is_known() {
-    let mut state = alone();
+    let mut state = alone(&Arc::new(Time::new()));
     hear_steward(&mut state);
     state.settle();
     let actions = submit(&mut state);
@@ -77,7 +78,7 @@
 /// After a start of all hosts jobs come before the first steward.
 #[test]
 fn no_refusal_while_a_steward_is_about_to_come() {
-    let mut state = alone();
+    let mut state = alone(&Arc::new(Time::new()));
     let actions = submit(&mut state);
     let answered = |action: &Action| matches!(action, Action::Answer(Ticket(2), _));
     assert!(!actions.iter().any(answered), "{actions:?}");
@@ -85,3 +86,24 @@
     let actions = state.settle();
     assert!(is_sent(&actions), "{actions:?}");
 }
+
+/// No steward comes while the caller waits: it hears so once the job has no chance any more.
+#[test]
+fn a_job_without_a_steward_is_turned_away_before_its_caller_goes() {
+    let clock = Arc::new(Time::new());
+    let mut state = alone(&clock);
+    submit(&mut state);
+    let refused = |action: &Action| {
+        let refusal = Refusal::NoSteward;
+        let outcome = Outcome::Refused { refusal, retry_after: Duration::from_secs(1) };
+        matches!(action, Action::Answer(Ticket(2), Output::Outcome(one)) if *one == outcome)
+    };
+    let mut heard = None;
+    for at_ms in (0..1_500).step_by(50) {
+        clock.set(at_ms);
+        if state.settle().iter().any(refused) {
+            heard = heard.or(Some(at_ms));
+        }
+    }
+    assert!(heard.is_some_and(|at_ms| (1_000..1_500).contains(&at_ms)), "{heard:?}");
+}
--- a/crates/fleet/src/control/tests/world.rs
+++ b/crates/fleet/src/control/tests/world.rs
@@ -34,12 +34,20 @@
 /// Time after which a batch that can't be delivered ends its session, in milliseconds.
 const GIVE_UP_MS: u64 = 700;
 
-struct Time {
+pub(super) struct Time {
     start: Instant,
     now_ms: Mutex<u64>,
 }
 
 impl Time {
+    pub(super) fn new() -> Self {
+        Self { start: Instant::now(), now_ms: Mutex::new(0) }
+    }
+
+    pub(super) fn set(&self, now_ms: u64) {
+        *self.now_ms.lock().unwrap() = now_ms;
+    }
+
     fn now_ms(&self) -> u64 {
         *self.now_ms.lock().unwrap()
     }
@@ -150,7 +158,7 @@
 
 impl World {
     pub(super) fn new(seed: u64) -> Self {
-        let time = Arc::new(Time { start: Instant::now(), now_ms: Mutex::new(0) });
+        let time = Arc::new(Time::new());
         let mut world = Self {
             time,
             hosts: Vec::new(),
@@ -281,12 +289,12 @@
     pub(super) fn run_for(&mut self, for_ms: u64) {
         let end = self.now_ms() + for_ms;
         while let Some((at, happening)) = self.agenda.next_by(end) {
-            *self.time.now_ms.lock().unwrap() = at;
+            self.time.set(at);
             self.pass();
             self.act(happening);
             self.check();
         }
-        *self.time.now_ms.lock().unwrap() = end;
+        self.time.set(end);
     }
 
     fn pass(&mut self) {
