--- a/crates/fleet/src/admission/gate.rs
+++ b/crates/fleet/src/admission/gate.rs
@@ -4,6 +4,7 @@
 
 use crate::job::{Outcome, Refusal};
 use crate::speed::Forecast;
+use crate::spread::Outlook;
 
 /// Least chance to end before the caller goes where targets are free: trying costs others little.
 const LEAST_FREE: f64 = 0.1;
@@ -20,9 +21,11 @@
 /// What awaits a job.
 #[derive(Clone, Copy, Debug)]
 pub struct Prospect {
-    /// Expected time until its first task starts at the best steward.
-    pub wait: Duration,
-    /// Run time of its longest chain of steps on the fastest targets.
+    /// Expected waits of its tasks.
+    pub outlook: Outlook,
+    /// Number of its tasks.
+    pub tasks: u32,
+    /// Run time of its longest chain of steps on the fastest targets, of one task a step.
     pub run: Forecast,
     /// Expected run time on the targets that it needs to be on time.
     pub hurried: Duration,
@@ -32,6 +35,17 @@
     pub patience: Duration,
 }
 
+impl Prospect {
+    /// Chance, from 0 to 1, that all its tasks end before its caller goes.
+    fn chance(&self) -> f64 {
+        let Outlook { first, last, behind } = self.outlook;
+        let all = self.run.longest_of(self.tasks);
+        let late = self.run.longest_of(u32::try_from(behind).unwrap_or(u32::MAX));
+        let left = |wait| self.patience.saturating_sub(wait);
+        all.chance(left(first)).min(late.chance(left(last)))
+    }
+}
+
 /// Whether work that is behind this wait would be late, with so much time left to its latest start.
 #[must_use]
 pub fn is_hopeless(wait: Duration, slack: Duration) -> bool {
@@ -54,17 +68,17 @@
 #[must_use]
 pub fn judge(prospect: &Prospect) -> Option<Outcome> {
     let slack = prospect.objective.saturating_sub(prospect.hurried);
-    if is_hopeless(prospect.wait, slack) {
-        return Some(turn_away(Refusal::TooLate, prospect.wait - slack));
+    let wait = prospect.outlook.last;
+    if is_hopeless(wait, slack) {
+        return Some(turn_away(Refusal::TooLate, wait - slack));
     }
-    let least = if prospect.wait < BUSY_FROM { LEAST_FREE } else { LEAST_BUSY };
-    let left = prospect.patience.saturating_sub(prospect.wait);
-    if prospect.run.chance(left) >= least {
+    let least = if wait < BUSY_FROM { LEAST_FREE } else { LEAST_BUSY };
+    if prospect.chance() >= least {
         return None;
     }
-    let in_time = has_chance(&prospect.run, prospect.patience);
+    let in_time = has_chance(&prospect.run.longest_of(prospect.tasks), prospect.patience);
     let refusal = if in_time { Refusal::TooLate } else { Refusal::Hopeless };
-    Some(turn_away(refusal, prospect.wait))
+    Some(turn_away(refusal, wait))
 }
 
 fn turn_away(refusal: Refusal, backlog: Duration) -> Outcome {
--- a/crates/fleet/src/admission/tests.rs
+++ b/crates/fleet/src/admission/tests.rs
@@ -4,12 +4,14 @@
 
 use super::{Prospect, judge};
 use crate::speed::Forecast;
+use crate::spread::Outlook;
 
 fn judges(wait_ms: u64, run_ms: u64, taken: bool) {
     // The fastest targets take half as long as the average.
-    let run = Duration::from_millis(run_ms);
+    let (run, wait) = (Duration::from_millis(run_ms), Duration::from_millis(wait_ms));
     let prospect = Prospect {
-        wait: Duration::from_millis(wait_ms),
+        outlook: Outlook { first: wait, last: wait, behind: 1 },
+        tasks: 1,
         run: Forecast { median: run / 2, deviation: 0.3 },
         hurried: run,
         objective: run.mul_f64(1.6) + Duration::from_millis(60),
@@ -29,3 +31,25 @@
     what_will_not_end_in_time(2_000, 760, false);
     what_is_too_long_by_itself(0, 8_000, false);
 }
+
+/// A wide job whose last tasks have to wait.
+fn judges_wide(behind: usize, last_ms: u64, run_ms: u64, taken: bool) {
+    let run = Duration::from_millis(run_ms);
+    let last = Duration::from_millis(last_ms);
+    let prospect = Prospect {
+        outlook: Outlook { first: Duration::ZERO, last, behind },
+        tasks: 8,
+        run: Forecast { median: run / 2, deviation: 0.3 },
+        hurried: run / 2,
+        objective: Duration::from_millis(1_450),
+        patience: Duration::from_millis(1_500),
+    };
+    assert_eq!(judge(&prospect).is_none(), taken);
+}
+
+// Jobs were taken by the wait of their first task, and ended just after their deadline.
+cases! { judges_wide:
+    all_of_it_at_once(0, 0, 2_000, true);
+    a_last_task_that_ends_in_time(1, 300, 1_600, true);
+    not_a_last_task_that_comes_too_late(1, 1_000, 1_600, false);
+}
--- a/crates/fleet/src/control/fleet.rs
+++ b/crates/fleet/src/control/fleet.rs
@@ -52,6 +52,9 @@
             Message::Beat(beat) => self.take_beat(from, beat, now),
             Message::Hosts(cards) => self.meet(&cards),
             Message::Run(bundle) => self.run(&from.host, bundle, now),
+            Message::Bid(bids) => self.take_bids(&from.host, &bids, now),
+            Message::Grant(grants) => self.take_grants(&from.host, &grants, now),
+            Message::Withdraw(stands) => self.steward.withdraw(&from.host, &stands),
             Message::Cancel(job, opening) => {
                 self.steward.cancel(&from.host, &job, opening);
             }
--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -8,14 +8,16 @@
 use super::{Action, Output, State};
 use crate::admission::{self, Prospect, has_chance};
 use crate::job::{
-    Bundle, Ending, Id, Need, Open, Outcome, Part, Policy, Refusal, Submission, Ticket,
+    Bundle, Ending, Grant, Granted, Id, Need, Open, Outcome, Part, Policy, Ready, Refusal, Stand,
+    Submission, Task, Ticket,
 };
+use crate::member::Peer;
 use crate::peer::Message;
 use crate::placement::GAIN;
 use crate::queue::slack_level;
 use crate::report::Note;
 use crate::speed::Forecast;
-use crate::spread::{Offer, Shape, assign};
+use crate::spread::{Offer, Outlook, Shape, assign, assign_fast, stand};
 
 /// Open jobs of one host; what it needs for each is far below its memory.
 const MAX_OPEN: usize = 4_000;
@@ -30,6 +32,12 @@
 /// Way to a host of another availability zone and back, with the wait for a batch under way.
 const FAR: Duration = Duration::from_millis(5);
 
+/// What an owner says to a steward of tasks that stand with it.
+enum Told {
+    Grant(Vec<Grant>),
+    Withdraw(Vec<Stand>),
+}
+
 impl State {
     pub(super) fn submit(&mut self, ticket: Ticket, submission: &Submission, now: Instant) {
         let id = &submission.id;
@@ -60,12 +68,11 @@
         let offers = self.offers();
         let objective = (run.mul_f64(route.stretch) + route.allowance)
             .min(patience.saturating_sub(ANSWER_WITHIN));
-        let hurried = hurried(run, objective, &offers);
-        let level = slack_level(objective, hurried);
-        let longest = forecast.longest_of(plan.tasks() as u32);
-        let is_long = needs_fast(&longest, patience, &offers);
-        let delay = |offer: &Offer| if is_long { offer.fast_delay() } else { offer.delay(level) };
-        let wait = offers.iter().map(delay).min().unwrap_or_default();
+        let tasks = plan.tasks() as u32;
+        let shape = shape(&forecast.longest_of(tasks), run, (objective, patience), &offers);
+        let hurried = hurried(run, objective, shape.is_long, &offers);
+        let outlook = Outlook::new(plan.tasks(), &shape, &offers);
+        let wait = outlook.last;
         let size = self.scale.weigh(&route.kind, plan);
         let refused = |outcome| Note::Refused {
             job: submission.id.clone(),
@@ -86,8 +93,8 @@
         } else if !self.may_fit(&route.service, submission) {
             Some(Outcome::Failed)
         } else {
-            let run = longest.times(fastest(&offers));
-            admission::judge(&Prospect { wait, run, hurried, objective, patience })
+            let run = forecast.times(fastest(&offers));
+            admission::judge(&Prospect { outlook, tasks, run, hurried, objective, patience })
         };
         if let Some(outcome) = outcome {
             self.note(refused(outcome));
@@ -126,6 +133,12 @@
         serving().next().is_none() || submission.plan.steps.iter().all(|step| fits(&step.need))
     }
 
+    /// Whether any steward can be reached.
+    pub(super) fn is_led(&self) -> bool {
+        let is_steward = |peer: &Peer| !peer.beat.claims.is_empty();
+        !self.roster.claims.is_empty() || self.roster.alive().any(is_steward)
+    }
+
     /// Stewards that can be reached.
     pub(super) fn offers(&self) -> Vec<Offer> {
         let me = self.roster.me();
@@ -144,9 +157,10 @@
         offers
     }
 
-    /// Sends a job's tasks that may start to stewards.
+    /// Sends a job's tasks that may start to stewards: to where they can start at once, if all of them can,
+    /// else they stand with several.
     pub(super) fn push(&mut self, id: &Id, now: Instant) {
-        let Some(open) = self.jobs.get(id) else {
+        let Some(open) = self.jobs.get_mut(id) else {
             return;
         };
         let ready = open.ready();
@@ -154,6 +168,9 @@
             return;
         }
         let mut offers = self.offers();
+        let Some(open) = self.jobs.get_mut(id) else {
+            return;
+        };
         let reachable = offers.len();
         offers.retain(|offer| !open.has_declined(&offer.host));
         if offers.is_empty() && reachable > 0 {
@@ -161,25 +178,45 @@
         }
         let believed: Vec<_> = offers.iter().map(|offer| offer.load).collect();
         let forecast = self.speeds.forecast(&open.kind, ready[0].need.estimate());
-        let run = forecast.median;
-        let left = open.objective.saturating_duration_since(now);
-        let hurried = hurried(run, left, &offers);
-        let level = slack_level(left, hurried);
-        let slack = left.saturating_sub(hurried);
-        let forecast = forecast.longest_of(open.plan.tasks() as u32);
-        let is_long = needs_fast(&forecast, open.due.saturating_duration_since(now), &offers);
-        let assigned = assign(ready.len(), &Shape { slack, level, run, is_long }, &mut offers);
-        if assigned.len() < ready.len() {
-            self.stalled.insert(id.clone());
-        }
+        let longest = forecast.longest_of(open.plan.tasks() as u32);
+        let left = |then: Instant| then.saturating_duration_since(now);
+        let lefts = (left(open.objective), left(open.due));
+        let mut shape = shape(&longest, forecast.median, lefts, &offers);
+        shape.is_long |= open.must_stand;
+        // Long work that has a part under way elsewhere is not weighed anew.
+        let begun = open.begun || open.committed || shape.is_long && open.is_under_way();
+        let assigned = match (shape.is_long, open.must_stand) {
+            (false, _) => assign(ready.len(), &shape, &mut offers),
+            (true, false) => assign_fast(ready.len(), &shape, &mut offers),
+            (true, true) => Vec::new(),
+        };
+        let standing = shape.is_long && assigned.is_empty();
         let mut parts: BTreeMap<usize, Vec<Part>> = BTreeMap::new();
-        let Some(open) = self.jobs.get_mut(id) else {
-            return;
+        let part_of = |task: Ready| Part {
+            step: task.step,
+            index: task.index,
+            run: task.run,
+            round: task.round,
+            need: task.need,
         };
-        for (task, &to) in ready.into_iter().zip(&assigned) {
-            open.sent(task.part, offers[to].host.clone());
-            let part = Part { step: task.step, index: task.index, run: task.run, need: task.need };
-            parts.entry(to).or_default().push(part);
+        if standing {
+            let lines = stand(ready.len(), &mut offers);
+            if lines.is_empty() {
+                self.stalled.insert(id.clone());
+                return;
+            }
+            let hosts: Vec<Host> = lines.iter().map(|&at| offers[at].host.clone()).collect();
+            ready.iter().for_each(|task| open.stand(task.part, hosts.clone()));
+            let all: Vec<Part> = ready.into_iter().map(part_of).collect();
+            parts.extend(lines.into_iter().map(|at| (at, all.clone())));
+        } else {
+            if assigned.len() < ready.len() {
+                self.stalled.insert(id.clone());
+            }
+            for (task, &to) in ready.into_iter().zip(&assigned) {
+                open.sent(task.part, offers[to].host.clone());
+                parts.entry(to).or_default().push(part_of(task));
+            }
         }
         let bundle = Bundle {
             job: id.clone(),
@@ -191,7 +228,8 @@
             objective_in_ms: between(now, open.objective),
             due_in_ms: between(now, open.due),
             width: open.plan.tasks() as u32,
-            begun: open.begun || open.committed,
+            begun,
+            standing,
             parts: Vec::new(),
         };
         for (to, parts) in parts {
@@ -200,14 +238,62 @@
                 job: id.clone(),
                 steward: offer.host.clone(),
                 tasks: parts.len(),
+                standing,
                 free: believed[to].free,
-                wait_ms: believed[to].waits_ms[level],
+                wait_ms: believed[to].waits_ms[shape.level],
             };
             self.note(note);
             self.hand_over(offer, Bundle { parts, ..bundle.clone() }, now);
         }
     }
 
+    /// Answers a steward that has places for tasks which stand with it.
+    pub(super) fn take_bids(&mut self, from: &Host, bids: &[Stand], now: Instant) {
+        let mut grants = Vec::new();
+        let mut withdrawn: BTreeMap<Host, Vec<Stand>> = BTreeMap::new();
+        for bid in bids {
+            let job = self.jobs.get_mut(&bid.task.job);
+            let Some(open) = job.filter(|open| open.opening == bid.opening) else {
+                // Its end has been told to all with which it stood.
+                continue;
+            };
+            let Some(granted) = open.grant(from, bid) else {
+                continue;
+            };
+            let Granted { step, index, run, round, others } = granted;
+            let task = Task { job: bid.task.job.clone(), step, index };
+            for host in others {
+                let stand = Stand { task: task.clone(), opening: bid.opening, round };
+                withdrawn.entry(host).or_default().push(stand);
+            }
+            grants.push(Grant { task, opening: bid.opening, round, run });
+        }
+        for (host, stands) in withdrawn {
+            self.tell_steward(&host, Told::Withdraw(stands), now);
+        }
+        if !grants.is_empty() {
+            self.tell_steward(from, Told::Grant(grants), now);
+        }
+    }
+
+    fn tell_steward(&mut self, host: &Host, told: Told, now: Instant) {
+        let me = self.roster.me().host.clone();
+        if *host == me {
+            return match told {
+                Told::Grant(grants) => self.take_grants(&me, &grants, now),
+                Told::Withdraw(stands) => self.steward.withdraw(&me, &stands),
+            };
+        }
+        if let Some(peer) = self.roster.peer(host).filter(|peer| peer.alive) {
+            let address = peer.card.address;
+            let message = match told {
+                Told::Grant(grants) => Message::Grant(grants),
+                Told::Withdraw(stands) => Message::Withdraw(stands),
+            };
+            self.send(address, message);
+        }
+    }
+
     fn hand_over(&mut self, offer: &Offer, bundle: Bundle, now: Instant) {
         if offer.host == self.roster.me().host {
             return self.run(&offer.host, bundle, now);
@@ -296,6 +382,13 @@
         for id in self.jobs.matching(|open| open.is_with(host)) {
             self.close(&id, Outcome::Unknown, "its steward is gone", now);
         }
+        // What only stood there has not run there.
+        for id in self.jobs.matching(|open| open.stands_with(host)) {
+            if let Some(open) = self.jobs.get_mut(&id) {
+                open.leave(host);
+            }
+            self.push(&id, now);
+        }
     }
 
     /// Answers all jobs after a pause of this process.
@@ -340,7 +433,7 @@
     /// Sends what found no steward, once there is one.
     pub(super) fn push_stalled(&mut self, now: Instant) {
         let is_serving = |offer: &Offer| offer.load.places > 0;
-        if self.stalled.is_empty() || !self.offers().iter().any(is_serving) {
+        if self.stalled.is_empty() || !self.is_led() || !self.offers().iter().any(is_serving) {
             return;
         }
         for id in std::mem::take(&mut self.stalled) {
@@ -349,10 +442,24 @@
     }
 }
 
+/// What the tasks of a job are like, by the forecasts of the longest and of one of them and by the time left
+/// until its answer is late and until its caller goes.
+fn shape(
+    longest: &Forecast,
+    run: Duration,
+    (objective, patience): (Duration, Duration),
+    offers: &[Offer],
+) -> Shape {
+    let is_long = needs_fast(longest, patience, offers);
+    let hurried = hurried(run, objective, is_long, offers);
+    let level = slack_level(objective, hurried);
+    Shape { slack: objective.saturating_sub(hurried), level, run, is_long }
+}
+
 /// Run time that a job's slack is reckoned with: on an average target, or on the fastest one known
 /// where only that would do.
-fn hurried(run: Duration, objective: Duration, offers: &[Offer]) -> Duration {
-    if run > objective { run.mul_f64(fastest(offers)) } else { run }
+fn hurried(run: Duration, objective: Duration, is_long: bool, offers: &[Offer]) -> Duration {
+    if is_long || run > objective { run.mul_f64(fastest(offers)) } else { run }
 }
 
 /// Whether only fast targets will do for a task whose caller goes after `left`.
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -227,7 +227,7 @@
     }
 
     fn publish(&mut self, now: Instant) {
-        let led = !self.offers().is_empty();
+        let led = self.is_led();
         let isolated = self.roster.is_isolated(now) && self.roster.claims.is_empty();
         let turning_away = self.stopping.is_some() || isolated;
         let snapshot = Snapshot {
--- a/crates/fleet/src/control/targets.rs
+++ b/crates/fleet/src/control/targets.rs
@@ -6,7 +6,7 @@
 use coltsfootshunt_core::name::{Host, Target};
 
 use super::{Action, State};
-use crate::job::{Bundle, End, Ending, Task};
+use crate::job::{Bundle, End, Ending, Grant, Part, Stand, Task};
 use crate::lease::{Answer, Call};
 use crate::peer::Message;
 use crate::steward::Output;
@@ -16,14 +16,15 @@
     pub(super) fn run(&mut self, from: &Host, bundle: Bundle, now: Instant) {
         let mut out = Output::default();
         if !self.roster.claims.is_empty() {
-            self.steward.accept(from, bundle, &self.speeds, now, &mut out);
+            self.steward.accept(from, bundle, (&self.roster, &self.speeds), now, &mut out);
             return self.deliver(out, now);
         }
         // It believes that this host is still a steward.
         for part in bundle.parts {
             let task = Task { job: bundle.job.clone(), step: part.step, index: part.index };
             let run = part.run.saturating_sub(1);
-            let ending = Ending { task, opening: bundle.opening, run, end: End::NotRun };
+            let Part { round, .. } = part;
+            let ending = Ending { task, opening: bundle.opening, run, round, end: End::NotRun };
             out.endings.push((from.clone(), ending));
         }
         self.deliver(out, now);
@@ -53,24 +54,53 @@
         self.steward.tend_one(target, &self.roster, &mut self.mint, times, out);
     }
 
+    /// Takes an owner's word in that tasks are this host's alone.
+    pub(super) fn take_grants(&mut self, from: &Host, grants: &[Grant], now: Instant) {
+        let mut out = Output::default();
+        self.steward.take_grants(from, grants, now, &mut out);
+        self.deliver(out, now);
+    }
+
     /// Starts what can start.
     pub(super) fn work(&mut self, now: Instant) {
-        let mut out = Output::default();
-        self.steward.dispatch(&self.roster, &self.speeds, now, &mut out);
-        let started: BTreeSet<Target> = out.calls.iter().map(|call| call.target.clone()).collect();
-        for target in started {
-            self.tend_one(&target, now, &mut out);
+        loop {
+            let mut out = Output::default();
+            self.steward.dispatch(&self.roster, &self.speeds, now, &mut out);
+            let started: BTreeSet<Target> =
+                out.calls.iter().map(|call| call.target.clone()).collect();
+            for target in started {
+                self.tend_one(&target, now, &mut out);
+            }
+            // This host grants its own tasks at once, so that they can start at once.
+            let me = &self.roster.me().host;
+            let again = out.bids.iter().any(|(owner, _)| owner == me);
+            self.deliver(out, now);
+            if !again {
+                return;
+            }
         }
-        self.deliver(out, now);
     }
 
     /// Carries a steward's wishes out.
     pub(super) fn deliver(&mut self, out: Output, now: Instant) {
         self.out.extend(out.notes.into_iter().map(Action::Note));
         self.out.extend(out.calls.into_iter().map(Action::Call));
+        let me = self.roster.me().host.clone();
+        let mut bids: BTreeMap<Host, Vec<Stand>> = BTreeMap::new();
+        for (owner, bid) in out.bids {
+            bids.entry(owner).or_default().push(bid);
+        }
+        for (owner, bids) in bids {
+            if owner == me {
+                self.take_bids(&me, &bids, now);
+            } else if let Some(peer) = self.roster.peer(&owner).filter(|peer| peer.alive) {
+                let address = peer.card.address;
+                self.send(address, Message::Bid(bids));
+            }
+        }
         let mut remote: BTreeMap<Host, Vec<Ending>> = BTreeMap::new();
         for (owner, ending) in out.endings {
-            if owner == self.roster.me().host {
+            if owner == me {
                 self.ended(&owner, &ending, now);
             } else {
                 remote.entry(owner).or_default().push(ending);
--- a/crates/fleet/src/job/book.rs
+++ b/crates/fleet/src/job/book.rs
@@ -6,7 +6,7 @@
 
 use coltsfootshunt_core::name::{Host, Kind, Service};
 
-use super::{End, Ending, Id, Need, Outcome, Plan, Refusal, Size};
+use super::{End, Ending, Id, Need, Outcome, Plan, Refusal, Size, Stand};
 
 /// Attempts of one task, whatever their ends, before it counts as too late.
 const MAX_TRIES: u32 = 8;
@@ -39,7 +39,9 @@
     Waiting,
     /// Given back as too late; the other tasks decide what that means.
     Late,
-    /// With this host's steward.
+    /// With these stewards, of which the first that has a place for it gets it.
+    Standing(Vec<Host>),
+    /// With this steward alone.
     Sent(Host),
     Done,
 }
@@ -51,6 +53,8 @@
     state: State,
     /// Number that the next attempt may have.
     run: u32,
+    /// Messages that gave it to stewards.
+    round: u32,
     failures: u32,
     tries: u32,
 }
@@ -72,7 +76,7 @@
     pub objective: Instant,
     /// When its caller goes.
     pub due: Instant,
-    /// Whether anything of it went to a steward.
+    /// Whether a steward may start or may have started anything of it.
     pub touched: bool,
     /// Whether anything of it has run.
     pub begun: bool,
@@ -84,10 +88,28 @@
     declined: Vec<Host>,
     /// Whether a steward that was too busy has given all of it back once.
     bounced: bool,
+    /// Whether a steward found that only fast targets will do, and none was free there: the rest stands with
+    /// several.
+    pub must_stand: bool,
     tickets: Vec<Ticket>,
     parts: Vec<Part>,
 }
 
+/// A task that stood with several stewards and is one's alone now.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Granted {
+    /// Its step.
+    pub step: u32,
+    /// Its number.
+    pub index: u32,
+    /// Lowest number of its next attempt.
+    pub run: u32,
+    /// Number of the message that it came with.
+    pub round: u32,
+    /// Stewards with which it stands no longer.
+    pub others: Vec<Host>,
+}
+
 /// A task that may go to a steward.
 #[derive(Clone, Debug)]
 pub struct Ready {
@@ -99,6 +121,8 @@
     pub index: u32,
     /// Lowest number of its next attempt.
     pub run: u32,
+    /// Number of the next message that gives it to stewards.
+    pub round: u32,
     /// What it needs.
     pub need: Need,
 }
@@ -120,6 +144,7 @@
                 index,
                 state: State::Waiting,
                 run: 1,
+                round: 0,
                 failures: 0,
                 tries: 0,
             }));
@@ -138,6 +163,7 @@
             opening: 0,
             declined: Vec::new(),
             bounced: false,
+            must_stand: false,
             tickets: Vec::new(),
             parts,
         }
@@ -157,6 +183,7 @@
                 step: part.step,
                 index: part.index,
                 run: part.run,
+                round: part.round + 1,
                 need: self.plan.steps[part.step as usize].need.clone(),
             })
             .collect()
@@ -170,13 +197,72 @@
         done
     }
 
+    /// Number of the last message that gave a task to stewards.
+    #[cfg(test)]
+    pub(super) fn round(&self, part: u32) -> u32 {
+        self.parts[part as usize].round
+    }
+
     /// Notes that a task went to a steward.
     pub fn sent(&mut self, part: usize, to: Host) {
         self.parts[part].state = State::Sent(to);
+        self.parts[part].round += 1;
         self.touched = true;
     }
 
-    /// Whether a steward has any of its tasks.
+    /// Notes that a task stands with some stewards.
+    pub fn stand(&mut self, part: usize, with: Vec<Host>) {
+        self.parts[part].state = State::Standing(with);
+        self.parts[part].round += 1;
+    }
+
+    /// Grants a steward a task that stands with it, or one like it if another steward has that one by now.
+    pub fn grant(&mut self, to: &Host, Stand { task, round, .. }: &Stand) -> Option<Granted> {
+        let alike = |part: &Part| {
+            let stands = matches!(&part.state, State::Standing(hosts) if hosts.contains(to));
+            stands && part.step == task.step
+        };
+        let same = |part: &Part| (part.index, part.round) == (task.index, *round) && alike(part);
+        let place = self.parts.iter().position(same).or(self.parts.iter().position(alike))?;
+        let part = &mut self.parts[place];
+        let state = std::mem::replace(&mut part.state, State::Sent(to.clone()));
+        self.touched = true;
+        let State::Standing(mut others) = state else {
+            return None;
+        };
+        others.retain(|host| host != to);
+        let Part { step, index, run, round, .. } = *part;
+        Some(Granted { step, index, run, round, others })
+    }
+
+    /// Whether tasks of it stand with a steward.
+    #[must_use]
+    pub fn stands_with(&self, host: &Host) -> bool {
+        let with =
+            |part: &Part| matches!(&part.state, State::Standing(hosts) if hosts.contains(host));
+        self.parts.iter().any(with)
+    }
+
+    /// Takes back what stands with a steward that is gone; what stands with no other can be sent anew.
+    pub fn leave(&mut self, host: &Host) {
+        for part in &mut self.parts {
+            if let State::Standing(hosts) = &mut part.state {
+                hosts.retain(|other| other != host);
+                if hosts.is_empty() {
+                    part.state = State::Waiting;
+                }
+            }
+        }
+    }
+
+    /// Whether any of it has run, runs or starts at once.
+    #[must_use]
+    pub fn is_under_way(&self) -> bool {
+        let sent = |part: &Part| matches!(part.state, State::Sent(_));
+        self.begun || self.committed || self.parts.iter().any(sent)
+    }
+
+    /// Whether a steward alone has any of its tasks.
     #[must_use]
     pub fn is_with(&self, host: &Host) -> bool {
         self.parts.iter().any(|part| part.state == State::Sent(host.clone()))
@@ -193,10 +279,15 @@
     pub fn stewards(&self) -> Vec<Host> {
         let mut hosts: Vec<Host> = Vec::new();
         for part in &self.parts {
-            if let State::Sent(host) = &part.state
-                && !hosts.contains(host)
-            {
-                hosts.push(host.clone());
+            let with = match &part.state {
+                State::Sent(host) => std::slice::from_ref(host),
+                State::Standing(with) => with,
+                State::Waiting | State::Late | State::Done => &[],
+            };
+            for host in with {
+                if !hosts.contains(host) {
+                    hosts.push(host.clone());
+                }
             }
         }
         hosts
@@ -213,11 +304,23 @@
         if *end == End::OutOfTime && !self.declined.contains(from) {
             self.declined.push(from.clone());
         }
-        let part = self.parts.iter_mut().find(|part| {
-            part.step == task.step
-                && part.index == task.index
-                && part.state == State::Sent(from.clone())
-        })?;
+        let is_with = |state: &State| match state {
+            State::Sent(host) => host == from,
+            State::Standing(hosts) => hosts.contains(from),
+            State::Waiting | State::Late | State::Done => false,
+        };
+        let same = |part: &&mut Part| {
+            (part.step, part.index, part.round) == (task.step, task.index, ending.round)
+        };
+        let part = self.parts.iter_mut().find(same).filter(|part| is_with(&part.state))?;
+        let stood = matches!(part.state, State::Standing(_));
+        if let State::Standing(hosts) = &mut part.state {
+            hosts.retain(|host| host != from);
+            if !hosts.is_empty() {
+                return None;
+            }
+        }
+        self.must_stand |= *end == End::NoFastTarget;
         // A task that goes back from a line has not used its number.
         part.tries += u32::from(*run >= part.run);
         part.run = part.run.max(run + 1);
@@ -235,7 +338,7 @@
                 part.state = State::Waiting;
                 self.begun = true;
             }
-            End::NotRun => part.state = State::Waiting,
+            End::NotRun | End::NoFastTarget => part.state = State::Waiting,
             End::Crowded | End::TooLate if goes_on => {
                 part.state = State::Waiting;
                 self.committed = true;
@@ -253,7 +356,7 @@
             part.state = State::Late;
         }
         if self.all_back() {
-            return self.settle_late(*end);
+            return self.settle_late(*end, stood);
         }
         let whole = self.parts.iter().all(|part| part.state == State::Done);
         whole.then_some(Outcome::Completed)
@@ -266,14 +369,15 @@
 
     /// Whether some task was given back as too late and no task is with a steward.
     fn all_back(&self) -> bool {
-        let with = |part: &Part| matches!(part.state, State::Sent(_));
+        let with = |part: &Part| matches!(part.state, State::Sent(_) | State::Standing(_));
         self.parts.iter().any(|part| part.state == State::Late) && !self.parts.iter().any(with)
     }
 
-    /// With nothing run, the job is turned away, or tried once more where a busy steward gave it back;
+    /// With nothing run, the job is turned away, or tried once more where one busy steward gave it back;
     /// else it goes on late, while there are tries left.
-    fn settle_late(&mut self, end: End) -> Option<Outcome> {
-        let again = end == End::Crowded && !std::mem::replace(&mut self.bounced, true);
+    fn settle_late(&mut self, end: End, stood: bool) -> Option<Outcome> {
+        let is_one = end == End::Crowded && !stood;
+        let again = is_one && !std::mem::replace(&mut self.bounced, true);
         if !self.begun && !again {
             let refusal = Refusal::TooLate;
             return Some(Outcome::Refused { refusal, retry_after: RETRY_AFTER });
--- a/crates/fleet/src/job/message.rs
+++ b/crates/fleet/src/job/message.rs
@@ -58,6 +58,9 @@
     /// Whether anything of the job has started or starts at once elsewhere: it is then worth going
     /// on with when it is late.
     pub begun: bool,
+    /// Whether the tasks stand with other stewards as well: each may start only once its owner has
+    /// granted it.
+    pub standing: bool,
     /// The tasks.
     pub parts: Vec<Part>,
 }
@@ -71,10 +74,36 @@
     pub index: u32,
     /// Lowest number that its next attempt may have.
     pub run: u32,
+    /// Rises with each message that gives the task to stewards.
+    pub round: u32,
     /// What it needs.
     pub need: Need,
 }
 
+/// A task that stands with several stewards.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Stand {
+    /// The task.
+    pub task: Task,
+    /// The owner's opening of the job that it belongs to.
+    pub opening: u64,
+    /// Number of the message that it came with; a later one voids it.
+    pub round: u32,
+}
+
+/// The owner's word that one steward and no other may start a task.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Grant {
+    /// The task.
+    pub task: Task,
+    /// The owner's opening of the job that it belongs to.
+    pub opening: u64,
+    /// Number of the message that it came with.
+    pub round: u32,
+    /// Lowest number that its next attempt may have.
+    pub run: u32,
+}
+
 /// How a steward's work on a task ended; nothing of it runs on or can start later, but for
 /// [`End::Adrift`].
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize, Deserialize)]
@@ -92,7 +121,10 @@
     /// It provably did not run.
     #[display("not_run")]
     NotRun,
-    /// It provably did not run, since it would have waited there until its job was late.
+    /// It provably did not run, since only fast targets will do and none is free there.
+    #[display("no_fast_target")]
+    NoFastTarget,
+    /// It provably did not run, since it would have waited until its job was late.
     #[display("crowded")]
     Crowded,
     /// It provably did not run, since its job is late.
@@ -115,6 +147,8 @@
     pub opening: u64,
     /// Number of its last attempt.
     pub run: u32,
+    /// Number of the message that it came with; ends of earlier ones are void.
+    pub round: u32,
     /// How it ended.
     pub end: End,
 }
--- a/crates/fleet/src/job/mod.rs
+++ b/crates/fleet/src/job/mod.rs
@@ -8,7 +8,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use book::{Book, Open, Policy, Ready, Ticket};
-pub use message::{Bundle, End, Ending, Outcome, Part, Refusal, Submission, Task};
+pub use book::{Book, Granted, Open, Policy, Ready, Ticket};
+pub use message::{Bundle, End, Ending, Grant, Outcome, Part, Refusal, Stand, Submission, Task};
 pub use plan::{Id, Invalid, Need, Plan, Room, Step};
 pub use scale::{Scale, Size};
--- a/crates/fleet/src/job/tests.rs
+++ b/crates/fleet/src/job/tests.rs
@@ -5,8 +5,8 @@
 use coltsfootshunt_testkit::cases;
 
 use super::{
-    Book, End, Ending, Id, Invalid, Need, Open, Outcome, Plan, Policy, Refusal, Room, Scale, Size,
-    Step, Task, Ticket,
+    Book, End, Ending, Granted, Id, Invalid, Need, Open, Outcome, Plan, Policy, Refusal, Room,
+    Scale, Size, Stand, Step, Task, Ticket,
 };
 
 fn id() -> Id {
@@ -40,7 +40,8 @@
 
 fn end(job: &mut Open, index: u32, run: u32, end: End) -> Option<Outcome> {
     let task = Task { job: id(), step: 0, index };
-    let ending = Ending { task, opening: job.opening, run, end };
+    let round = job.round(index);
+    let ending = Ending { task, opening: job.opening, run, round, end };
     job.end(&host(), &ending)
 }
 
@@ -84,6 +85,85 @@
     }
 }
 
+/// Two stewards with which a job stands turn it away one after the other.
+#[test]
+fn a_job_is_refused_once_all_have_turned_it_away() {
+    let mut job = open(vec![step(2, &[])], 1);
+    let other = Host::try_from("other").unwrap();
+    (0..2).for_each(|part| job.stand(part, vec![host(), other.clone()]));
+    for index in 0..2 {
+        assert_eq!(end(&mut job, index, 0, End::Crowded), None);
+    }
+    assert!(job.ready().is_empty(), "it still stands with the other one");
+    for (index, wanted) in [(0, None), (1, LATE)] {
+        let task = Task { job: id(), step: 0, index };
+        let opening = job.opening;
+        let ending = Ending { task, opening, run: 0, round: 1, end: End::Crowded };
+        assert_eq!(job.end(&other, &ending), wanted);
+    }
+}
+
+fn granted(index: u32, others: &[&str]) -> Option<Granted> {
+    let others = others.iter().map(|name| Host::try_from(*name).unwrap()).collect();
+    Some(Granted { step: 0, index, run: 1, round: 1, others })
+}
+
+/// Two stewards ask for the same task: each gets one, and none is granted twice.
+#[test]
+fn a_task_is_granted_to_one_steward_only() {
+    let mut job = open(vec![step(2, &[])], 1);
+    let other = Host::try_from("other").unwrap();
+    (0..2).for_each(|part| job.stand(part, vec![host(), other.clone()]));
+    let task = Task { job: id(), step: 0, index: 0 };
+    let task = Stand { task, opening: job.opening, round: 1 };
+    assert!(!job.touched && !job.is_under_way());
+    assert_eq!(job.grant(&host(), &task), granted(0, &["other"]));
+    assert_eq!(job.grant(&other, &task), granted(1, &["steward"]), "one like it");
+    assert_eq!(job.grant(&host(), &task), None);
+    assert!(job.touched && job.is_under_way() && job.is_with(&other));
+}
+
+/// A steward is lost: what stood with it and with others stands on, the rest can be sent anew.
+#[test]
+fn what_stood_with_a_lost_steward_is_not_lost() {
+    let mut job = open(vec![step(2, &[])], 1);
+    let other = Host::try_from("other").unwrap();
+    job.stand(0, vec![host(), other.clone()]);
+    job.stand(1, vec![host()]);
+    assert!(job.stands_with(&host()) && !job.is_with(&host()));
+    job.leave(&host());
+    assert_eq!(job.ready().iter().map(|one| one.index).collect::<Vec<_>>(), [1]);
+    assert_eq!(job.stewards(), [other]);
+}
+
+/// A steward turns a task away that stood with it earlier; meanwhile another one has it from a later message.
+#[test]
+fn ends_of_an_earlier_message_do_not_count() {
+    let mut job = open(vec![step(1, &[])], 1);
+    let other = Host::try_from("other").unwrap();
+    job.stand(0, vec![host()]);
+    assert_eq!(end(&mut job, 0, 0, End::NotRun), None);
+    job.stand(0, vec![host(), other.clone()]);
+    let task = Task { job: id(), step: 0, index: 0 };
+    let stand = Stand { task: task.clone(), opening: job.opening, round: 2 };
+    assert!(job.grant(&host(), &stand).is_some());
+    let ending = Ending { task, opening: job.opening, run: 0, round: 1, end: End::NotRun };
+    assert_eq!(job.end(&host(), &ending), None);
+    assert!(job.is_with(&host()) && job.ready().is_empty());
+    let stale = Stand { round: 1, ..stand };
+    assert_eq!(job.grant(&other, &stale), None);
+}
+
+/// What a steward has no fast target for stands with several from then on, whatever its owner believes.
+#[test]
+fn a_task_that_needs_a_fast_target_is_not_sent_to_one_steward_again() {
+    let mut job = open(vec![step(1, &[])], 1);
+    send(&mut job);
+    assert!(!job.must_stand);
+    assert_eq!(end(&mut job, 0, 0, End::NoFastTarget), None);
+    assert!(job.must_stand && job.ready().len() == 1);
+}
+
 /// One of two stewards gives its part back: the part goes on, as work that has begun.
 #[test]
 fn a_part_that_is_given_back_goes_on_with_the_rest() {
@@ -148,7 +228,7 @@
     let mut job = open(vec![step(1, &[])], 1);
     send(&mut job);
     let task = Task { job: id(), step: 0, index: 0 };
-    let done = Ending { task, opening: job.opening, run: 1, end: End::Done };
+    let done = Ending { task, opening: job.opening, run: 1, round: 1, end: End::Done };
     assert_eq!(job.end(&Host::try_from("other").unwrap(), &done), None);
     assert_eq!(job.end(&host(), &Ending { opening: job.opening + 1, ..done.clone() }), None);
     assert_eq!(job.end(&host(), &done), Some(Outcome::Completed));
--- a/crates/fleet/src/lease/picture/attempt.rs
+++ b/crates/fleet/src/lease/picture/attempt.rs
@@ -35,6 +35,8 @@
     pub owner: Host,
     /// The owner's opening of the job.
     pub opening: u64,
+    /// Number of the message that the task came with.
+    pub round: u32,
     /// Its kind.
     pub kind: Kind,
     /// Room that it takes.
@@ -73,6 +75,7 @@
             run,
             owner,
             opening: 0,
+            round: 0,
             kind,
             room,
             estimate: Duration::ZERO,
--- a/crates/fleet/src/peer/message.rs
+++ b/crates/fleet/src/peer/message.rs
@@ -10,7 +10,7 @@
 
 use crate::config::Document;
 use crate::directory::Entry;
-use crate::job::{Bundle, Ending, Id};
+use crate::job::{Bundle, Ending, Grant, Id, Stand};
 use crate::member::{Beat, Card};
 use crate::speed::Trend;
 use crate::spread::Load;
@@ -25,6 +25,12 @@
     Hosts(Vec<Card>),
     /// Run these tasks.
     Run(Bundle),
+    /// The sender has places for these tasks, which stand with it: may they start there?
+    Bid(Vec<Stand>),
+    /// These tasks are the receiver's alone now and may start.
+    Grant(Vec<Grant>),
+    /// These tasks stand with the receiver no longer: another steward has them.
+    Withdraw(Vec<Stand>),
     /// Nobody wants the tasks of this opening of the job any more.
     Cancel(Id, u64),
     /// Tasks came to their end at the sender, whose load is now this.
--- a/crates/fleet/src/queue/line.rs
+++ b/crates/fleet/src/queue/line.rs
@@ -6,10 +6,21 @@
 
 use coltsfootshunt_core::name::{Host, Kind, Service};
 
-use crate::job::{Id, Need, Task};
+use crate::job::{Grant, Id, Need, Stand, Task};
 use crate::placement::wants_fast;
 use crate::speed::Forecast;
 
+/// Who may start a task that waits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Hold {
+    /// The first of several stewards that has a place for it, with its owner's leave.
+    Shared,
+    /// The same; this one has asked the owner, at this time.
+    Asked(Instant),
+    /// This steward alone, since then.
+    Own(Instant),
+}
+
 /// A task that waits for a target.
 #[derive(Clone, Debug)]
 pub struct Waiting {
@@ -27,6 +38,8 @@
     pub priority: u32,
     /// Lowest number of its next attempt.
     pub run: u32,
+    /// Number of the message that it came with.
+    pub round: u32,
     /// What it needs.
     pub need: Need,
     /// Passed on to the target.
@@ -49,6 +62,8 @@
     pub width: u32,
     /// Whether anything of its job has started.
     pub begun: bool,
+    /// Who may start it.
+    pub hold: Hold,
 }
 
 /// Share by which a run is taken to be longer than expected when its slack is reckoned: one run in
@@ -89,6 +104,12 @@
         forecast.longest_of(self.width).chance(left)
     }
 
+    /// Whether this steward alone may start it.
+    #[must_use]
+    pub fn is_own(&self) -> bool {
+        matches!(self.hold, Hold::Own(_))
+    }
+
     /// Core time that it takes, in thousandths of a core times seconds.
     #[must_use]
     pub fn work(&self) -> f64 {
@@ -122,6 +143,12 @@
         self.waiting.len()
     }
 
+    /// Tasks that this steward alone may start. What stands here waits for fast targets, of which short work
+    /// needs none.
+    pub fn own(&self) -> impl Iterator<Item = &Waiting> {
+        self.waiting.iter().filter(|one| one.is_own())
+    }
+
     /// Whether nothing waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -133,7 +160,7 @@
     #[must_use]
     pub fn work(&self, now: Instant) -> [f64; SLACK_LEVELS_MS.len()] {
         let mut work = [0.0; SLACK_LEVELS_MS.len()];
-        for one in self.waiting.iter().filter(|one| one.begun || !one.is_late(now)) {
+        for one in self.own().filter(|one| one.begun || !one.is_late(now)) {
             let latest = one.latest_start().unwrap_or(now);
             let slack = latest.saturating_duration_since(now).as_millis();
             for (sum, level) in work.iter_mut().zip(SLACK_LEVELS_MS) {
@@ -172,6 +199,38 @@
         }
     }
 
+    /// Notes that the owners of these tasks have been asked.
+    pub fn ask(&mut self, asked: &HashSet<Task>, now: Instant) {
+        for one in self.waiting.iter_mut().filter(|one| asked.contains(&one.task)) {
+            one.hold = Hold::Asked(now);
+        }
+    }
+
+    /// Takes an owner's grant in; how long ago it was asked, if the task waits here.
+    pub fn grant(&mut self, owner: &Host, grant: &Grant, now: Instant) -> Option<Duration> {
+        let granted = |one: &&mut Waiting| {
+            let same = (&one.task, one.opening, one.round);
+            one.owner == *owner && same == (&grant.task, grant.opening, grant.round)
+        };
+        let one = self.waiting.iter_mut().find(granted)?;
+        one.run = grant.run;
+        match std::mem::replace(&mut one.hold, Hold::Own(now)) {
+            Hold::Asked(at) => Some(now.duration_since(at)),
+            Hold::Shared | Hold::Own(_) => Some(Duration::ZERO),
+        }
+    }
+
+    /// Takes out tasks that other stewards have by now: their jobs have begun.
+    pub fn withdraw(&mut self, owner: &Host, stands: &[Stand]) {
+        for stand in stands {
+            let opening = |one: &Waiting| one.owner == *owner && one.opening == stand.opening;
+            let same = |one: &Waiting| one.task == stand.task && one.round == stand.round;
+            self.waiting.retain(|one| !opening(one) || !same(one));
+            let job = |one: &&mut Waiting| opening(one) && one.task.job == stand.task.job;
+            self.waiting.iter_mut().filter(job).for_each(|one| one.begun = true);
+        }
+    }
+
     /// Core time that waits ahead of a job that has not begun and must start by `latest`, in
     /// thousandths of a core times seconds.
     #[must_use]
@@ -179,7 +238,7 @@
         let ahead = |one: &&Waiting| {
             one.begun || !one.is_late(now) && one.latest_start().unwrap_or(now) <= latest
         };
-        self.waiting.iter().filter(ahead).map(Waiting::work).sum()
+        self.own().filter(ahead).map(Waiting::work).sum()
     }
 
     /// The tasks in order.
--- a/crates/fleet/src/queue/mod.rs
+++ b/crates/fleet/src/queue/mod.rs
@@ -11,4 +11,4 @@
 #[cfg(test)]
 pub(crate) mod tests;
 
-pub use line::{Line, SLACK_LEVELS_MS, Waiting, slack_level};
+pub use line::{Hold, Line, SLACK_LEVELS_MS, Waiting, slack_level};
--- a/crates/fleet/src/queue/tests.rs
+++ b/crates/fleet/src/queue/tests.rs
@@ -3,7 +3,7 @@
 use coltsfootshunt_core::name::{Host, Kind, Service};
 use coltsfootshunt_testkit::cases;
 
-use super::{Line, Waiting};
+use super::{Hold, Line, Waiting};
 use crate::job::{Id, Need, Task};
 
 /// A task of 100 ms whose job is late after `objective_ms` and whose caller goes after `due_ms`.
@@ -22,6 +22,7 @@
         service: Service::try_from("mill").unwrap(),
         priority,
         run: 1,
+        round: 1,
         need: Need { estimate_ms: 100, ..Need::default() },
         spec: "".into(),
         objective: now + Duration::from_millis(objective_ms),
@@ -33,6 +34,7 @@
         deviation: 0.3,
         width: 1,
         begun: false,
+        hold: Hold::Own(now),
     }
 }
 
--- a/crates/fleet/src/report/lines.rs
+++ b/crates/fleet/src/report/lines.rs
@@ -90,9 +90,9 @@
         Note::CallerLeft { job, after } => {
             info!(log, "{}", name; "job" => %job, "after_ms" => millis(*after));
         }
-        Note::Sent { job, steward, tasks, free, wait_ms } => {
+        Note::Sent { job, steward, tasks, standing, free, wait_ms } => {
             info!(log, "{}", name; "job" => %job, "steward" => %steward, "tasks" => tasks,
-                "steward_free" => free, "steward_wait_ms" => wait_ms);
+                "standing" => standing, "steward_free" => free, "steward_wait_ms" => wait_ms);
         }
         Note::GivenBack { job, tasks, wait, slack } => {
             info!(log, "{}", name; "job" => %job, "tasks" => tasks, "wait_ms" => millis(*wait),
@@ -103,6 +103,10 @@
                 "waited_ms" => millis(*waited), "best_ms" => millis(*best),
                 "left_ms" => millis(*left));
         }
+        Note::Granted { task, after } => {
+            info!(log, "{}", name; "job" => %task.job, "task" => %task,
+                "after_ms" => millis(*after));
+        }
         Note::Started { task, run, target, cpu_millis, waited, expected, best } => {
             info!(log, "{}", name; "job" => %task.job, "task" => %task, "run" => run,
                 "target" => %target, "cpu_millis" => cpu_millis, "waited_ms" => millis(*waited),
@@ -186,6 +190,9 @@
         Note::Returned { end, .. } => {
             counter!("coltsfootshunt_tasks_returned_total", "end" => end.to_string()).increment(1);
         }
+        Note::Granted { after, .. } => {
+            histogram!("coltsfootshunt_task_grant_seconds").record(after.as_secs_f64());
+        }
         Note::Started { waited, .. } => {
             histogram!("coltsfootshunt_task_wait_seconds").record(waited.as_secs_f64());
         }
--- a/crates/fleet/src/report/note.rs
+++ b/crates/fleet/src/report/note.rs
@@ -85,6 +85,8 @@
         steward: Host,
         /// Number of tasks.
         tasks: usize,
+        /// Whether they stand with other stewards as well.
+        standing: bool,
         /// What the steward was believed to have free.
         free: u32,
         /// The wait it was believed to have, in milliseconds.
@@ -114,6 +116,13 @@
         /// Time until its caller goes.
         left: Duration,
     },
+    /// An owner let a task start that stood with several stewards.
+    Granted {
+        /// The task.
+        task: Task,
+        /// Time since it was asked.
+        after: Duration,
+    },
     /// A task was started.
     Started {
         /// The task.
@@ -278,6 +287,7 @@
             Self::Sent { .. } => "tasks sent",
             Self::GivenBack { .. } => "tasks given back",
             Self::Returned { .. } => "task returned",
+            Self::Granted { .. } => "task granted",
             Self::Started { .. } => "task started",
             Self::Ended { .. } => "task ended",
             Self::Turned { .. } => "start turned away",
--- a/crates/fleet/src/spread/load.rs
+++ b/crates/fleet/src/spread/load.rs
@@ -1,12 +1,17 @@
-//! Loads of stewards and the assignment of tasks.
+//! Loads of stewards, and which of them a job's tasks go to.
 
 use std::time::Duration;
 
 use coltsfootshunt_core::name::Host;
 use serde::{Deserialize, Serialize};
 
+use super::ends::{Ends, TOLD};
 use crate::queue::SLACK_LEVELS_MS;
 
+/// Stewards with which a task stands at a time: each costs a message, and a third one already makes three
+/// times as many targets that may have it first.
+pub const LINES: usize = 3;
+
 /// What a steward says of its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
@@ -14,11 +19,10 @@
     pub free: u32,
     /// Typical tasks that could start now on fast targets.
     pub free_fast: u32,
-    /// Places for typical tasks on fast targets, free or not.
-    pub places_fast: u32,
-    /// Expected wait of a task for which only fast targets will do, once none of these places is free, in
-    /// milliseconds.
-    pub fast_wait_ms: u32,
+    /// Tasks that wait for fast targets.
+    pub long: u32,
+    /// Times until runs on fast targets are expected to end, in milliseconds, the next one first.
+    pub ends_ms: [Option<u32>; TOLD],
     /// Places for typical tasks, free or not.
     pub places: u32,
     /// Run time on the fastest target in thousandths of that on an average one; 0 if not known.
@@ -29,6 +33,13 @@
     pub waits_ms: [u32; SLACK_LEVELS_MS.len()],
 }
 
+impl Load {
+    /// Times until runs on its fast targets are expected to end.
+    pub fn ends(&self) -> impl Iterator<Item = Duration> {
+        self.ends_ms.into_iter().flatten().map(|ms| Duration::from_millis(ms.into()))
+    }
+}
+
 /// A steward that can be reached.
 #[derive(Clone, Debug)]
 pub struct Offer {
@@ -51,18 +62,6 @@
         self.distance + Duration::from_millis(self.load.waits_ms[level].into())
     }
 
-    /// What a task loses there: its delay, that until a fast place is free if only such will do.
-    fn cost(&self, task: &Shape) -> Duration {
-        if task.is_long { self.fast_delay() } else { self.delay(task.level) }
-    }
-
-    /// Expected time until a task for fast targets, sent now, starts.
-    #[must_use]
-    pub fn fast_delay(&self) -> Duration {
-        let wait = if self.load.free_fast > 0 { 0 } else { self.load.fast_wait_ms };
-        self.distance + Duration::from_millis(wait.into())
-    }
-
     /// What a job loses whose tasks all go there: the delay of the last one to start.
     fn cost_of_all(&self, tasks: usize, task: &Shape) -> Duration {
         let behind = tasks.saturating_sub(self.load.free as usize) as u32;
@@ -70,17 +69,15 @@
         let free = f64::from(self.load.free) / task.run.as_secs_f64().max(1e-3);
         let turnover = (f64::from(self.load.turnover) + free).max(1.0);
         let turns = Duration::from_secs_f64(f64::from(behind) / turnover);
-        if behind == 0 { self.cost(task) } else { self.wait(task.level) + turns }
+        if behind == 0 { self.delay(task.level) } else { self.wait(task.level) + turns }
     }
 
     /// Counts one more task as sent that runs for some time.
     fn take(&mut self, task: &Shape) {
-        if task.is_long {
-            return self.take_fast(task);
-        }
         if self.load.free > 0 {
             self.load.free -= 1;
-            self.load.free_fast = self.load.free_fast.min(self.load.free);
+            let fast = self.load.free_fast.saturating_sub(u32::from(task.is_long));
+            self.load.free_fast = fast.min(self.load.free);
             return;
         }
         let cost = task.run.as_millis() as u32 / self.load.places.max(1);
@@ -88,18 +85,6 @@
             *wait = wait.saturating_add(cost.max(1));
         }
     }
-
-    /// Counts one more task as sent for which only fast targets will do.
-    fn take_fast(&mut self, task: &Shape) {
-        self.load.free = self.load.free.saturating_sub(1);
-        if self.load.free_fast > 0 {
-            self.load.free_fast -= 1;
-            return;
-        }
-        let run = task.run.as_millis() as u32 * self.load.fastest_permille / 1_000;
-        let cost = run / self.load.places_fast.max(1);
-        self.load.fast_wait_ms = self.load.fast_wait_ms.saturating_add(cost.max(1));
-    }
 }
 
 /// What the tasks of a job are like.
@@ -115,23 +100,53 @@
     pub is_long: bool,
 }
 
-/// Assigns the tasks of a job; for each the place of its steward in `offers`.
+/// Expected waits of a job's tasks.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Outlook {
+    /// Until the first one starts.
+    pub first: Duration,
+    /// Until the last one starts.
+    pub last: Duration,
+    /// Number of those that can't start at once.
+    pub behind: usize,
+}
+
+impl Outlook {
+    /// What awaits a job of so many tasks; nothing as long as no steward with targets is known.
+    #[must_use]
+    pub fn new(tasks: usize, task: &Shape, offers: &[Offer]) -> Self {
+        let serving = || offers.iter().filter(|offer| offer.load.places > 0);
+        let next = serving().map(|offer| offer.delay(task.level)).min().unwrap_or_default();
+        if !task.is_long || serving().next().is_none() {
+            return Self { first: next, last: next, behind: tasks };
+        }
+        let free = serving().map(|offer| offer.load.free_fast as usize).sum::<usize>();
+        let with_room = serving().filter(|offer| offer.load.free_fast > 0);
+        let way = with_room.map(|offer| offer.distance).min();
+        let behind = tasks.saturating_sub(free);
+        let ends: Ends = serving().flat_map(|offer| offer.load.ends()).collect();
+        // Most of what waits stands with all of them.
+        let before = serving().map(|offer| offer.load.long as usize).max().unwrap_or_default();
+        let first = way.unwrap_or_else(|| ends.after(before));
+        let last = behind.checked_sub(1).map_or(first, |others| ends.after(before + others));
+        Self { first, last, behind }
+    }
+}
+
+/// Assigns the tasks of a job of short work; for each the place of its steward in `offers`.
 ///
-/// Tasks go one by one to where they cost least. Where places are free for too few of them, all go to
+/// Tasks go one by one to where they start first. Where places are free for too few of them, all go to
 /// one steward if it should start the last of them in time: it finishes what it begins, and can turn
 /// the job away as a whole.
 pub fn assign(tasks: usize, shape: &Shape, offers: &mut [Offer]) -> Vec<usize> {
     let free: usize = offers.iter().map(|offer| offer.load.free as usize).sum();
     let mut serving = offers.iter().filter(|offer| offer.load.places > 0);
-    // Places on fast targets are few: long work takes them wherever they are.
-    let all = !shape.is_long
-        && free < tasks
-        && serving.any(|offer| offer.cost_of_all(tasks, shape) <= shape.slack);
+    let all = free < tasks && serving.any(|offer| offer.cost_of_all(tasks, shape) <= shape.slack);
     let mut assigned = Vec::with_capacity(tasks);
     while assigned.len() < tasks {
         let serving = offers.iter().enumerate().filter(|(_, offer)| offer.load.places > 0);
         let cost = |offer: &Offer| {
-            if all { offer.cost_of_all(tasks, shape) } else { offer.cost(shape) }
+            if all { offer.cost_of_all(tasks, shape) } else { offer.delay(shape.level) }
         };
         let Some((place, _)) = serving.min_by_key(|(place, offer)| (cost(offer), *place)) else {
             return assigned;
@@ -142,3 +157,38 @@
     }
     assigned
 }
+
+/// Assigns the tasks of a job of long work that can all start at once on fast targets, to the nearest ones;
+/// none if there is no room for all of them.
+pub fn assign_fast(tasks: usize, shape: &Shape, offers: &mut [Offer]) -> Vec<usize> {
+    let free = offers.iter().map(|offer| offer.load.free_fast as usize).sum::<usize>();
+    let count = if free < tasks { 0 } else { tasks };
+    let nearest = |offers: &[Offer]| {
+        let with_room = offers.iter().enumerate().filter(|(_, offer)| offer.load.free_fast > 0);
+        with_room.min_by_key(|(place, offer)| (offer.distance, *place)).map(|(place, _)| place)
+    };
+    let mut assigned = Vec::with_capacity(count);
+    while let Some(place) = nearest(offers).filter(|_| assigned.len() < count) {
+        offers[place].take(shape);
+        assigned.push(place);
+    }
+    assigned
+}
+
+/// Places in `offers` of the stewards with which tasks of long work stand that can't start at once: those
+/// where a fast target is free soonest.
+pub fn stand(tasks: usize, offers: &mut [Offer]) -> Vec<usize> {
+    let serving = offers.iter().enumerate().filter(|(_, offer)| offer.load.places > 0);
+    let mut lines: Vec<usize> = serving.map(|(place, _)| place).collect();
+    lines.sort_by_cached_key(|&place| {
+        let Offer { distance, load, .. } = &offers[place];
+        let wait = load.ends().collect::<Ends>().after(load.long as usize);
+        (if load.free_fast > 0 { *distance } else { *distance + wait }, place)
+    });
+    lines.truncate(LINES);
+    for &place in &lines {
+        let long = &mut offers[place].load.long;
+        *long = long.saturating_add(u32::try_from(tasks).unwrap_or(u32::MAX));
+    }
+    lines
+}
--- a/crates/fleet/src/steward/message.rs
+++ b/crates/fleet/src/steward/message.rs
@@ -4,7 +4,7 @@
 
 use coltsfootshunt_core::name::Host;
 
-use crate::job::Ending;
+use crate::job::{Ending, Stand};
 use crate::lease::Call;
 use crate::report::Note;
 
@@ -22,6 +22,8 @@
 pub struct Output {
     /// Calls to make.
     pub calls: Vec<Call>,
+    /// Tasks that stand here and for which there are places, with their owners.
+    pub bids: Vec<(Host, Stand)>,
     /// Ends to tell the owners of tasks.
     pub endings: Vec<(Host, Ending)>,
     /// What to write down.
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -6,6 +6,7 @@
 mod intake;
 mod load;
 mod place;
+mod pool;
 
 use std::collections::BTreeMap;
 use std::time::{Instant, SystemTime};
@@ -14,8 +15,8 @@
 
 use super::{Output, Settings};
 use crate::directory;
-use crate::job::{End, Id};
-use crate::lease::{Answer, Attempt, Call, Finding, Mint, Phase, Picture};
+use crate::job::{End, Ending, Grant, Id, Stand};
+use crate::lease::{Answer, Attempt, Call, Finding, Mint, Order, Phase, Picture};
 use crate::member::Roster;
 use crate::queue::Line;
 use crate::report::Note;
@@ -35,13 +36,21 @@
     line: Line,
     /// Thousandths of a core that a task takes in the mean, once one came.
     typical: Option<f64>,
+    /// When the line was last gone through; none if something has changed since.
+    looked: Option<Instant>,
 }
 
 impl Steward {
     /// A steward of nothing.
     #[must_use]
     pub fn new(settings: Settings) -> Self {
-        Self { settings, pictures: BTreeMap::new(), line: Line::default(), typical: None }
+        Self {
+            settings,
+            pictures: BTreeMap::new(),
+            line: Line::default(),
+            typical: None,
+            looked: None,
+        }
     }
 
     /// Whether neither targets nor the line hold work.
@@ -90,6 +99,7 @@
 
     /// Drops a job's tasks; what runs is stopped.
     pub fn cancel(&mut self, owner: &Host, job: &Id, opening: u64) {
+        self.looked = None;
         self.line.cancel(owner, job, opening);
         for picture in self.pictures.values_mut() {
             picture.unwant(|task, attempt| {
@@ -98,8 +108,30 @@
         }
     }
 
+    /// Takes an owner's word in that tasks are this steward's alone. Those that wait here no longer go back.
+    pub fn take_grants(&mut self, owner: &Host, grants: &[Grant], now: Instant, out: &mut Output) {
+        self.looked = None;
+        for grant in grants {
+            let Grant { task, opening, round, run } = grant.clone();
+            if let Some(after) = self.line.grant(owner, grant, now) {
+                out.notes.push(Note::Granted { task, after });
+                continue;
+            }
+            let run = run.saturating_sub(1);
+            let ending = Ending { task, opening, run, round, end: End::NotRun };
+            out.endings.push((owner.clone(), ending));
+        }
+    }
+
+    /// Drops tasks that other stewards have by now.
+    pub fn withdraw(&mut self, owner: &Host, stands: &[Stand]) {
+        self.looked = None;
+        self.line.withdraw(owner, stands);
+    }
+
     /// Drops everything that an owner wanted.
     pub fn forget(&mut self, owner: &Host) {
+        self.looked = None;
         self.line.take(|one| one.owner == *owner);
         for picture in self.pictures.values_mut() {
             picture.unwant(|_, attempt| attempt.owner == *owner);
@@ -135,7 +167,11 @@
         let Some(picture) = self.pictures.get_mut(&call.target) else {
             return;
         };
-        for finding in picture.answer(call, answer, now) {
+        let found = picture.answer(call, answer, now);
+        if !found.is_empty() || matches!(call.order, Order::Renew { .. }) {
+            self.looked = None;
+        }
+        for finding in found {
             learn(&call.target, &finding, speeds, now);
             note(&call.target, &finding, now, out);
             if let Finding::Ended { attempt, .. } = &finding
--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -3,53 +3,82 @@
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
+use coltsfootshunt_core::name::Host;
+
 use super::Steward;
 use super::finding::not_run;
 use super::place::{Field, Placing, fastest};
-use crate::job::{End, Ending, Task};
+use crate::job::{End, Ending, Stand, Task};
 use crate::lease::{Attempt, Picture};
 use crate::member::Roster;
 use crate::placement::LEAST;
-use crate::queue::Waiting;
+use crate::queue::{Hold, Waiting};
 use crate::report::Note;
 use crate::speed::Book;
 use crate::steward::Output;
 
 /// Steps of jobs that fit nowhere after which the rest of the line is left for later.
 const FITLESS: usize = 24;
+/// Time after which the line is gone through again although nothing has changed but the time: a fraction of
+/// the shortest usual run.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
 /// Wait after which a task may go to another steward that has places free: some round trips between
 /// zones, and about the age of what is known of the others' loads.
 const SHARE_AFTER: Duration = Duration::from_millis(25);
+/// Silence after which an owner that was asked is not waited for.
+const ANSWER_WITHIN: Duration = Duration::from_millis(100);
 /// Shortest wait after which a task is given back as late: what comes late already was sent on
 /// purpose.
 const LATE_AFTER: Duration = Duration::from_millis(30);
 
+/// What one pass over the line comes to.
+#[derive(Default)]
+struct Round {
+    starts: Vec<(Waiting, Placing)>,
+    bids: Vec<(Host, Stand)>,
+}
+
+impl Round {
+    fn bid(&mut self, one: &Waiting) {
+        let Waiting { task, opening, round, .. } = one;
+        let stand = Stand { task: task.clone(), opening: *opening, round: *round };
+        self.bids.push((one.owner.clone(), stand));
+    }
+}
+
 impl Steward {
-    /// Starts what can start, and returns what can't end in time any more.
+    /// Starts what can start, asks for what stands here and could, and returns what can't end in time any
+    /// more or waits here in vain.
     pub fn dispatch(&mut self, roster: &Roster, speeds: &Book, now: Instant, out: &mut Output) {
-        if self.line.is_empty() {
+        let is_fresh = self.looked.is_some_and(|at| now.duration_since(at) < LOOK_EVERY);
+        if self.line.is_empty() || is_fresh {
             return;
         }
+        self.looked = Some(now);
         self.drop_hopeless(speeds, now, out);
         self.line.sort(now);
-        let placed = self.place_all(roster, speeds, now);
+        let Round { starts, bids } = self.place_all(roster, speeds, now);
         let mut started = HashSet::new();
         let mut jobs = HashSet::new();
-        for (one, placing) in placed {
+        for (one, placing) in starts {
             jobs.insert((one.task.job.clone(), one.opening));
             started.insert(one.task.clone());
             self.start(&one, placing, now, out);
         }
         self.line.remove(&started);
         self.line.begin(&jobs);
+        let asked = bids.iter().map(|(_, stand)| stand.task.clone()).collect();
+        self.line.ask(&asked, now);
+        out.bids.extend(bids);
         self.share(roster, now, out);
     }
 
-    /// The tasks that start now, and where.
-    fn place_all(&self, roster: &Roster, speeds: &Book, now: Instant) -> Vec<(Waiting, Placing)> {
-        let mut field = Field::new(&self.pictures, roster, speeds, self.settings, now);
+    /// What starts now, and where, and for which tasks that stand here there are places.
+    fn place_all(&self, roster: &Roster, speeds: &Book, now: Instant) -> Round {
+        let pool = self.pool(&self.capacity(&self.usable(now), speeds, now), roster, speeds, now);
+        let mut field = Field::new(&self.pictures, roster, speeds, pool, self.settings, now);
         let being_stopped = self.being_stopped();
-        let mut placed = Vec::new();
+        let mut round = Round::default();
         // What holds for one task of a step holds for the others.
         let mut fitless = HashSet::new();
         for one in self.line.iter() {
@@ -60,14 +89,17 @@
             if fitless.contains(&step) || being_stopped.contains(&one.task) {
                 continue;
             }
-            match field.place(one) {
-                Some(placing) => placed.push((one.clone(), placing)),
-                None => {
+            // What is asked for keeps its place meanwhile.
+            match (field.place(one), one.hold) {
+                (Some(placing), Hold::Own(_)) => round.starts.push((one.clone(), placing)),
+                (Some(_), Hold::Shared) => round.bid(one),
+                (Some(_), Hold::Asked(_)) => {}
+                (None, _) => {
                     fitless.insert(step);
                 }
             }
         }
-        placed
+        round
     }
 
     /// Tasks of which an earlier attempt is still being stopped.
@@ -84,6 +116,7 @@
         let mut attempt =
             Attempt::new(one.owner.clone(), one.kind.clone(), one.run, one.need.room, now);
         attempt.opening = one.opening;
+        attempt.round = one.round;
         attempt.estimate = one.need.estimate();
         attempt.expected = expected;
         attempt.objective = one.objective;
@@ -100,22 +133,26 @@
         out.calls.push(picture.start(&one.task, one.spec.clone(), attempt, now));
     }
 
-    /// Returns tasks that have waited here while another steward has places free.
+    /// Returns tasks that have waited here while another steward has places free, long work that can't start
+    /// here so that it stands with several, and what an owner is silent about.
     fn share(&mut self, roster: &Roster, now: Instant, out: &mut Output) {
-        let elsewhere = || roster.alive().filter(|peer| !peer.beat.claims.is_empty());
+        let being_stopped: HashSet<Task> = self.being_stopped().into_iter().cloned().collect();
+        let elsewhere = roster.alive().filter(|peer| !peer.beat.claims.is_empty());
         // Others may see the same places.
-        let mut free = elsewhere().map(|peer| peer.beat.load.free).sum::<u32>() / 2;
-        let mut fast = elsewhere().map(|peer| peer.beat.load.free_fast).sum::<u32>() / 2;
-        let shared = self.line.take(|one| {
-            let waited = now.duration_since(one.since) > SHARE_AFTER;
-            // What only a fast target ends in time does not gain from a slow one elsewhere.
-            let places = if one.is_long(now) { &mut fast } else { &mut free };
-            let goes = waited && *places > 0;
-            *places -= u32::from(goes);
-            goes
+        let mut free = elsewhere.map(|peer| peer.beat.load.free).sum::<u32>() / 2;
+        let shared = self.line.take(|one| match one.hold {
+            Hold::Shared => false,
+            Hold::Asked(at) => now.duration_since(at) > ANSWER_WITHIN,
+            Hold::Own(_) if one.is_long(now) => !being_stopped.contains(&one.task),
+            Hold::Own(_) => {
+                let goes = now.duration_since(one.since) > SHARE_AFTER && free > 0;
+                free -= u32::from(goes);
+                goes
+            }
         });
         for one in shared {
-            give_back(one, End::NotRun, now, out);
+            let is_long = one.is_own() && one.is_long(now);
+            give_back(one, if is_long { End::NoFastTarget } else { End::NotRun }, now, out);
         }
     }
 
--- a/crates/fleet/src/steward/state/ends.rs
+++ b/crates/fleet/src/steward/state/ends.rs
@@ -1,4 +1,4 @@
-//! When places on fast targets become free.
+//! When runs are expected to end.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -14,39 +14,22 @@
 /// Share of its expected time that a run is taken to need at least, however long it has run: of a run that
 /// is over its time nobody knows when it ends.
 const LEFT: f64 = 0.25;
-/// Expected wait while no fast target can be used for now, such as during a claim: about an answer.
-const UNKNOWN: Duration = Duration::from_millis(50);
 
-/// Times until runs on fast targets are expected to end, the next one first.
-#[derive(Debug)]
-pub(super) struct Ends {
-    next: Vec<Duration>,
-}
-
-impl Ends {
-    /// What runs on the fast ones of these targets.
-    pub(super) fn new(pictures: &BTreeMap<Target, Picture>, speeds: &Book, now: Instant) -> Self {
-        let best = Duration::from_secs_f64(fastest(pictures, speeds, now));
-        let serves = |picture: &&Picture| {
-            let name = &picture.entry.name;
-            let factor = Duration::from_secs_f64(speeds.slowness(name, now).exp());
-            let sound = !speeds.is_failing(name, now) && !is_stuck(picture, now);
-            sound && picture.entry.state == directory::State::Ready && is_fast(factor, best)
-        };
-        let running = pictures.values().filter(serves).flat_map(Picture::attempts);
-        let mut next: Vec<Duration> = running.map(|(_, attempt)| left(attempt, now)).collect();
-        next.sort_unstable();
-        Self { next }
-    }
-
-    /// Expected time until a place is free for a task that comes after so many others that wait.
-    pub(super) fn after(&self, others: usize) -> Duration {
-        let Some(last) = self.next.last() else {
-            return UNKNOWN;
-        };
-        let rounds = u32::try_from(others / self.next.len()).unwrap_or(u32::MAX);
-        last.saturating_mul(rounds) + self.next[others % self.next.len()]
-    }
+/// Times until runs on the fast ones of these targets are expected to end.
+pub(super) fn on_fast<'a>(
+    pictures: &'a BTreeMap<Target, Picture>,
+    speeds: &'a Book,
+    now: Instant,
+) -> impl Iterator<Item = Duration> + 'a {
+    let best = Duration::from_secs_f64(fastest(pictures, speeds, now));
+    let serves = move |picture: &&Picture| {
+        let name = &picture.entry.name;
+        let factor = Duration::from_secs_f64(speeds.slowness(name, now).exp());
+        let sound = !speeds.is_failing(name, now) && !is_stuck(picture, now);
+        sound && picture.entry.state == directory::State::Ready && is_fast(factor, best)
+    };
+    let running = pictures.values().filter(serves).flat_map(Picture::attempts);
+    running.map(move |(_, attempt)| left(attempt, now))
 }
 
 /// Expected time until a run ends.
--- a/crates/fleet/src/steward/state/finding.rs
+++ b/crates/fleet/src/steward/state/finding.rs
@@ -6,7 +6,7 @@
 
 use super::place::OVERDUE;
 use crate::job::{End, Ending};
-use crate::lease::{Finding, Rejection};
+use crate::lease::{Attempt, Finding, Rejection};
 use crate::queue::Waiting;
 use crate::report::Note;
 use crate::speed::Book;
@@ -57,12 +57,13 @@
     let Finding::Ended { task, attempt, end } = finding else {
         return None;
     };
-    let opening = attempt.opening;
-    Some((attempt.owner, Ending { task, opening, run: attempt.run, end }))
+    let Attempt { opening, run, round, owner, .. } = attempt;
+    Some((owner, Ending { task, opening, run, round, end }))
 }
 
 pub(super) fn not_run(one: Waiting) -> (Host, Ending) {
     // The number was not used.
     let run = one.run.saturating_sub(1);
-    (one.owner, Ending { task: one.task, opening: one.opening, run, end: End::NotRun })
+    let Waiting { task, opening, round, owner, .. } = one;
+    (owner, Ending { task, opening, run, round, end: End::NotRun })
 }
--- a/crates/fleet/src/steward/state/intake.rs
+++ b/crates/fleet/src/steward/state/intake.rs
@@ -7,8 +7,9 @@
 use super::Steward;
 use super::finding::not_run;
 use super::place::{fastest, usual};
-use crate::job::{Bundle, End, Ending, Task};
-use crate::queue::Waiting;
+use crate::job::{Bundle, End, Ending, Part, Task};
+use crate::member::Roster;
+use crate::queue::{Hold, Waiting};
 use crate::report::Note;
 use crate::speed::Book;
 use crate::steward::Output;
@@ -25,14 +26,16 @@
         &mut self,
         owner: &Host,
         bundle: Bundle,
-        speeds: &Book,
+        (roster, speeds): (&Roster, &Book),
         now: Instant,
         out: &mut Output,
     ) {
+        self.looked = None;
         self.displace(owner, &bundle, out);
-        let (job, begun) = (bundle.job.clone(), bundle.begun);
+        let job = bundle.job.clone();
+        let begun = bundle.begun;
         let tasks = self.waiting_tasks(owner, bundle, speeds, now);
-        let crowd = self.crowd(&tasks, speeds, now).filter(|_| !begun);
+        let crowd = if begun { None } else { self.crowd(&tasks, roster, speeds, now) };
         let Some((wait, slack)) = crowd else {
             tasks.into_iter().for_each(|one| self.line.push(one));
             return;
@@ -70,6 +73,7 @@
                 service: bundle.service.clone(),
                 priority: bundle.priority,
                 run: part.run,
+                round: part.round,
                 typical: forecast.median,
                 usual: forecast.times(usual).median,
                 quickest: forecast.times(fastest).median,
@@ -81,13 +85,20 @@
                 objective,
                 due,
                 since: now,
+                hold: if bundle.standing { Hold::Shared } else { Hold::Own(now) },
             });
         }
         tasks
     }
 
-    /// Takes a job's tasks from an earlier opening.
+    /// Takes a job's tasks from an earlier opening, or from an earlier message of the same one.
     fn displace(&mut self, owner: &Host, bundle: &Bundle, out: &mut Output) {
+        let is_part = |one: &Waiting| {
+            let same = |part: &Part| (part.step, part.index) == (one.task.step, one.task.index);
+            one.task.job == bundle.job && bundle.parts.iter().any(same)
+        };
+        let again = |one: &Waiting| one.owner == *owner && one.opening == bundle.opening;
+        self.line.take(|one| again(one) && is_part(one));
         let other = |at: &Host, opening: u64| at != owner || opening != bundle.opening;
         for one in
             self.line.take(|one| one.task.job == bundle.job && other(&one.owner, one.opening))
--- a/crates/fleet/src/steward/state/load.rs
+++ b/crates/fleet/src/steward/state/load.rs
@@ -3,8 +3,9 @@
 use std::time::{Duration, Instant};
 
 use super::Steward;
-use super::ends::Ends;
+use super::ends::on_fast;
 use super::place::fastest;
+use super::pool::Pool;
 use crate::admission::{is_hopeless, is_vain};
 use crate::directory;
 use crate::job::Room;
@@ -13,39 +14,41 @@
 use crate::placement::is_fast;
 use crate::queue::Waiting;
 use crate::speed::Book;
-use crate::spread::Load;
+use crate::spread::{Ends, Load};
 
 /// Shortest run time that counts: the way to a target and back.
 const SHORTEST_RUN: Duration = Duration::from_millis(5);
 
 /// What some targets can do, for tasks of the usual size.
 #[derive(Clone, Copy, Debug, Default)]
-struct Capacity {
+pub(super) struct Capacity {
     places: u32,
     free: u32,
-    free_fast: u32,
-    places_fast: u32,
+    pub(super) free_fast: u32,
     /// Work of an average target that they do in a second with all places taken, in thousandths of a
     /// core times seconds.
     rate: f64,
 }
 
 impl Steward {
-    /// Wait and slack of a job that comes now and would be late here. Its owner's view of the load is
-    /// some heartbeats old, and others send here at the same time.
+    /// Wait and slack of a job that comes now and would be late. Its owner's view of the load is some
+    /// heartbeats old, and others send here at the same time.
     pub(super) fn crowd(
         &self,
         tasks: &[Waiting],
+        roster: &Roster,
         speeds: &Book,
         now: Instant,
     ) -> Option<(Duration, Duration)> {
         let capacity = self.capacity(&self.usable(now), speeds, now);
         if tasks.iter().any(|one| one.is_long(now)) {
-            return self.long_crowd(tasks, &capacity, speeds, now);
+            let pool = self.pool(&capacity, roster, speeds, now);
+            return self.long_crowd(tasks, &pool, now);
         }
         let latest = tasks.iter().filter_map(Waiting::latest_start).min()?;
-        let fits = capacity.free as usize >= self.line.len() + tasks.len();
-        if self.line.is_empty() || capacity.places == 0 || fits {
+        let waiting = self.line.own().count();
+        let fits = capacity.free as usize >= waiting + tasks.len();
+        if waiting == 0 || capacity.places == 0 || fits {
             return None;
         }
         let before = self.line.work_before(latest, now) / capacity.rate.max(1.0);
@@ -62,13 +65,10 @@
     fn long_crowd(
         &self,
         tasks: &[Waiting],
-        capacity: &Capacity,
-        speeds: &Book,
+        pool: &Pool,
         now: Instant,
     ) -> Option<(Duration, Duration)> {
-        let before = self.line.long(now) + tasks.len();
-        let behind = before.checked_sub(capacity.free_fast as usize + 1)?;
-        let wait = Ends::new(&self.pictures, speeds, now).after(behind);
+        let wait = pool.wait(self.line.long(now) + tasks.len() - 1);
         let slack = tasks.iter().map(|one| one.due.saturating_duration_since(now)).min()?;
         let chance = |one: &Waiting| {
             let slow = one.chance(one.usual, Duration::ZERO, now);
@@ -79,14 +79,19 @@
     }
 
     /// Targets that may get new work, each with the room that it has left.
-    fn usable(&self, now: Instant) -> Vec<(&Picture, Room)> {
+    pub(super) fn usable(&self, now: Instant) -> Vec<(&Picture, Room)> {
         let ready = |picture: &&Picture| picture.entry.state == directory::State::Ready;
         let free = |picture| Picture::free(picture, now).map(|free| (picture, free));
         self.pictures.values().filter(ready).filter_map(free).collect()
     }
 
     /// What targets can do with tasks of the usual size.
-    fn capacity(&self, usable: &[(&Picture, Room)], speeds: &Book, now: Instant) -> Capacity {
+    pub(super) fn capacity(
+        &self,
+        usable: &[(&Picture, Room)],
+        speeds: &Book,
+        now: Instant,
+    ) -> Capacity {
         let mut sum = Capacity::default();
         let fastest = fastest(&self.pictures, speeds, now);
         for (picture, free) in usable {
@@ -100,7 +105,6 @@
             sum.free += free;
             if is_fast(Duration::from_secs_f64(factor), Duration::from_secs_f64(fastest)) {
                 sum.free_fast += free;
-                sum.places_fast += places as u32;
             }
         }
         sum
@@ -120,18 +124,20 @@
         usable.retain(|(picture, _)| roster.claims(&picture.entry.zone));
         let capacity = self.capacity(&usable, speeds, now);
         let fastest = fastest(&self.pictures, speeds, now);
-        let waiting = u32::try_from(self.line.len()).unwrap_or(u32::MAX);
+        let count = |tasks: usize| u32::try_from(tasks).unwrap_or(u32::MAX);
         let long = self.line.long(now);
-        let free_fast = capacity.free_fast.saturating_sub(u32::try_from(long).unwrap_or(u32::MAX));
-        let behind = long.saturating_sub(capacity.free_fast as usize);
-        let fast_wait = Ends::new(&self.pictures, speeds, now).after(behind);
+        let others = count(self.line.own().filter(|one| !one.is_long(now)).count());
+        let long = count(long);
+        // Fast places are kept for long work that waits for them.
+        let kept = long.min(capacity.free_fast);
+        let ends: Ends = on_fast(&self.pictures, speeds, now).collect();
         let work = self.line.work(now);
         Load {
             places: capacity.places,
-            free: capacity.free.saturating_sub(waiting),
-            free_fast,
-            places_fast: capacity.places_fast,
-            fast_wait_ms: u32::try_from(fast_wait.as_millis()).unwrap_or(u32::MAX),
+            free: capacity.free.saturating_sub(others + kept),
+            free_fast: capacity.free_fast.saturating_sub(long),
+            long,
+            ends_ms: ends.told(),
             fastest_permille: (fastest * 1_000.0) as u32,
             turnover: self.turnover() as u32,
             waits_ms: work.map(|work| (work / capacity.rate.max(1.0) * 1_000.0) as u32),
--- a/crates/fleet/src/steward/state/place.rs
+++ b/crates/fleet/src/steward/state/place.rs
@@ -5,7 +5,8 @@
 
 use coltsfootshunt_core::name::Target;
 
-use super::ends::{self, Ends};
+use super::ends;
+use super::pool::Pool;
 use crate::directory::{self, Entry};
 use crate::job::{Room, Task};
 use crate::lease::{Attempt, Picture};
@@ -47,8 +48,8 @@
 /// The targets at one moment, with what is placed on them during one pass over the line.
 pub(super) struct Field<'a> {
     spots: Vec<Spot<'a>>,
-    /// When places on fast targets become free.
-    ends: Ends,
+    /// Places on fast targets.
+    pool: Pool,
     /// Tasks that wait for these.
     waiting: usize,
     settings: Settings,
@@ -60,6 +61,7 @@
         pictures: &'a BTreeMap<Target, Picture>,
         roster: &Roster,
         speeds: &Book,
+        pool: Pool,
         settings: Settings,
         now: Instant,
     ) -> Self {
@@ -77,8 +79,7 @@
                 placed: Vec::new(),
             }
         });
-        let ends = Ends::new(pictures, speeds, now);
-        Self { spots: spots.collect(), ends, waiting: 0, settings, now }
+        Self { spots: spots.collect(), pool, waiting: 0, settings, now }
     }
 
     /// Places a task, if it should start now.
@@ -155,7 +156,7 @@
             best,
             free: free.map(|one| one.free.cpu_millis / each).sum(),
             places: places.map(|spot| spot.picture.entry.capacity.cpu_millis / each).sum(),
-            wait: self.ends.after(self.waiting),
+            wait: self.pool.wait(self.waiting),
         }
     }
 }
