test(control): random failures of whole hosts under long work on targets of unlike speed

Trial: with the number of messages ignored, job::tests::ends_of_an_earlier_message_do_not_count fails; these worlds don't notice, since their two stewards leave too little to cross on the way.

--- a/crates/fleet/src/control/tests/safety.rs
+++ b/crates/fleet/src/control/tests/safety.rs
@@ -39,14 +39,29 @@
     }
 }
 
+/// What comes, and to which targets.
+#[derive(Clone, Copy)]
+struct Mix {
+    /// Run times of tasks on fast targets, in milliseconds.
+    takes_ms: (u64, usize),
+    /// Run times on slow targets, in percent of those.
+    slow_percent: u64,
+}
+
+/// Work that ends in time anywhere, on targets that are alike.
+const SHORT: Mix = Mix { takes_ms: (30, 600), slow_percent: 100 };
+/// Work of which much ends in time on fast targets only.
+const LONG: Mix = Mix { takes_ms: (150, 800), slow_percent: 220 };
+
 /// Random work and random failures; nothing that must never happen happens.
-fn keeps_promises(seed: u64, chances: Chances, kinds: &[u8]) {
+fn keeps_promises(seed: u64, mix: Mix, chances: Chances, kinds: &[u8]) {
     let mut world = settled(seed);
     world.chances = chances;
+    world.slow_percent = mix.slow_percent;
     for _ in 0..120 {
         let width = 1 + world.pick(5) as u32;
         let cpu = 9_000 + world.pick(8_000) as u64;
-        let takes_ms = 30 + world.pick(600) as u64;
+        let takes_ms = mix.takes_ms.0 + world.pick(mix.takes_ms.1) as u64;
         world.submit(width, cpu, takes_ms);
         let gap_ms = 20 + world.pick(120) as u64;
         world.run_for(gap_ms);
@@ -55,6 +70,9 @@
         }
     }
     world.run_for(15_000);
+    if mix.slow_percent > 100 && kinds.is_empty() {
+        assert!(world.grants > 0, "seed {seed}: no work stood with several stewards");
+    }
     assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
     for (id, outcomes) in world.all() {
         let refused = |one: &Option<Outcome>| matches!(one, Some(Outcome::Refused { .. }));
@@ -65,6 +83,14 @@
 }
 
 fn property(chances: Chances, kinds: &'static [u8]) {
+    holds(SHORT, chances, kinds);
+}
+
+fn long_work(chances: Chances, kinds: &'static [u8]) {
+    holds(LONG, chances, kinds);
+}
+
+fn holds(mix: Mix, chances: Chances, kinds: &'static [u8]) {
     let config = ProptestConfig { cases: cases(), failure_persistence: None, ..Default::default() };
     let mut runner = proptest::test_runner::TestRunner::new_with_rng(
         config,
@@ -73,14 +99,14 @@
         ),
     );
     let run = runner.run(&any::<u64>(), |seed| {
-        keeps_promises(seed, chances, kinds);
+        keeps_promises(seed, mix, chances, kinds);
         Ok(())
     });
     run.unwrap_or_else(|error| panic!("{error}"));
 }
 
 fn replays(seed: u64, chances: Chances, kinds: &[u8]) {
-    keeps_promises(seed, chances, kinds);
+    keeps_promises(seed, SHORT, chances, kinds);
 }
 
 // Seeds that once broke a promise, with what was wrong.
@@ -132,3 +158,13 @@
     under_cuts_between_hosts(CALM, &[4]);
     under_all_of_it(LATE, &[0, 1, 2, 3, 4, 5, 5]);
 }
+
+cases! { long_work:
+    in_a_quiet_time(CALM, &[]);
+    under_calls_that_are_lost_or_carried_out_late(LATE, &[]);
+    under_frozen_hosts(CALM, &[1]);
+    under_killed_hosts(CALM, &[0, 5]);
+    under_planned_stops(CALM, &[2, 5]);
+    under_cuts_between_hosts(CALM, &[4]);
+    under_all_of_it_at_once(LATE, &[0, 1, 2, 3, 4, 5, 5]);
+}
--- a/crates/fleet/src/control/tests/world.rs
+++ b/crates/fleet/src/control/tests/world.rs
@@ -149,8 +149,12 @@
     next_ticket: u64,
     rng: StdRng,
     pub(super) chances: Chances,
+    /// Run times on all targets of a zone but its first, in percent of those there.
+    pub(super) slow_percent: u64,
     cut: BTreeSet<(usize, usize)>,
     pub(super) starts: BTreeMap<Task, u32>,
+    /// Messages with which owners granted tasks that stood with several stewards.
+    pub(super) grants: u32,
     pub(super) broken: Vec<String>,
     /// Whether what hosts do is printed; by `COLTSFOOTSHUNT_TRACE`.
     traced: bool,
@@ -169,8 +173,10 @@
             next_ticket: 1,
             rng: StdRng::seed_from_u64(seed),
             chances: Chances::default(),
+            slow_percent: 100,
             cut: BTreeSet::new(),
             starts: BTreeMap::new(),
+            grants: 0,
             broken: Vec::new(),
             traced: std::env::var_os("COLTSFOOTSHUNT_TRACE").is_some(),
         };
@@ -409,7 +415,10 @@
                 let delay = self.rng.random_range(1..4);
                 self.happen(delay, Happening::Call { host, run, call, answered, born: None });
             }
-            Action::Send(to, message) => self.send_message(host, to, message),
+            Action::Send(to, message) => {
+                self.grants += u32::from(matches!(message, Message::Grant(_)));
+                self.send_message(host, to, message);
+            }
             Action::Reset(to) => {
                 if let Some(lane) = self.hosts[host].lanes.get_mut(&to) {
                     lane.begin();
--- a/crates/fleet/src/control/tests/world/network.rs
+++ b/crates/fleet/src/control/tests/world/network.rs
@@ -89,9 +89,11 @@
             return;
         };
         let before = target.running.len();
+        let is_fast = target.entry.name.to_string().ends_with('0');
+        let percent = if is_fast { 100 } else { self.slow_percent };
         let answer = target.take(call.token, &call.order, now_ms, |_| {
             let (room, takes_ms) = takes.unwrap_or_default();
-            Work { room, takes_ms, fails }
+            Work { room, takes_ms: takes_ms * percent / 100, fails }
         });
         if let Order::Start { task, .. } = &call.order
             && target.running.len() > before
