fix(speed,admission,steward): the chance of a wide job counts its last tasks, not all of them, as late

Cause: the chance was that of the longest of all tasks, started when only the last one starts. The chance of a job is now the least over its last k tasks, however many are counted: the longest of k, started at the wait of the first of them. Owners and stewards use the same function on the same waits. Tests all_end and awaits.

--- a/crates/fleet/src/admission/gate.rs
+++ b/crates/fleet/src/admission/gate.rs
@@ -4,7 +4,6 @@
 
 use crate::job::{Outcome, Refusal};
 use crate::speed::Forecast;
-use crate::spread::Outlook;
 
 /// Least chance to end before the caller goes where targets are free: trying costs others little.
 const LEAST_FREE: f64 = 0.1;
@@ -19,12 +18,10 @@
 const SHORTEST_RETRY: Duration = Duration::from_secs(1);
 
 /// What awaits a job.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Prospect {
-    /// Expected waits of its tasks.
-    pub outlook: Outlook,
-    /// Number of its tasks.
-    pub tasks: u32,
+    /// Expected waits of its tasks, the shortest first.
+    pub waits: Vec<Duration>,
     /// Run time of its longest chain of steps on the fastest targets, of one task a step.
     pub run: Forecast,
     /// Expected run time on the targets that it needs to be on time.
@@ -35,17 +32,6 @@
     pub patience: Duration,
 }
 
-impl Prospect {
-    /// Chance, from 0 to 1, that all its tasks end before its caller goes.
-    fn chance(&self) -> f64 {
-        let Outlook { first, last, behind } = self.outlook;
-        let all = self.run.longest_of(self.tasks);
-        let late = self.run.longest_of(u32::try_from(behind).unwrap_or(u32::MAX));
-        let left = |wait| self.patience.saturating_sub(wait);
-        all.chance(left(first)).min(late.chance(left(last)))
-    }
-}
-
 /// Whether work that is behind this wait would be late, with so much time left to its latest start.
 #[must_use]
 pub fn is_hopeless(wait: Duration, slack: Duration) -> bool {
@@ -68,15 +54,16 @@
 #[must_use]
 pub fn judge(prospect: &Prospect) -> Option<Outcome> {
     let slack = prospect.objective.saturating_sub(prospect.hurried);
-    let wait = prospect.outlook.last;
+    let wait = prospect.waits.last().copied().unwrap_or_default();
     if is_hopeless(wait, slack) {
         return Some(turn_away(Refusal::TooLate, wait - slack));
     }
     let least = if wait < BUSY_FROM { LEAST_FREE } else { LEAST_BUSY };
-    if prospect.chance() >= least {
+    if prospect.run.chance_of_all(&prospect.waits, prospect.patience) >= least {
         return None;
     }
-    let in_time = has_chance(&prospect.run.longest_of(prospect.tasks), prospect.patience);
+    let tasks = u32::try_from(prospect.waits.len()).unwrap_or(u32::MAX);
+    let in_time = has_chance(&prospect.run.longest_of(tasks), prospect.patience);
     let refusal = if in_time { Refusal::TooLate } else { Refusal::Hopeless };
     Some(turn_away(refusal, wait))
 }
--- a/crates/fleet/src/admission/tests.rs
+++ b/crates/fleet/src/admission/tests.rs
@@ -4,14 +4,12 @@
 
 use super::{Prospect, judge};
 use crate::speed::Forecast;
-use crate::spread::Outlook;
 
 fn judges(wait_ms: u64, run_ms: u64, taken: bool) {
     // The fastest targets take half as long as the average.
     let (run, wait) = (Duration::from_millis(run_ms), Duration::from_millis(wait_ms));
     let prospect = Prospect {
-        outlook: Outlook { first: wait, last: wait, behind: 1 },
-        tasks: 1,
+        waits: vec![wait],
         run: Forecast { median: run / 2, deviation: 0.3 },
         hurried: run,
         objective: run.mul_f64(1.6) + Duration::from_millis(60),
@@ -36,9 +34,9 @@
 fn judges_wide(behind: usize, last_ms: u64, run_ms: u64, taken: bool) {
     let run = Duration::from_millis(run_ms);
     let last = Duration::from_millis(last_ms);
+    let waits = [vec![Duration::ZERO; 8 - behind], vec![last; behind]].concat();
     let prospect = Prospect {
-        outlook: Outlook { first: Duration::ZERO, last, behind },
-        tasks: 8,
+        waits,
         run: Forecast { median: run / 2, deviation: 0.3 },
         hurried: run / 2,
         objective: Duration::from_millis(1_450),
--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -17,7 +17,7 @@
 use crate::queue::slack_level;
 use crate::report::Note;
 use crate::speed::Forecast;
-use crate::spread::{Offer, Outlook, Shape, assign, assign_fast, stand};
+use crate::spread::{Offer, Shape, assign, assign_fast, stand, waits};
 
 /// Open jobs of one host; what it needs for each is far below its memory.
 const MAX_OPEN: usize = 4_000;
@@ -71,8 +71,8 @@
         let tasks = plan.tasks() as u32;
         let shape = shape(&forecast.longest_of(tasks), run, (objective, patience), &offers);
         let hurried = hurried(run, objective, shape.is_long, &offers);
-        let outlook = Outlook::new(plan.tasks(), &shape, &offers);
-        let wait = outlook.last;
+        let waits = waits(plan.tasks(), &shape, &offers);
+        let wait = waits.last().copied().unwrap_or_default();
         let size = self.scale.weigh(&route.kind, plan);
         let refused = |outcome| Note::Refused {
             job: submission.id.clone(),
@@ -94,7 +94,7 @@
             Some(Outcome::Failed)
         } else {
             let run = forecast.times(fastest(&offers));
-            admission::judge(&Prospect { outlook, tasks, run, hurried, objective, patience })
+            admission::judge(&Prospect { waits, run, hurried, objective, patience })
         };
         if let Some(outcome) = outcome {
             self.note(refused(outcome));
--- a/crates/fleet/src/speed/forecast.rs
+++ b/crates/fleet/src/speed/forecast.rs
@@ -40,6 +40,17 @@
         self.times(f64::from(tasks.max(1)).powf(UNEVEN * LARGEST))
     }
 
+    /// Chance, from 0 to 1, that all tasks of a job end within some time if they start after these waits, the
+    /// shortest first: that of the tasks that start last, however many are counted as such.
+    #[must_use]
+    pub fn chance_of_all(&self, waits: &[Duration], within: Duration) -> f64 {
+        let chance = |(place, wait): (usize, &Duration)| {
+            let last = u32::try_from(waits.len() - place).unwrap_or(u32::MAX);
+            self.longest_of(last).chance(within.saturating_sub(*wait))
+        };
+        waits.iter().enumerate().map(chance).fold(1.0, f64::min)
+    }
+
     /// The same run on a target that takes this many times as long.
     #[must_use]
     pub fn times(&self, factor: f64) -> Self {
--- a/crates/fleet/src/speed/tests.rs
+++ b/crates/fleet/src/speed/tests.rs
@@ -170,3 +170,22 @@
     of_one_task_is_that_task(1, 500);
     of_eight_tasks_takes_longer(8, 622);
 }
+
+/// Chance that all tasks of 400 ms end within 1,000 ms, against that of another job.
+fn all_end(waits_ms: &[u64], less_than: Option<&[u64]>, least: f64) {
+    let forecast = Forecast { median: Duration::from_millis(400), deviation: 0.3 };
+    let chance = |waits_ms: &[u64]| {
+        let waits: Vec<Duration> = waits_ms.iter().copied().map(Duration::from_millis).collect();
+        forecast.chance_of_all(&waits, Duration::from_secs(1))
+    };
+    assert!(chance(waits_ms) >= least, "{}", chance(waits_ms));
+    assert!(less_than.is_none_or(|other| chance(waits_ms) < chance(other)));
+}
+
+// The last of many tasks counts as one, not as all of them.
+cases! { all_end:
+    nearly_surely_when_all_start_at_once(&[0, 0, 0], None, 0.95);
+    less_surely_when_one_waits(&[0, 0, 300], Some(&[0, 0, 0]), 0.9);
+    less_surely_when_all_wait(&[300, 300, 300], Some(&[0, 0, 300]), 0.7);
+    hardly_when_the_last_one_waits_too_long(&[0, 0, 800], Some(&[300, 300, 300]), 0.0);
+}
--- a/crates/fleet/src/spread/load.rs
+++ b/crates/fleet/src/spread/load.rs
@@ -100,37 +100,24 @@
     pub is_long: bool,
 }
 
-/// Expected waits of a job's tasks.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Outlook {
-    /// Until the first one starts.
-    pub first: Duration,
-    /// Until the last one starts.
-    pub last: Duration,
-    /// Number of those that can't start at once.
-    pub behind: usize,
-}
-
-impl Outlook {
-    /// What awaits a job of so many tasks; nothing as long as no steward with targets is known.
-    #[must_use]
-    pub fn new(tasks: usize, task: &Shape, offers: &[Offer]) -> Self {
-        let serving = || offers.iter().filter(|offer| offer.load.places > 0);
-        let next = serving().map(|offer| offer.delay(task.level)).min().unwrap_or_default();
-        if !task.is_long || serving().next().is_none() {
-            return Self { first: next, last: next, behind: tasks };
-        }
-        let free = serving().map(|offer| offer.load.free_fast as usize).sum::<usize>();
-        let with_room = serving().filter(|offer| offer.load.free_fast > 0);
-        let way = with_room.map(|offer| offer.distance).min();
-        let behind = tasks.saturating_sub(free);
-        let ends: Ends = serving().flat_map(|offer| offer.load.ends()).collect();
-        // Most of what waits stands with all of them.
-        let before = serving().map(|offer| offer.load.long as usize).max().unwrap_or_default();
-        let first = way.unwrap_or_else(|| ends.after(before));
-        let last = behind.checked_sub(1).map_or(first, |others| ends.after(before + others));
-        Self { first, last, behind }
+/// Expected waits of a job's tasks, the shortest first; nothing is waited for as long as no steward with
+/// targets is known.
+#[must_use]
+pub fn waits(tasks: usize, task: &Shape, offers: &[Offer]) -> Vec<Duration> {
+    let serving = || offers.iter().filter(|offer| offer.load.places > 0);
+    let next = serving().map(|offer| offer.delay(task.level)).min().unwrap_or_default();
+    if !task.is_long || serving().next().is_none() {
+        return vec![next; tasks];
     }
+    let free = serving().map(|offer| offer.load.free_fast as usize).sum::<usize>();
+    let with_room = serving().filter(|offer| offer.load.free_fast > 0);
+    let way = with_room.map(|offer| offer.distance).min().unwrap_or_default();
+    let ends: Ends = serving().flat_map(|offer| offer.load.ends()).collect();
+    // Most of what waits stands with all of them.
+    let before = serving().map(|offer| offer.load.long as usize).max().unwrap_or_default();
+    let wait =
+        |place: usize| place.checked_sub(free).map_or(way, |behind| ends.after(before + behind));
+    (0..tasks).map(wait).collect()
 }
 
 /// Assigns the tasks of a job of short work; for each the place of its steward in `offers`.
--- a/crates/fleet/src/spread/mod.rs
+++ b/crates/fleet/src/spread/mod.rs
@@ -15,4 +15,4 @@
 mod tests;
 
 pub use ends::Ends;
-pub use load::{LINES, Load, Offer, Outlook, Shape, assign, assign_fast, stand};
+pub use load::{LINES, Load, Offer, Shape, assign, assign_fast, stand, waits};
--- a/crates/fleet/src/spread/tests.rs
+++ b/crates/fleet/src/spread/tests.rs
@@ -3,7 +3,7 @@
 use coltsfootshunt_core::name::Host;
 use coltsfootshunt_testkit::cases;
 
-use super::{Ends, Load, Offer, Outlook, Shape, assign, assign_fast, stand};
+use super::{Ends, Load, Offer, Shape, assign, assign_fast, stand, waits};
 
 fn offer(name: &str, distance_ms: u64, free: u32, wait_ms: u32) -> Offer {
     let host = Host::try_from(name).unwrap();
@@ -80,7 +80,7 @@
 }
 
 /// Runs on fast targets of two stewards end after 100, 200 and 300 ms; a job comes after some others.
-fn awaits(tasks: usize, free_fast: u32, others: u32, wanted_ms: (u64, u64)) {
+fn awaits(tasks: usize, free_fast: u32, others: u32, wanted_ms: &[u64]) {
     let mut offers = vec![offer("a", 0, 8, 0), offer("b", 5, 8, 0)];
     offers[0].load.ends_ms = [Some(100), Some(300), None, None, None, None, None, None];
     offers[1].load.ends_ms = [Some(200), None, None, None, None, None, None, None];
@@ -89,18 +89,17 @@
         offer.load.free_fast = 0;
     }
     offers[0].load.free_fast = free_fast;
-    let Outlook { first, last, .. } = Outlook::new(tasks, &LONG, &offers);
-    let wanted = (Duration::from_millis(wanted_ms.0), Duration::from_millis(wanted_ms.1));
-    assert_eq!((first, last), wanted);
+    let wanted: Vec<Duration> = wanted_ms.iter().copied().map(Duration::from_millis).collect();
+    assert_eq!(waits(tasks, &LONG, &offers), wanted);
 }
 
 // A wide job was taken by the wait of its first task, and its last one came too late.
 cases! { awaits:
-    nothing_where_all_can_start(3, 3, 0, (0, 0));
-    the_last_place_for_the_last_task(3, 0, 0, (100, 300));
-    the_place_after_those_of_others(1, 0, 1, (200, 200));
-    a_second_round_where_more_wait_than_run(3, 0, 1, (200, 400));
-    places_for_what_can_not_start_at_once(3, 1, 0, (0, 200));
+    nothing_where_all_can_start(3, 3, 0, &[0, 0, 0]);
+    one_place_after_the_other(3, 0, 0, &[100, 200, 300]);
+    the_place_after_those_of_others(1, 0, 1, &[200]);
+    a_second_round_where_more_wait_than_run(3, 0, 1, &[200, 300, 400]);
+    places_for_what_can_not_start_at_once(3, 1, 0, &[0, 100, 200]);
 }
 
 fn ends(others: usize, wanted_ms: u64) {
--- a/crates/fleet/src/steward/state/load.rs
+++ b/crates/fleet/src/steward/state/load.rs
@@ -13,7 +13,7 @@
 use crate::member::Roster;
 use crate::placement::is_fast;
 use crate::queue::Waiting;
-use crate::speed::Book;
+use crate::speed::{Book, Forecast};
 use crate::spread::{Ends, Load};
 
 /// Shortest run time that counts: the way to a target and back.
@@ -68,14 +68,14 @@
         pool: &Pool,
         now: Instant,
     ) -> Option<(Duration, Duration)> {
-        let wait = pool.wait(self.line.long(now) + tasks.len() - 1);
-        let slack = tasks.iter().map(|one| one.due.saturating_duration_since(now)).min()?;
-        let chance = |one: &Waiting| {
-            let slow = one.chance(one.usual, Duration::ZERO, now);
-            one.chance(one.quickest, wait, now).max(slow)
-        };
-        let vain = tasks.iter().any(|one| is_vain(chance(one)));
-        vain.then_some((wait, slack))
+        let one = tasks.first()?;
+        let before = self.line.long(now);
+        let waits: Vec<Duration> = (0..tasks.len()).map(|task| pool.wait(before + task)).collect();
+        let slack = one.due.saturating_duration_since(now);
+        let fast = Forecast { median: one.quickest, deviation: one.deviation };
+        let slow = one.chance(one.usual, Duration::ZERO, now);
+        let vain = is_vain(fast.chance_of_all(&waits, slack).max(slow));
+        vain.then(|| (waits.last().copied().unwrap_or_default(), slack))
     }
 
     /// Targets that may get new work, each with the room that it has left.
