fix(admission,steward): a steward gives up work of little chance only where other work waits

Cause: two rules for one question. The owner asks for a chance of 0.1 where targets are free and of 0.3 where work waits; the steward asked for 0.3 always, once it no longer passed over jobs that it has room for. Both use is_vain with the expected wait now. Tests gives_up; the function had no wait before.

--- a/crates/fleet/src/admission/gate.rs
+++ b/crates/fleet/src/admission/gate.rs
@@ -38,10 +38,10 @@
     wait >= BUSY_FROM && wait > slack.mul_f64(TOLERANCE)
 }
 
-/// Whether work that waits has too little chance to end before its caller goes.
+/// Whether work has too little chance to end before its caller goes, if its last task waits for so long.
 #[must_use]
-pub fn is_vain(chance: f64) -> bool {
-    chance < LEAST_BUSY
+pub fn is_vain(chance: f64, wait: Duration) -> bool {
+    chance < if wait < BUSY_FROM { LEAST_FREE } else { LEAST_BUSY }
 }
 
 /// Whether a job has a chance to end in the time left if it starts now.
@@ -58,8 +58,7 @@
     if is_hopeless(wait, slack) {
         return Some(turn_away(Refusal::TooLate, wait - slack));
     }
-    let least = if wait < BUSY_FROM { LEAST_FREE } else { LEAST_BUSY };
-    if prospect.run.chance_of_all(&prospect.waits, prospect.patience) >= least {
+    if !is_vain(prospect.run.chance_of_all(&prospect.waits, prospect.patience), wait) {
         return None;
     }
     let tasks = u32::try_from(prospect.waits.len()).unwrap_or(u32::MAX);
--- a/crates/fleet/src/admission/tests.rs
+++ b/crates/fleet/src/admission/tests.rs
@@ -2,7 +2,7 @@
 
 use coltsfootshunt_testkit::cases;
 
-use super::{Prospect, judge};
+use super::{Prospect, is_vain, judge};
 use crate::speed::Forecast;
 
 fn judges(wait_ms: u64, run_ms: u64, taken: bool) {
@@ -51,3 +51,15 @@
     a_last_task_that_ends_in_time(1, 300, 1_600, true);
     not_a_last_task_that_comes_too_late(1, 1_000, 1_600, false);
 }
+
+/// Work of little chance: trying costs others little where targets are free.
+fn gives_up(percent: u32, wait_ms: u64, wanted: bool) {
+    assert_eq!(is_vain(f64::from(percent) / 100.0, Duration::from_millis(wait_ms)), wanted);
+}
+
+cases! { gives_up:
+    what_has_hardly_a_chance(5, 0, true);
+    nothing_that_has_a_small_one_where_targets_are_free(20, 0, false);
+    what_has_a_small_one_where_others_wait(20, 100, true);
+    nothing_that_may_well_end_in_time(40, 100, false);
+}
--- a/crates/fleet/src/steward/state/load.rs
+++ b/crates/fleet/src/steward/state/load.rs
@@ -74,8 +74,9 @@
         let slack = one.due.saturating_duration_since(now);
         let fast = Forecast { median: one.quickest, deviation: one.deviation };
         let slow = one.chance(one.usual, Duration::ZERO, now);
-        let vain = is_vain(fast.chance_of_all(&waits, slack).max(slow));
-        vain.then(|| (waits.last().copied().unwrap_or_default(), slack))
+        let wait = waits.last().copied().unwrap_or_default();
+        let vain = is_vain(fast.chance_of_all(&waits, slack).max(slow), wait);
+        vain.then_some((wait, slack))
     }
 
     /// Targets that may get new work, each with the room that it has left.
