refactor(control,job): one open job, what is sent and what is granted have files of their own

No decision changes: State::push is split into what stands and what goes to one steward, and moves to control/sending with what waits for a steward; bids and grants to control/grants; Open leaves the book of jobs.

--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -1,30 +1,26 @@
 //! This host as the owner of its callers' jobs.
 
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use coltsfootshunt_core::name::{Host, Service};
 
 use super::{Action, Output, State};
-use crate::admission::{self, Prospect, has_chance};
-use crate::job::{
-    Bundle, Ending, Grant, Granted, Id, Need, Open, Outcome, Part, Policy, Ready, Refusal, Stand,
-    Submission, Task, Ticket,
-};
+use crate::admission::{self, Prospect};
+use crate::job::{Ending, Id, Need, Open, Outcome, Policy, Refusal, Submission, Ticket};
 use crate::member::Peer;
 use crate::peer::Message;
 use crate::placement::GAIN;
 use crate::queue::slack_level;
 use crate::report::Note;
 use crate::speed::Forecast;
-use crate::spread::{Offer, Shape, assign, assign_fast, stand, waits};
+use crate::spread::{Offer, Shape, waits};
 
 /// Open jobs of one host; what it needs for each is far below its memory.
 const MAX_OPEN: usize = 4_000;
 /// Time after which a caller that was turned away for want of a steward may come back.
-const STEWARD_BACK_IN: Duration = Duration::from_secs(1);
+pub(super) const STEWARD_BACK_IN: Duration = Duration::from_secs(1);
 /// Time before the caller goes at which an answer must be ready: the way back, and a margin for it.
-const ANSWER_WITHIN: Duration = Duration::from_millis(40);
+pub(super) const ANSWER_WITHIN: Duration = Duration::from_millis(40);
 /// Way to the steward in this process and back.
 const HERE: Duration = Duration::ZERO;
 /// Way to a host of this availability zone and back.
@@ -32,12 +28,6 @@
 /// Way to a host of another availability zone and back, with the wait for a batch under way.
 const FAR: Duration = Duration::from_millis(5);
 
-/// What an owner says to a steward of tasks that stand with it.
-enum Told {
-    Grant(Vec<Grant>),
-    Withdraw(Vec<Stand>),
-}
-
 impl State {
     pub(super) fn submit(&mut self, ticket: Ticket, submission: &Submission, now: Instant) {
         let id = &submission.id;
@@ -157,154 +147,6 @@
         offers
     }
 
-    /// Sends a job's tasks that may start to stewards: to where they can start at once, if all of them can,
-    /// else they stand with several.
-    pub(super) fn push(&mut self, id: &Id, now: Instant) {
-        let Some(open) = self.jobs.get_mut(id) else {
-            return;
-        };
-        let ready = open.ready();
-        if ready.is_empty() {
-            return;
-        }
-        let mut offers = self.offers();
-        let Some(open) = self.jobs.get_mut(id) else {
-            return;
-        };
-        let reachable = offers.len();
-        offers.retain(|offer| !open.has_declined(&offer.host));
-        if offers.is_empty() && reachable > 0 {
-            return self.close(id, Outcome::Unknown, "no steward can end it in time", now);
-        }
-        let believed: Vec<_> = offers.iter().map(|offer| offer.load).collect();
-        let forecast = self.speeds.forecast(&open.kind, ready[0].need.estimate());
-        let longest = forecast.longest_of(open.plan.tasks() as u32);
-        let left = |then: Instant| then.saturating_duration_since(now);
-        let lefts = (left(open.objective), left(open.due));
-        let mut shape = shape(&longest, forecast.median, lefts, &offers);
-        shape.is_long |= open.must_stand;
-        // Long work that has a part under way elsewhere is not weighed anew.
-        let begun = open.begun || open.committed || shape.is_long && open.is_under_way();
-        let assigned = match (shape.is_long, open.must_stand) {
-            (false, _) => assign(ready.len(), &shape, &mut offers),
-            (true, false) => assign_fast(ready.len(), &shape, &mut offers),
-            (true, true) => Vec::new(),
-        };
-        let standing = shape.is_long && assigned.is_empty();
-        let mut parts: BTreeMap<usize, Vec<Part>> = BTreeMap::new();
-        let part_of = |task: Ready| Part {
-            step: task.step,
-            index: task.index,
-            run: task.run,
-            round: task.round,
-            need: task.need,
-        };
-        if standing {
-            let lines = stand(ready.len(), &mut offers);
-            if lines.is_empty() {
-                self.stalled.insert(id.clone());
-                return;
-            }
-            let hosts: Vec<Host> = lines.iter().map(|&at| offers[at].host.clone()).collect();
-            ready.iter().for_each(|task| open.stand(task.part, hosts.clone()));
-            let all: Vec<Part> = ready.into_iter().map(part_of).collect();
-            parts.extend(lines.into_iter().map(|at| (at, all.clone())));
-        } else {
-            if assigned.len() < ready.len() {
-                self.stalled.insert(id.clone());
-            }
-            for (task, &to) in ready.into_iter().zip(&assigned) {
-                open.sent(task.part, offers[to].host.clone());
-                parts.entry(to).or_default().push(part_of(task));
-            }
-        }
-        let bundle = Bundle {
-            job: id.clone(),
-            opening: open.opening,
-            kind: open.kind.clone(),
-            service: open.policy.service.clone(),
-            priority: open.policy.priority,
-            spec: open.plan.spec.clone(),
-            objective_in_ms: between(now, open.objective),
-            due_in_ms: between(now, open.due),
-            width: open.plan.tasks() as u32,
-            begun,
-            standing,
-            parts: Vec::new(),
-        };
-        for (to, parts) in parts {
-            let offer = &offers[to];
-            let note = Note::Sent {
-                job: id.clone(),
-                steward: offer.host.clone(),
-                tasks: parts.len(),
-                standing,
-                free: believed[to].free,
-                wait_ms: believed[to].waits_ms[shape.level],
-            };
-            self.note(note);
-            self.hand_over(offer, Bundle { parts, ..bundle.clone() }, now);
-        }
-    }
-
-    /// Answers a steward that has places for tasks which stand with it.
-    pub(super) fn take_bids(&mut self, from: &Host, bids: &[Stand], now: Instant) {
-        let mut grants = Vec::new();
-        let mut withdrawn: BTreeMap<Host, Vec<Stand>> = BTreeMap::new();
-        for bid in bids {
-            let job = self.jobs.get_mut(&bid.task.job);
-            let Some(open) = job.filter(|open| open.opening == bid.opening) else {
-                // Its end has been told to all with which it stood.
-                continue;
-            };
-            let Some(granted) = open.grant(from, bid) else {
-                continue;
-            };
-            let Granted { step, index, run, round, others } = granted;
-            let task = Task { job: bid.task.job.clone(), step, index };
-            for host in others {
-                let stand = Stand { task: task.clone(), opening: bid.opening, round };
-                withdrawn.entry(host).or_default().push(stand);
-            }
-            grants.push(Grant { task, opening: bid.opening, round, run });
-        }
-        for (host, stands) in withdrawn {
-            self.tell_steward(&host, Told::Withdraw(stands), now);
-        }
-        if !grants.is_empty() {
-            self.tell_steward(from, Told::Grant(grants), now);
-        }
-    }
-
-    fn tell_steward(&mut self, host: &Host, told: Told, now: Instant) {
-        let me = self.roster.me().host.clone();
-        if *host == me {
-            return match told {
-                Told::Grant(grants) => self.take_grants(&me, &grants, now),
-                Told::Withdraw(stands) => self.steward.withdraw(&me, &stands),
-            };
-        }
-        if let Some(peer) = self.roster.peer(host).filter(|peer| peer.alive) {
-            let address = peer.card.address;
-            let message = match told {
-                Told::Grant(grants) => Message::Grant(grants),
-                Told::Withdraw(stands) => Message::Withdraw(stands),
-            };
-            self.send(address, message);
-        }
-    }
-
-    fn hand_over(&mut self, offer: &Offer, bundle: Bundle, now: Instant) {
-        if offer.host == self.roster.me().host {
-            return self.run(&offer.host, bundle, now);
-        }
-        self.roster.set_load(&offer.host, offer.load);
-        if let Some(peer) = self.roster.peer(&offer.host) {
-            let address = peer.card.address;
-            self.send(address, Message::Run(bundle));
-        }
-    }
-
     /// Takes the end of a task in.
     pub(super) fn ended(&mut self, from: &Host, ending: &Ending, now: Instant) {
         let id = &ending.task.job;
@@ -412,39 +254,11 @@
         self.drop_stalled(now);
         self.jobs.forget(now);
     }
-
-    /// Turns away what has waited for a steward until it has no chance to end in time.
-    fn drop_stalled(&mut self, now: Instant) {
-        let is_over = |open: &Open| {
-            let forecast = self.speeds.forecast(&open.kind, open.plan.chain());
-            let left = open.due.saturating_duration_since(now + ANSWER_WITHIN);
-            !open.touched && !has_chance(&forecast.longest_of(open.plan.tasks() as u32), left)
-        };
-        let jobs = &self.jobs;
-        let over = |id: &&Id| jobs.get(id).is_some_and(is_over);
-        let over: Vec<Id> = self.stalled.iter().filter(over).cloned().collect();
-        for id in over {
-            let refusal = Refusal::NoSteward;
-            let outcome = Outcome::Refused { refusal, retry_after: STEWARD_BACK_IN };
-            self.close(&id, outcome, "no steward came in time", now);
-        }
-    }
-
-    /// Sends what found no steward, once there is one.
-    pub(super) fn push_stalled(&mut self, now: Instant) {
-        let is_serving = |offer: &Offer| offer.load.places > 0;
-        if self.stalled.is_empty() || !self.is_led() || !self.offers().iter().any(is_serving) {
-            return;
-        }
-        for id in std::mem::take(&mut self.stalled) {
-            self.push(&id, now);
-        }
-    }
 }
 
 /// What the tasks of a job are like, by the forecasts of the longest and of one of them and by the time left
 /// until its answer is late and until its caller goes.
-fn shape(
+pub(super) fn shape(
     longest: &Forecast,
     run: Duration,
     (objective, patience): (Duration, Duration),
@@ -472,9 +286,3 @@
     let known = offers.iter().map(|offer| offer.load.fastest_permille).filter(|one| *one > 0);
     f64::from(known.min().unwrap_or(1_000)) / 1_000.0
 }
-
-/// Milliseconds from one moment to another, below zero if that was before.
-fn between(now: Instant, then: Instant) -> i64 {
-    let signed = |time: Duration| i64::try_from(time.as_millis()).unwrap_or(i64::MAX);
-    if then >= now { signed(then - now) } else { -signed(now - then) }
-}
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -4,9 +4,11 @@
 //! threads see of it.
 
 mod fleet;
+mod grants;
 mod hands;
 mod jobs;
 mod message;
+mod sending;
 mod state;
 mod targets;
 mod thread;
--- /dev/null
+++ b/crates/fleet/src/control/sending.rs
@@ -0,0 +1,164 @@
+//! What this host sends to stewards for its callers' jobs.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use coltsfootshunt_core::name::Host;
+
+use super::State;
+use super::jobs::{ANSWER_WITHIN, STEWARD_BACK_IN, shape};
+use crate::admission::has_chance;
+use crate::job::{Bundle, Id, Open, Outcome, Part, Ready, Refusal};
+use crate::peer::Message;
+use crate::report::Note;
+use crate::spread::{Offer, assign, assign_fast, stand};
+
+impl State {
+    /// Sends a job's tasks that may start to stewards. Long work goes to where all of it can start at once, or
+    /// stands with several.
+    pub(super) fn push(&mut self, id: &Id, now: Instant) {
+        let Some(open) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let ready = open.ready();
+        if ready.is_empty() {
+            return;
+        }
+        let mut offers = self.offers();
+        let Some(open) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let reachable = offers.len();
+        offers.retain(|offer| !open.has_declined(&offer.host));
+        if offers.is_empty() && reachable > 0 {
+            return self.close(id, Outcome::Unknown, "no steward can end it in time", now);
+        }
+        let believed: Vec<_> = offers.iter().map(|offer| offer.load).collect();
+        let forecast = self.speeds.forecast(&open.kind, ready[0].need.estimate());
+        let longest = forecast.longest_of(open.plan.tasks() as u32);
+        let left = |then: Instant| then.saturating_duration_since(now);
+        let lefts = (left(open.objective), left(open.due));
+        let mut shape = shape(&longest, forecast.median, lefts, &offers);
+        shape.is_long |= open.must_stand;
+        // Long work that has a part under way elsewhere is not weighed anew.
+        let begun = open.begun || open.committed || shape.is_long && open.is_under_way();
+        let count = ready.len();
+        let assigned = match (shape.is_long, open.must_stand) {
+            (false, _) => assign(count, &shape, &mut offers),
+            (true, false) => assign_fast(count, &shape, &mut offers),
+            (true, true) => Vec::new(),
+        };
+        let standing = shape.is_long && assigned.is_empty();
+        let parts = if standing {
+            stand_all(open, ready, &mut offers)
+        } else {
+            send_each(open, ready, &assigned, &offers)
+        };
+        if parts.values().map(Vec::len).sum::<usize>() < count {
+            self.stalled.insert(id.clone());
+        }
+        let bundle = Bundle {
+            job: id.clone(),
+            opening: open.opening,
+            kind: open.kind.clone(),
+            service: open.policy.service.clone(),
+            priority: open.policy.priority,
+            spec: open.plan.spec.clone(),
+            objective_in_ms: between(now, open.objective),
+            due_in_ms: between(now, open.due),
+            width: open.plan.tasks() as u32,
+            begun,
+            standing,
+            parts: Vec::new(),
+        };
+        for (to, parts) in parts {
+            let offer = &offers[to];
+            let note = Note::Sent {
+                job: id.clone(),
+                steward: offer.host.clone(),
+                tasks: parts.len(),
+                standing,
+                free: believed[to].free,
+                wait_ms: believed[to].waits_ms[shape.level],
+            };
+            self.note(note);
+            self.hand_over(offer, Bundle { parts, ..bundle.clone() }, now);
+        }
+    }
+
+    fn hand_over(&mut self, offer: &Offer, bundle: Bundle, now: Instant) {
+        if offer.host == self.roster.me().host {
+            return self.run(&offer.host, bundle, now);
+        }
+        self.roster.set_load(&offer.host, offer.load);
+        if let Some(peer) = self.roster.peer(&offer.host) {
+            let address = peer.card.address;
+            self.send(address, Message::Run(bundle));
+        }
+    }
+
+    /// Turns away what has waited for a steward until it has no chance to end in time.
+    pub(super) fn drop_stalled(&mut self, now: Instant) {
+        let is_over = |open: &Open| {
+            let forecast = self.speeds.forecast(&open.kind, open.plan.chain());
+            let left = open.due.saturating_duration_since(now + ANSWER_WITHIN);
+            !open.touched && !has_chance(&forecast.longest_of(open.plan.tasks() as u32), left)
+        };
+        let jobs = &self.jobs;
+        let over = |id: &&Id| jobs.get(id).is_some_and(is_over);
+        let over: Vec<Id> = self.stalled.iter().filter(over).cloned().collect();
+        for id in over {
+            let refusal = Refusal::NoSteward;
+            let outcome = Outcome::Refused { refusal, retry_after: STEWARD_BACK_IN };
+            self.close(&id, outcome, "no steward came in time", now);
+        }
+    }
+
+    /// Sends what found no steward, once there is one.
+    pub(super) fn push_stalled(&mut self, now: Instant) {
+        let is_serving = |offer: &Offer| offer.load.places > 0;
+        if self.stalled.is_empty() || !self.is_led() || !self.offers().iter().any(is_serving) {
+            return;
+        }
+        for id in std::mem::take(&mut self.stalled) {
+            self.push(&id, now);
+        }
+    }
+}
+
+/// Makes tasks stand with several stewards; what each of these gets, by their places in `offers`.
+fn stand_all(
+    open: &mut Open,
+    ready: Vec<Ready>,
+    offers: &mut [Offer],
+) -> BTreeMap<usize, Vec<Part>> {
+    let lines = stand(ready.len(), offers);
+    if lines.is_empty() {
+        return BTreeMap::new();
+    }
+    let hosts: Vec<Host> = lines.iter().map(|&at| offers[at].host.clone()).collect();
+    ready.iter().for_each(|task| open.stand(task.part, hosts.clone()));
+    let all: Vec<Part> = ready.into_iter().map(Part::from).collect();
+    lines.into_iter().map(|at| (at, all.clone())).collect()
+}
+
+/// Gives each task to the one steward that it is assigned to; what each of these gets.
+fn send_each(
+    open: &mut Open,
+    ready: Vec<Ready>,
+    assigned: &[usize],
+    offers: &[Offer],
+) -> BTreeMap<usize, Vec<Part>> {
+    let mut parts: BTreeMap<usize, Vec<Part>> = BTreeMap::new();
+    for (task, &to) in ready.into_iter().zip(assigned) {
+        open.sent(task.part, offers[to].host.clone());
+        parts.entry(to).or_default().push(task.into());
+    }
+    parts
+}
+
+/// Milliseconds from one moment to another, below zero if that was before.
+fn between(now: Instant, then: Instant) -> i64 {
+    let signed = |time: Duration| i64::try_from(time.as_millis()).unwrap_or(i64::MAX);
+    if then >= now { signed(then - now) } else { -signed(now - then) }
+}
--- a/crates/fleet/src/job/mod.rs
+++ b/crates/fleet/src/job/mod.rs
@@ -2,13 +2,15 @@
 
 mod book;
 mod message;
+mod open;
 mod plan;
 mod scale;
 
 #[cfg(test)]
 mod tests;
 
-pub use book::{Book, Granted, Open, Policy, Ready, Ticket};
+pub use book::Book;
 pub use message::{Bundle, End, Ending, Grant, Outcome, Part, Refusal, Stand, Submission, Task};
+pub use open::{Granted, Open, Policy, Ready, Ticket};
 pub use plan::{Id, Invalid, Need, Plan, Room, Step};
 pub use scale::{Scale, Size};
