--- a/crates/fleet/src/queue/line.rs
+++ b/crates/fleet/src/queue/line.rs
@@ -17,8 +17,8 @@
     Shared,
     /// The same; this one has asked the owner, at this time.
     Asked(Instant),
-    /// This steward alone, since then.
-    Own(Instant),
+    /// This steward alone.
+    Own,
 }
 
 /// A task that waits for a target.
@@ -107,7 +107,7 @@
     /// Whether this steward alone may start it.
     #[must_use]
     pub fn is_own(&self) -> bool {
-        matches!(self.hold, Hold::Own(_))
+        matches!(self.hold, Hold::Own)
     }
 
     /// Core time that it takes, in thousandths of a core times seconds.
@@ -214,9 +214,9 @@
         };
         let one = self.waiting.iter_mut().find(granted)?;
         one.run = grant.run;
-        match std::mem::replace(&mut one.hold, Hold::Own(now)) {
+        match std::mem::replace(&mut one.hold, Hold::Own) {
             Hold::Asked(at) => Some(now.duration_since(at)),
-            Hold::Shared | Hold::Own(_) => Some(Duration::ZERO),
+            Hold::Shared | Hold::Own => Some(Duration::ZERO),
         }
     }
 
--- a/crates/fleet/src/queue/tests.rs
+++ b/crates/fleet/src/queue/tests.rs
@@ -34,7 +34,7 @@
         deviation: 0.3,
         width: 1,
         begun: false,
-        hold: Hold::Own(now),
+        hold: Hold::Own,
     }
 }
 
--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -91,7 +91,7 @@
             }
             // What is asked for keeps its place meanwhile.
             match (field.place(one), one.hold) {
-                (Some(placing), Hold::Own(_)) => round.starts.push((one.clone(), placing)),
+                (Some(placing), Hold::Own) => round.starts.push((one.clone(), placing)),
                 (Some(_), Hold::Shared) => round.bid(one),
                 (Some(_), Hold::Asked(_)) => {}
                 (None, _) => {
@@ -143,8 +143,8 @@
         let shared = self.line.take(|one| match one.hold {
             Hold::Shared => false,
             Hold::Asked(at) => now.duration_since(at) > ANSWER_WITHIN,
-            Hold::Own(_) if one.is_long(now) => !being_stopped.contains(&one.task),
-            Hold::Own(_) => {
+            Hold::Own if one.is_long(now) => !being_stopped.contains(&one.task),
+            Hold::Own => {
                 let goes = now.duration_since(one.since) > SHARE_AFTER && free > 0;
                 free -= u32::from(goes);
                 goes
