feat(lease,report): ends of attempts and lost targets say on what evidence

The hypotheses on TWICE all end in the same line, task ended with end lost. The line now names what that belief rests on (a listed end, a run missing from a later report, a rejected or unsent start, the end of the lease, a refused connection, another life, a fence, a pause), target lost names how long ago the lease was last renewed, and the counter of ended attempts has the same label. No decision changes.

--- a/crates/fleet/src/lease/mod.rs
+++ b/crates/fleet/src/lease/mod.rs
@@ -7,6 +7,7 @@
 //! highest it has seen, so one answered renewal with a new token makes every earlier order void,
 //! and the list in that answer is the whole truth.
 
+mod evidence;
 mod message;
 mod picture;
 mod timeout;
@@ -15,6 +16,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use evidence::Evidence;
 pub use message::{Answer, Call, Ended, How, Listed, Order, Rejection, Report, Runner};
 pub use picture::{Attempt, Finding, Phase, Picture};
 pub use timeout::Timeout;
--- a/crates/fleet/src/lease/picture.rs
+++ b/crates/fleet/src/lease/picture.rs
@@ -9,7 +9,7 @@
 
 use coltsfootshunt_core::name::Target;
 
-use super::{Call, Order, Rejection, Timeout, Token};
+use super::{Call, Evidence, Order, Rejection, Timeout, Token};
 use crate::directory::Entry;
 use crate::job::{End, Room, Task};
 
@@ -33,16 +33,23 @@
         /// The task.
         task: Task,
         /// The attempt.
-        attempt: Attempt,
+        attempt: Box<Attempt>,
         /// How.
         end: End,
+        /// What shows it.
+        evidence: Evidence,
     },
     /// A claim succeeded.
     Claimed(Token),
     /// Another host has the target now.
     Fenced(Token),
     /// The target could not be reached.
-    Lost(&'static str),
+    Lost {
+        /// What shows it.
+        evidence: Evidence,
+        /// Time since anything that renews its lease was sent; none if nothing was.
+        renewed: Option<Duration>,
+    },
     /// An attempt runs that nobody here asked for.
     Orphan(Task),
     /// The target turned a start away.
@@ -260,17 +267,18 @@
         fresh.map(|one| one.recalled = true).count()
     }
 
-    fn finish(&mut self, task: &Task, end: End, found: &mut Vec<Finding>) {
+    fn finish(&mut self, task: &Task, end: End, evidence: Evidence, found: &mut Vec<Finding>) {
         if let Some(attempt) = self.attempts.remove(task) {
-            found.push(Finding::Ended { task: task.clone(), attempt, end });
+            let attempt = Box::new(attempt);
+            found.push(Finding::Ended { task: task.clone(), attempt, end, evidence });
         }
     }
 
     /// Gives the target up; what may be there comes to the given end.
-    pub fn release(&mut self, end: End, found: &mut Vec<Finding>) {
+    pub fn release(&mut self, end: End, evidence: Evidence, found: &mut Vec<Finding>) {
         let tasks: Vec<Task> = self.attempts.keys().cloned().collect();
         for task in tasks {
-            self.finish(&task, end, found);
+            self.finish(&task, end, evidence, found);
         }
         self.phase = Phase::Free;
         self.orphans.clear();
--- a/crates/fleet/src/lease/picture/answer.rs
+++ b/crates/fleet/src/lease/picture/answer.rs
@@ -4,7 +4,7 @@
 
 use super::{Attempt, Finding, Orphan, Phase, Picture, Status};
 use crate::job::{End, Task};
-use crate::lease::{Answer, Call, How, Order, Rejection, Report, Token};
+use crate::lease::{Answer, Call, Evidence, How, Order, Rejection, Report, Token};
 
 /// Pause before a target that could not be reached is claimed again.
 const RETRY_AFTER: Duration = Duration::from_millis(400);
@@ -57,7 +57,7 @@
             }
             Answer::Rejected(Rejection::Fenced) => self.fenced(call.token, found),
             Answer::Rejected(Rejection::OtherLife) => {
-                self.abandon("it is another life", now, found);
+                self.abandon(Evidence::OtherLife, now, found);
             }
             // It has done nothing, and what runs there may run on.
             Answer::Rejected(_) | Answer::Taken { .. } => {
@@ -65,7 +65,7 @@
                 self.silent(claim, now, found);
             }
             Answer::Unsent { refused: true } => {
-                self.abandon("nothing listens there", now, found);
+                self.abandon(Evidence::Refused, now, found);
             }
             Answer::Unsent { refused: false } | Answer::Silent => {
                 self.silent(claim, now, found);
@@ -81,7 +81,7 @@
             now.duration_since(at) > self.lease + self.lease / 50 + LAPSE_SLACK
         });
         if lapsed {
-            self.abandon("it is silent and its lease has ended", now, found);
+            self.abandon(Evidence::LeaseOver, now, found);
         } else if claim {
             // The fate of orders is still open: claim again at once, with the next token.
             self.doubt = true;
@@ -119,13 +119,13 @@
                     return;
                 }
                 found.push(Finding::Turned(task.clone(), rejection));
-                self.finish(task, End::NotRun, found);
+                self.finish(task, End::NotRun, Evidence::Rejected, found);
                 match rejection {
                     Rejection::Fenced if self.phase == Phase::Held(call.token) => {
                         self.fenced(call.token, found);
                     }
                     Rejection::OtherLife => {
-                        self.abandon("it is another life", now, found);
+                        self.abandon(Evidence::OtherLife, now, found);
                     }
                     // The picture of its room was wrong: look again.
                     Rejection::NoRoom => self.doubt = true,
@@ -134,9 +134,9 @@
                 }
             }
             Answer::Unsent { refused } => {
-                self.finish(task, End::NotRun, found);
+                self.finish(task, End::NotRun, Evidence::Unsent, found);
                 if refused {
-                    self.abandon("nothing listens there", now, found);
+                    self.abandon(Evidence::Refused, now, found);
                 } else {
                     self.doubt = true;
                 }
@@ -190,7 +190,7 @@
                 How::Ended => End::Lost,
             };
             if self.attempts.get(&ended.task).is_some_and(|attempt| attempt.run == ended.run) {
-                self.finish(&ended.task, end, found);
+                self.finish(&ended.task, end, Evidence::Listed, found);
             }
         }
         let stopped = std::mem::take(&mut self.orphans);
@@ -231,26 +231,27 @@
             }
         }
         for (task, end) in missed {
-            self.finish(&task, end, found);
+            self.finish(&task, end, Evidence::Missing, found);
         }
     }
 
     fn fenced(&mut self, token: Token, found: &mut Vec<Finding>) {
-        self.release(End::Adrift, found);
+        self.release(End::Adrift, Evidence::Fenced, found);
         found.push(Finding::Fenced(token));
     }
 
     /// The target is down, or its lease is over.
-    fn abandon(&mut self, why: &'static str, now: Instant, found: &mut Vec<Finding>) {
+    fn abandon(&mut self, evidence: Evidence, now: Instant, found: &mut Vec<Finding>) {
+        let renewed = self.leased_at.map(|at| now.duration_since(at));
         let unanswered = self.attempts.iter().filter(|(_, one)| one.status == Status::Sent);
         let unanswered: Vec<Task> = unanswered.map(|(task, _)| task.clone()).collect();
         for task in unanswered {
             // It may still reach the target's next life.
-            self.finish(&task, End::Adrift, found);
+            self.finish(&task, End::Adrift, evidence, found);
         }
-        self.release(End::Lost, found);
+        self.release(End::Lost, evidence, found);
         self.closed_until = now + RETRY_AFTER;
-        found.push(Finding::Lost(why));
+        found.push(Finding::Lost { evidence, renewed });
     }
 
     fn hear_clock(&mut self, clock_ms: u64, now: Instant) {
--- a/crates/fleet/src/report/lines.rs
+++ b/crates/fleet/src/report/lines.rs
@@ -112,9 +112,10 @@
                 "target" => %target, "cpu_millis" => cpu_millis, "waited_ms" => millis(*waited),
                 "expected_ms" => millis(*expected), "best_ms" => millis(*best));
         }
-        Note::Ended { task, run, target, end, took } => {
+        Note::Ended { task, run, target, end, evidence, took } => {
             info!(log, "{}", name; "job" => %task.job, "task" => %task, "run" => run,
-                "target" => %target, "end" => %end, "took_ms" => millis(*took));
+                "target" => %target, "end" => %end, "evidence" => %evidence,
+                "took_ms" => millis(*took));
         }
         Note::Turned { target, task, rejection } => {
             warn!(log, "{}", name; "job" => %task.job, "task" => %task, "target" => %target,
@@ -137,8 +138,9 @@
         Note::Fenced { target, token } => {
             warn!(log, "{}", name; "target" => %target, "token" => token.0);
         }
-        Note::TargetLost { target, why } => {
-            warn!(log, "{}", name; "target" => %target, "reason" => why);
+        Note::TargetLost { target, evidence, renewed } => {
+            warn!(log, "{}", name; "target" => %target, "reason" => %evidence,
+                "renewed_ms_ago" => renewed.map(millis));
         }
         Note::Hung { target, recalled } => {
             warn!(log, "{}", name; "target" => %target, "recalled" => recalled);
@@ -196,8 +198,10 @@
         Note::Started { waited, .. } => {
             histogram!("coltsfootshunt_task_wait_seconds").record(waited.as_secs_f64());
         }
-        Note::Ended { end, .. } => {
-            counter!("coltsfootshunt_attempts_ended_total", "end" => end.to_string()).increment(1);
+        Note::Ended { end, evidence, .. } => {
+            counter!("coltsfootshunt_attempts_ended_total", "end" => end.to_string(),
+                "evidence" => evidence.to_string())
+            .increment(1);
         }
         Note::InForce { version, .. } => {
             metrics::gauge!("coltsfootshunt_configuration_version").set(*version as f64);
--- a/crates/fleet/src/report/note.rs
+++ b/crates/fleet/src/report/note.rs
@@ -7,7 +7,7 @@
 use coltsfootshunt_core::name::{Host, Kind, Target, Zone};
 
 use crate::job::{End, Id, Outcome, Size, Task};
-use crate::lease::{Rejection, Token};
+use crate::lease::{Evidence, Rejection, Token};
 use crate::store::Failure;
 
 /// One thing worth a line.
@@ -150,6 +150,8 @@
         target: Target,
         /// How.
         end: End,
+        /// What shows it.
+        evidence: Evidence,
         /// Time since its start was sent.
         took: Duration,
     },
@@ -180,8 +182,10 @@
     TargetLost {
         /// The target.
         target: Target,
-        /// What showed it.
-        why: &'static str,
+        /// What shows it.
+        evidence: Evidence,
+        /// Time since anything that renews its lease was sent; none if nothing was.
+        renewed: Option<Duration>,
     },
     /// A target hangs: what runs there is stopped, to start elsewhere.
     Hung {
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -16,7 +16,7 @@
 use super::{Output, Settings};
 use crate::directory;
 use crate::job::{End, Ending, Grant, Id, Stand};
-use crate::lease::{Answer, Attempt, Call, Finding, Mint, Order, Phase, Picture};
+use crate::lease::{Answer, Attempt, Call, Evidence, Finding, Mint, Order, Phase, Picture};
 use crate::member::Roster;
 use crate::queue::Line;
 use crate::report::Note;
@@ -142,7 +142,7 @@
     pub fn abandon(&mut self, out: &mut Output) {
         for picture in self.pictures.values_mut() {
             let mut found = Vec::new();
-            picture.release(End::Adrift, &mut found);
+            picture.release(End::Adrift, Evidence::Paused, &mut found);
             out.endings.extend(found.into_iter().filter_map(ending));
         }
         self.hand_back(out);
--- a/crates/fleet/src/steward/state/finding.rs
+++ b/crates/fleet/src/steward/state/finding.rs
@@ -31,7 +31,7 @@
                 speeds.ran(&attempt.kind, target, times, now);
             }
         }
-        Finding::Lost(_) => speeds.forget(target),
+        Finding::Lost { .. } => speeds.forget(target),
         _ => {}
     }
 }
@@ -39,13 +39,16 @@
 pub(super) fn note(target: &Target, finding: &Finding, now: Instant, out: &mut Output) {
     let target = target.clone();
     out.notes.push(match finding {
-        Finding::Ended { task, attempt, end } => {
+        Finding::Ended { task, attempt, end, evidence } => {
             let took = now.duration_since(attempt.since);
-            Note::Ended { task: task.clone(), run: attempt.run, target, end: *end, took }
+            let (run, end, evidence) = (attempt.run, *end, *evidence);
+            Note::Ended { task: task.clone(), run, target, end, evidence, took }
         }
         Finding::Claimed(token) => Note::Claimed { target, token: *token },
         Finding::Fenced(token) => Note::Fenced { target, token: *token },
-        Finding::Lost(why) => Note::TargetLost { target, why },
+        Finding::Lost { evidence, renewed } => {
+            Note::TargetLost { target, evidence: *evidence, renewed: *renewed }
+        }
         Finding::Orphan(task) => Note::OrphanStopped { target, task: task.clone() },
         Finding::Turned(task, rejection) => {
             Note::Turned { target, task: task.clone(), rejection: *rejection }
@@ -54,10 +57,10 @@
 }
 
 pub(super) fn ending(finding: Finding) -> Option<(Host, Ending)> {
-    let Finding::Ended { task, attempt, end } = finding else {
+    let Finding::Ended { task, attempt, end, .. } = finding else {
         return None;
     };
-    let Attempt { opening, run, round, owner, .. } = attempt;
+    let Attempt { opening, run, round, owner, .. } = *attempt;
     Some((owner, Ending { task, opening, run, round, end }))
 }
 
