test(lease,control): a target that refuses connections runs on; red

The worlds of safety had no cut between a host and a target that lives, and their only refusal came from a target that was down. Hosts and targets can now be cut off from each other, silently or with resets and refusals.

--- a/crates/fleet/src/control/tests/safety.rs
+++ b/crates/fleet/src/control/tests/safety.rs
@@ -2,7 +2,7 @@
 use proptest::prelude::*;
 
 use super::jobs::settled;
-use super::world::{Chances, World};
+use super::world::{Chances, Severance, World};
 use crate::job::Outcome;
 
 /// Cases of each property; more by `COLTSFOOTSHUNT_CASES`.
@@ -32,6 +32,18 @@
                 world.set_cut(host, other, cut);
             }
         }
+        6 => {
+            let target = world.pick(world.targets.len());
+            let how = world.chance(0.7).then_some(Severance::Refusing);
+            (0..world.hosts()).for_each(|host| world.sever(host, target, how));
+        }
+        7 => {
+            let target = world.pick(world.targets.len());
+            let refusing = world.chance(0.5);
+            let how = if refusing { Severance::Refusing } else { Severance::Silent };
+            let cut = world.chance(0.7);
+            world.sever(host, target, cut.then_some(how));
+        }
         _ => {
             let killed: Vec<usize> = (0..world.hosts()).filter(|one| !world.is_up(*one)).collect();
             killed.into_iter().for_each(|one| world.start(one));
@@ -157,6 +169,9 @@
     under_crashed_targets(CALM, &[3]);
     under_cuts_between_hosts(CALM, &[4]);
     under_all_of_it(LATE, &[0, 1, 2, 3, 4, 5, 5]);
+    under_targets_that_refuse_connections(CALM, &[6]);
+    under_targets_out_of_reach_of_one_host(CALM, &[7]);
+    under_all_of_it_and_targets_out_of_reach(LATE, &[0, 1, 2, 3, 4, 5, 5, 6, 7, 7]);
 }
 
 cases! { long_work:
@@ -167,4 +182,5 @@
     under_planned_stops(CALM, &[2, 5]);
     under_cuts_between_hosts(CALM, &[4]);
     under_all_of_it_at_once(LATE, &[0, 1, 2, 3, 4, 5, 5]);
+    under_targets_that_refuse_connections(CALM, &[6]);
 }
--- a/crates/fleet/src/control/tests/world.rs
+++ b/crates/fleet/src/control/tests/world.rs
@@ -128,6 +128,15 @@
     takes_ms: u64,
 }
 
+/// How calls of a host to a target that lives fail.
+#[derive(Clone, Copy, Eq, PartialEq)]
+pub(super) enum Severance {
+    /// They get no answer.
+    Silent,
+    /// Open connections are reset, and new ones refused.
+    Refusing,
+}
+
 /// Chances of failures, each for one call or message.
 #[derive(Clone, Copy, Default)]
 pub(super) struct Chances {
@@ -152,6 +161,7 @@
     /// Run times on all targets of a zone but its first, in percent of those there.
     pub(super) slow_percent: u64,
     cut: BTreeSet<(usize, usize)>,
+    severed: BTreeMap<(usize, coltsfootshunt_core::name::Target), Severance>,
     pub(super) starts: BTreeMap<Task, u32>,
     /// Messages with which owners granted tasks that stood with several stewards.
     pub(super) grants: u32,
@@ -175,6 +185,7 @@
             chances: Chances::default(),
             slow_percent: 100,
             cut: BTreeSet::new(),
+            severed: BTreeMap::new(),
             starts: BTreeMap::new(),
             grants: 0,
             broken: Vec::new(),
@@ -282,6 +293,17 @@
         };
     }
 
+    /// Cuts a host off from a target that lives on, or mends the cut.
+    pub(super) fn sever(&mut self, host: usize, target: usize, how: Option<Severance>) {
+        let Some(name) = self.targets.keys().nth(target).cloned() else {
+            return;
+        };
+        match how {
+            Some(how) => self.severed.insert((host, name), how),
+            None => self.severed.remove(&(host, name)),
+        };
+    }
+
     /// A target goes down, breaks its connections, and starts again a little later.
     pub(super) fn crash(&mut self, target: usize) {
         let now_ms = self.now_ms();
--- a/crates/fleet/src/control/tests/world/network.rs
+++ b/crates/fleet/src/control/tests/world/network.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 
 use super::super::target::Work;
-use super::{GIVE_UP_MS, Happening, Lane, World};
+use super::{GIVE_UP_MS, Happening, Lane, Severance, World};
 use crate::control::{Event, Request};
 use crate::job::Room;
 use crate::lease::{Answer, Call, Order, Rejection};
@@ -76,6 +76,14 @@
             let event = Event::Called(Box::new(call), answer);
             return self.happen(1, Happening::Event(host, run, event));
         }
+        if let Some(how) = self.severed.get(&(host, call.target.clone())) {
+            let (answer, after) = match how {
+                Severance::Silent => (Answer::Silent, call.within.as_millis() as u64),
+                Severance::Refusing => (Answer::Unsent { refused: true }, 1),
+            };
+            let event = Event::Called(Box::new(call), answer);
+            return self.happen(after, Happening::Event(host, run, event));
+        }
         let takes = self.takes(&call.order);
         let fails = self.rng.random_bool(self.chances.fails);
         if self.targets.get(&call.target).is_some_and(|target| target.is_down(now_ms)) {
@@ -125,7 +133,16 @@
             return;
         };
         let now_ms = self.now_ms();
-        if self.targets.get(&call.target).is_some_and(|target| target.is_down(now_ms)) {
+        let severed = self.severed.get(&(host, call.target.clone())).copied();
+        let down = self.targets.get(&call.target).is_some_and(|target| target.is_down(now_ms));
+        if down || severed == Some(Severance::Refusing) {
+            let event = Event::Called(Box::new(call), Answer::Silent);
+            return self.happen(1, Happening::Event(host, run, event));
+        }
+        if severed == Some(Severance::Silent) && now_ms < until_ms {
+            return self.happen(5, Happening::Hold { host, run, call, until_ms });
+        }
+        if severed == Some(Severance::Silent) {
             let event = Event::Called(Box::new(call), Answer::Silent);
             return self.happen(1, Happening::Event(host, run, event));
         }
