--- a/crates/fleet/src/lease/tests.rs
+++ b/crates/fleet/src/lease/tests.rs
@@ -126,7 +126,7 @@
 }
 
 /// What no answer says of a target that may live on: nothing, until its lease is over.
-fn proves_nothing(answer: Answer) {
+fn proves_nothing(answer: &Answer) {
     let start = Instant::now();
     let mut picture = held(start);
     started(&mut picture, 0, start);
@@ -152,10 +152,10 @@
 }
 
 cases! { proves_nothing:
-    a_refused_connection(Answer::Unsent { refused: true });
-    a_connection_that_could_not_be_made(Answer::Unsent { refused: false });
-    silence(Answer::Silent);
-    an_answer_of_another_target(Answer::Rejected(Rejection::OtherLife));
+    a_refused_connection(&Answer::Unsent { refused: true });
+    a_connection_that_could_not_be_made(&Answer::Unsent { refused: false });
+    silence(&Answer::Silent);
+    an_answer_of_another_target(&Answer::Rejected(Rejection::OtherLife));
 }
 
 /// A start that was not sent has not run; what runs beside it goes on.
