fix(lease): the answer of another target proves nothing about the one that was called

An order whose address is answered by another target (421) ended at once all that was believed to run at the target that was meant. That answer is a third party's: the one that was meant may live at another address, or behind a cut while its address is used anew, and a wrong entry in the list is enough to send an order astray. Its tasks were then started a second time.

The order itself was not carried out, so its start counts as not run; the target is claimed anew before anything else is placed there, and what ran there is over only by its own report or by the end of its lease. The start time in its next report still shows another life under the same name at once.

--- a/crates/fleet/src/lease/evidence.rs
+++ b/crates/fleet/src/lease/evidence.rs
@@ -20,9 +20,6 @@
     /// The lease is over on the target's clock.
     #[display("lease_over")]
     LeaseOver,
-    /// Another life of the target answered.
-    #[display("other_life")]
-    OtherLife,
     /// The target obeys another host by now.
     #[display("fenced")]
     Fenced,
--- a/crates/fleet/src/lease/picture/answer.rs
+++ b/crates/fleet/src/lease/picture/answer.rs
@@ -56,9 +56,6 @@
                 }
             }
             Answer::Rejected(Rejection::Fenced) => self.fenced(call.token, found),
-            Answer::Rejected(Rejection::OtherLife) => {
-                self.abandon(Evidence::OtherLife, now, found);
-            }
             // It has done nothing, and what runs there may run on.
             Answer::Rejected(_) | Answer::Taken { .. } | Answer::Unsent => {
                 self.asks_after = now + ASK_PAUSE;
@@ -119,11 +116,8 @@
                     Rejection::Fenced if self.phase == Phase::Held(call.token) => {
                         self.fenced(call.token, found);
                     }
-                    Rejection::OtherLife => {
-                        self.abandon(Evidence::OtherLife, now, found);
-                    }
-                    // The picture of its room was wrong: look again.
-                    Rejection::NoRoom => self.doubt = true,
+                    // The picture of it was wrong: look again.
+                    Rejection::NoRoom | Rejection::OtherLife => self.doubt = true,
                     Rejection::Unhealthy => self.closed_until = now + UNHEALTHY_FOR,
                     _ => {}
                 }
