--- a/crates/fleet/src/lease/picture/answer.rs
+++ b/crates/fleet/src/lease/picture/answer.rs
@@ -40,7 +40,11 @@
         if !claim && self.phase != Phase::Held(call.token) {
             return;
         }
-        self.renewing = false;
+        let without = self.renewing.take();
+        if let (Answer::Unsent, Some(without)) = (&answer, without) {
+            // It renewed nothing.
+            self.leased_at = without;
+        }
         match answer {
             Answer::Report(report) => {
                 self.silences = 0;
