--- a/crates/fleet/src/lease/picture.rs
+++ b/crates/fleet/src/lease/picture.rs
@@ -81,8 +81,7 @@
     seen_at: Instant,
     /// Latest time of sending anything that renews the lease.
     leased_at: Option<Instant>,
-    /// The renewal or claim under way, if one is: `leased_at` without it.
-    renewing: Option<Option<Instant>>,
+    renewing: bool,
     /// Renewals in a row that got no answer.
     silences: u32,
     timeout: Timeout,
@@ -109,7 +108,7 @@
             noted: 0,
             seen_at: now,
             leased_at: None,
-            renewing: None,
+            renewing: false,
             silences: 0,
             timeout: Timeout::default(),
             closed_until: now,
@@ -183,7 +182,6 @@
         // What a lease needs is the target's clock; before it is known only attempts of this host
         // could gain from one, and there are none.
         let lease_until_ms = self.lease_until(now);
-        self.renewing = Some(self.leased_at);
         if lease_until_ms.is_some() && self.silences == 0 {
             self.leased_at = Some(now);
         }
@@ -201,10 +199,10 @@
         let is_fresh = |(_, at): (u64, Instant)| now.duration_since(at) < CLOCK_FRESH_FOR;
         let read = !self.clock.is_some_and(is_fresh);
         let pausing = now < self.asks_after;
-        if self.renewing.is_some() || self.doubt || pausing || (self.is_idle() && !note && !read) {
+        if self.renewing || self.doubt || pausing || (self.is_idle() && !note && !read) {
             return None;
         }
-        self.renewing = Some(self.leased_at);
+        self.renewing = true;
         let at_once = self.is_idle() || self.silences > 0;
         let wait = if at_once { Duration::ZERO } else { self.renewal_wait(now) };
         // A second silence in a row renews nothing, so that the lease comes to an end.
@@ -231,9 +229,6 @@
         let token = self.token();
         let lease_until_ms = self.lease_until(now).unwrap_or_default();
         self.leased_at = Some(now);
-        if let Some(without) = &mut self.renewing {
-            *without = self.leased_at;
-        }
         let run = attempt.run;
         self.attempts.insert(task.clone(), Attempt { token, ..attempt });
         let order = Order::Start { task: task.clone(), run, spec, lease_until_ms };
@@ -296,7 +291,7 @@
         }
         self.phase = Phase::Free;
         self.orphans.clear();
-        self.renewing = None;
+        self.renewing = false;
         self.silences = 0;
         self.doubt = false;
         self.leased_at = None;
--- a/crates/fleet/src/lease/picture/answer.rs
+++ b/crates/fleet/src/lease/picture/answer.rs
@@ -40,11 +40,7 @@
         if !claim && self.phase != Phase::Held(call.token) {
             return;
         }
-        let without = self.renewing.take();
-        if let (Answer::Unsent, Some(without)) = (&answer, without) {
-            // It renewed nothing.
-            self.leased_at = without;
-        }
+        self.renewing = false;
         match answer {
             Answer::Report(report) => {
                 self.silences = 0;
