fix(member,control): a host that refuses connections may live; stewards behind a cut no longer take turns

What callers saw: while a cut between two zones refused connections, each zone's steward took the other zone's targets after 1.5 s, as if all hosts there were gone. The fence kept every promise (100 random cases of each kind of cut broke none), but the two stewards fenced each other by turns, and each takeover ended what ran there.

Cause: a refused connection counted as "known to be dead": the zone counted as orphaned (1.5 s), not as silent (8 s, larger side only), and a steward that heard that it was fenced claimed the target again at once, for ever. Two hosts of one zone that lost each other did the same, also in silent cuts.

Evidence: the worlds' cuts have a direction now and may refuse.

The mend: a refusal stays grounds for haste, since a killed zone's targets are adopted after 1.5 s and one surviving host serves alone. But the target's own word overrules it: a steward that is fenced at a target of a zone it claims leaves the zone to hosts that come before it there (the zone's own, then by processor and hash) if such a host can't be reached. For 8 s it doesn't claim the zone, and a refusing host whose zone's targets have shown that it lives counts as silent, for the larger side's rule and for isolation. Of two hosts each knows the other's rank, so exactly one gives way.

Two names of cases said that a host that refuses is dead; they say now that it refuses.

--- a/crates/fleet/src/control/fleet.rs
+++ b/crates/fleet/src/control/fleet.rs
@@ -14,7 +14,7 @@
 
 /// Time between heartbeats of a steward; what it has free changes in tens of milliseconds.
 const STEWARD_BEATS_EVERY: Duration = Duration::from_millis(100);
-/// Time between heartbeats of other hosts: a third of the silence after which they count as dead.
+/// Time between heartbeats of other hosts: a third of the silence after which they count as lost.
 const OTHERS_BEAT_EVERY: Duration = Duration::from_millis(250);
 /// Time between attempts to reach hosts that are not heard. A host that lost another says so with
 /// the first message of a new session, and the other must have stopped its tasks before a caller's
@@ -187,16 +187,7 @@
     fn tend_claims(&mut self, zones: &[Zone], now: Instant) {
         let claimed = self.roster.claims.iter().map(|claim| claim.zone.clone());
         let yielded: Vec<Zone> = claimed.filter(|zone| self.roster.should_yield(zone)).collect();
-        let any = !yielded.is_empty();
-        for zone in yielded {
-            self.roster.claims.retain(|claim| claim.zone != zone);
-            self.note(Note::Yielded { zone });
-        }
-        if any && self.roster.claims.is_empty() {
-            let mut out = steward::Output::default();
-            self.steward.hand_back(&mut out);
-            self.deliver(out, now);
-        }
+        self.yield_zones(&yielded, now);
         for zone in zones {
             if self.roster.should_claim(zone, now) {
                 let token = self.mint.next(self.clock.wall());
@@ -208,6 +199,19 @@
         }
     }
 
+    /// Gives claims up, and what waits with the last of them.
+    pub(super) fn yield_zones(&mut self, zones: &[Zone], now: Instant) {
+        for zone in zones {
+            self.roster.claims.retain(|claim| claim.zone != *zone);
+            self.note(Note::Yielded { zone: zone.clone() });
+        }
+        if !zones.is_empty() && self.roster.claims.is_empty() {
+            let mut out = steward::Output::default();
+            self.steward.hand_back(&mut out);
+            self.deliver(out, now);
+        }
+    }
+
     pub(super) fn beat(&mut self, now: Instant) {
         let steward = !self.roster.claims.is_empty();
         let every = if steward { STEWARD_BEATS_EVERY } else { OTHERS_BEAT_EVERY };
@@ -249,8 +253,8 @@
     /// Tries to reach hosts that are not heard.
     fn contact(&mut self, now: Instant) {
         let beat = self.own_beat(now);
-        let dead = self.roster.peers().filter(|peer| !peer.alive).map(|peer| peer.card.address);
-        let mut addresses: Vec<SocketAddr> = self.contacts.iter().copied().chain(dead).collect();
+        let lost = self.roster.peers().filter(|peer| !peer.alive).map(|peer| peer.card.address);
+        let mut addresses: Vec<SocketAddr> = self.contacts.iter().copied().chain(lost).collect();
         addresses.retain(|address| *address != self.roster.me().address);
         addresses.sort();
         addresses.dedup();
--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -218,7 +218,7 @@
         true
     }
 
-    /// Answers jobs that had tasks at a host that is gone: they may have run there, and the
+    /// Answers jobs that had tasks at a host that is lost: they may have run there, and the
     /// caller's repeat comes after their leases ended.
     pub(super) fn give_up_with(&mut self, host: &Host, now: Instant) {
         for id in self.jobs.matching(|open| open.is_with(host)) {
--- a/crates/fleet/src/control/targets.rs
+++ b/crates/fleet/src/control/targets.rs
@@ -3,11 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
-use coltsfootshunt_core::name::{Host, Target};
+use coltsfootshunt_core::name::{Host, Target, Zone};
 
 use super::{Action, State};
 use crate::job::{Bundle, End, Ending, Grant, Part, Stand, Task};
-use crate::lease::{Answer, Call};
+use crate::lease::{Answer, Call, Phase, Rejection};
 use crate::peer::Message;
 use crate::steward::Output;
 
@@ -31,12 +31,28 @@
     }
 
     pub(super) fn called(&mut self, call: &Call, answer: Answer, now: Instant) {
+        let contested = self.contested(call, &answer);
         let mut out = Output::default();
         self.steward.answer(call, answer, &mut self.speeds, now, &mut out);
+        if let Some(zone) = contested
+            && self.roster.contest(&zone, now)
+        {
+            self.yield_zones(&[zone], now);
+        }
         self.tend_one(&call.target, now, &mut out);
         self.deliver(out, now);
     }
 
+    /// The zone that this host claims and a target of which obeys another host by now.
+    fn contested(&self, call: &Call, answer: &Answer) -> Option<Zone> {
+        let fenced = matches!(answer, Answer::Rejected(Rejection::Fenced));
+        let mut pictures = self.steward.pictures().filter(|_| fenced);
+        let picture = pictures.find(|one| one.entry.name == call.target)?;
+        let current = [Phase::Held(call.token), Phase::Claiming(call.token)];
+        let zone = &picture.entry.zone;
+        (current.contains(&picture.phase) && self.roster.claims(zone)).then(|| zone.clone())
+    }
+
     pub(super) fn tend_targets(&mut self, now: Instant) {
         self.steward.sync(&self.directory, &self.roster, now);
         self.tend(now);
--- a/crates/fleet/src/control/tests/safety.rs
+++ b/crates/fleet/src/control/tests/safety.rs
@@ -2,7 +2,7 @@
 use proptest::prelude::*;
 
 use super::jobs::settled;
-use super::world::{Chances, World};
+use super::world::{Chances, Cut, World};
 use crate::job::Outcome;
 
 /// Cases of each property; more by `COLTSFOOTSHUNT_CASES`.
@@ -32,6 +32,17 @@
                 world.set_cut(host, other, cut);
             }
         }
+        kind @ 6..=8 => {
+            let other = world.pick(world.hosts());
+            let cut = if kind == 8 { Cut::Silent } else { Cut::Refusing };
+            let cut = world.chance(0.5).then_some(cut);
+            if other != host {
+                world.set_path(host, other, cut);
+                if kind == 6 {
+                    world.set_path(other, host, cut);
+                }
+            }
+        }
         _ => {
             let killed: Vec<usize> = (0..world.hosts()).filter(|one| !world.is_up(*one)).collect();
             killed.into_iter().for_each(|one| world.start(one));
@@ -156,7 +167,12 @@
     under_planned_stops(CALM, &[2, 5]);
     under_crashed_targets(CALM, &[3]);
     under_cuts_between_hosts(CALM, &[4]);
+    under_refusing_cuts_between_hosts(CALM, &[6]);
+    under_refusing_cuts_one_way(CALM, &[7]);
+    under_silent_cuts_one_way(CALM, &[8]);
+    under_cuts_of_all_kinds_and_lost_calls(LATE, &[4, 6, 7, 8]);
     under_all_of_it(LATE, &[0, 1, 2, 3, 4, 5, 5]);
+    under_all_of_it_and_cuts_of_all_kinds(LATE, &[0, 1, 2, 3, 4, 5, 5, 6, 7, 8]);
 }
 
 cases! { long_work:
@@ -166,5 +182,7 @@
     under_killed_hosts(CALM, &[0, 5]);
     under_planned_stops(CALM, &[2, 5]);
     under_cuts_between_hosts(CALM, &[4]);
+    under_refusing_cuts_between_hosts(CALM, &[6]);
+    under_cuts_one_way(CALM, &[7, 8]);
     under_all_of_it_at_once(LATE, &[0, 1, 2, 3, 4, 5, 5]);
 }
--- /dev/null
+++ b/crates/fleet/src/control/tests/world/cuts.rs
@@ -0,0 +1,44 @@
+//! Cuts of the network.
+
+use coltsfootshunt_core::name::{Target, Zone};
+
+use super::{Host, World};
+
+/// What a cut does to connections.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(in crate::control::tests) enum Cut {
+    /// Nothing gets through.
+    Silent,
+    /// They are reset and refused.
+    Refusing,
+}
+
+impl World {
+    /// Cuts two hosts off from each other, or mends that.
+    pub(in crate::control::tests) fn set_cut(&mut self, one: usize, other: usize, cut: bool) {
+        let cut = cut.then_some(Cut::Silent);
+        self.set_path(one, other, cut);
+        self.set_path(other, one, cut);
+    }
+
+    /// Cuts what one host sends to another, or mends that.
+    pub(in crate::control::tests) fn set_path(&mut self, from: usize, to: usize, cut: Option<Cut>) {
+        match cut {
+            Some(cut) => self.cuts.insert((from, to), cut),
+            None => self.cuts.remove(&(from, to)),
+        };
+    }
+
+    /// From now on calls of a host to targets are lost.
+    pub(in crate::control::tests) fn part(&mut self, host: usize) {
+        let targets: Vec<Target> = self.targets.keys().cloned().collect();
+        self.parted.extend(targets.into_iter().map(|target| (host, target)));
+    }
+
+    /// Hosts that claim a zone.
+    pub(in crate::control::tests) fn stewards(&self, zone: &str) -> Vec<usize> {
+        let zone = Zone::try_from(zone).unwrap();
+        let claims = |host: &Host| host.state.as_ref().is_some_and(|one| one.roster.claims(&zone));
+        (0..self.hosts.len()).filter(|host| claims(&self.hosts[*host])).collect()
+    }
+}
--- a/crates/fleet/src/member/roster.rs
+++ b/crates/fleet/src/member/roster.rs
@@ -8,20 +8,21 @@
 
 use super::{Beat, Card, Claim};
 
-/// Silence after which a host counts as dead: eight heartbeats of a steward, and a caller's repeat
+/// Silence after which a host counts as lost: eight heartbeats of a steward, and a caller's repeat
 /// comes later than this and a target's lease together.
-pub const DEAD_AFTER: Duration = Duration::from_millis(800);
+pub const LOST_AFTER: Duration = Duration::from_millis(800);
 /// Time after the start in which a host listens before it claims anything: some heartbeats of a
 /// steward.
 const SETTLE: Duration = Duration::from_millis(450);
-/// Time after which another zone's host takes the targets of a zone whose hosts are known to be gone.
+/// Time after which another zone's host takes the targets of a zone whose hosts refuse connections or
+/// have said that they stop. They may live behind a cut; their targets then show it.
 const ORPHANED_FOR: Duration = Duration::from_millis(1_500);
 /// The same where the zone's hosts are only silent: they may be behind a cut, and go on there. Most
 /// cuts are shorter.
 const SILENT_FOR: Duration = Duration::from_secs(8);
 /// Time for which a host that hears nobody leaves all to the others.
 const ISOLATED_FOR: Duration = Duration::from_secs(10);
-/// Time for which a dead host still counts as a member that may be behind a cut.
+/// Time for which a lost host still counts as a member that may be behind a cut.
 const REMEMBER_FOR: Duration = Duration::from_secs(60);
 
 /// Another host.
@@ -35,7 +36,7 @@
     pub heard: Instant,
     /// Whether it counts as alive.
     pub alive: bool,
-    /// Whether it is known to be dead: its address refused a connection.
+    /// Whether its address refused a connection: its process is gone, or there is a cut.
     pub refused: bool,
 }
 
@@ -47,6 +48,8 @@
     peers: BTreeMap<Host, Peer>,
     /// Since when no host of a zone has been alive.
     orphaned: BTreeMap<Zone, Instant>,
+    /// When a target of a zone last obeyed another host.
+    contested: BTreeMap<Zone, Instant>,
     /// Since when this host has heard nobody.
     isolated: Option<Instant>,
     /// This host's claims.
@@ -64,6 +67,7 @@
             started: now,
             peers: BTreeMap::new(),
             orphaned: BTreeMap::new(),
+            contested: BTreeMap::new(),
             isolated: None,
             claims: Vec::new(),
             leaving: false,
@@ -135,7 +139,7 @@
 
     /// Hosts that have just become silent.
     pub fn silent(&mut self, now: Instant) -> Vec<Host> {
-        let silent = |peer: &&Peer| peer.alive && now.duration_since(peer.heard) > DEAD_AFTER;
+        let silent = |peer: &&Peer| peer.alive && now.duration_since(peer.heard) > LOST_AFTER;
         self.peers.values().filter(silent).map(|peer| peer.card.host.clone()).collect()
     }
 
@@ -152,14 +156,33 @@
         self.isolated = if alone { self.isolated.or(Some(now)) } else { None };
     }
 
-    /// Hosts that are silent and may well live, behind a cut.
+    /// Hosts that may well live, behind a cut: they are silent, or they refuse connections and a
+    /// target of their zone has shown that another host gives it orders.
     fn missing(&self, now: Instant) -> impl Iterator<Item = &Peer> {
         self.peers.values().filter(move |peer| {
             let recent = now.duration_since(peer.heard) < REMEMBER_FOR;
-            recent && !peer.alive && !peer.refused && !peer.beat.leaving
+            let seen = self.contested.get(&peer.card.zone);
+            let lives =
+                seen.is_some_and(|at| *at > peer.heard || now.duration_since(*at) < SILENT_FOR);
+            recent && !peer.alive && (!peer.refused || lives) && !peer.beat.leaving
         })
     }
 
+    /// A target of a zone that this host claims obeys another one. Whether this host leaves the
+    /// zone to it: it does so if a host that comes before it there may be behind a cut.
+    pub fn contest(&mut self, zone: &Zone, now: Instant) -> bool {
+        self.contested.insert(zone.clone(), now);
+        self.is_contested(zone, now)
+    }
+
+    /// Whether a host that can't be reached comes before this one as the steward of a zone, and
+    /// one of the zone's targets has shown lately that another host lives.
+    fn is_contested(&self, zone: &Zone, now: Instant) -> bool {
+        let seen = self.contested.get(zone);
+        let recent = seen.is_some_and(|at| now.duration_since(*at) < SILENT_FOR);
+        recent && self.missing(now).any(|peer| rank(zone, &peer.card) > rank(zone, &self.me))
+    }
+
     /// How long a zone must be without hosts before this host may take it; none if never.
     fn patience(&self, zone: &Zone, now: Instant) -> Option<Duration> {
         if !self.missing(now).any(|peer| peer.card.zone == *zone) {
@@ -212,6 +235,9 @@
         if !settled || self.leaving || self.is_isolated(now) || self.steward(zone).is_some() {
             return false;
         }
+        if self.is_contested(zone, now) {
+            return false;
+        }
         let mut own = self.candidates(zone).peekable();
         if own.peek().is_some() {
             return best(zone, own).is_some_and(|card| card.host == self.me.host);
@@ -251,7 +277,14 @@
     }
 }
 
-/// The host with the most processor; among equals the hash decides, differently for each zone.
+/// The host that comes first as the steward of a zone.
 fn best<'a>(zone: &Zone, cards: impl Iterator<Item = &'a Card>) -> Option<&'a Card> {
-    cards.max_by_key(|card| (card.weight, xxh3_64(format!("{zone}/{}", card.host).as_bytes())))
+    cards.max_by_key(|card| rank(zone, card))
+}
+
+/// Order of hosts as stewards of a zone: its own before others, then by processor; among equals the
+/// hash decides, differently for each zone.
+fn rank(zone: &Zone, card: &Card) -> (bool, u32, u64) {
+    let hash = xxh3_64(format!("{zone}/{}", card.host).as_bytes());
+    (card.zone == *zone, card.weight, hash)
 }
--- a/crates/fleet/src/member/tests.rs
+++ b/crates/fleet/src/member/tests.rs
@@ -78,7 +78,7 @@
 
 cases! { isolated:
     when_all_others_are_silent(false, 3_000, true);
-    not_when_the_others_are_dead(true, 3_000, false);
+    not_when_the_others_refuse(true, 3_000, false);
     not_for_ever(false, 11_000, false);
 }
 
@@ -96,7 +96,7 @@
 }
 
 cases! { adopts:
-    a_zone_whose_host_is_dead(true, false, 2_000, true);
+    a_zone_whose_host_refuses(true, false, 2_000, true);
     no_zone_whose_host_is_silent(false, false, 2_000, false);
     a_zone_whose_host_stays_silent(false, false, 9_000, true);
     nothing_on_the_smaller_side_of_a_cut(false, true, 9_000, false);
@@ -112,3 +112,46 @@
     roster.beat(&Host::try_from("x").unwrap(), Beat { claims, ..Beat::default() });
     assert!(!roster.should_yield(&zone("a")));
 }
+
+/// Host `x` of zone `b` refuses connections, and 2 s later a target of `of` obeys another host.
+/// Later `x` may be heard again and refuse once more at 11 s.
+fn leaves(of: &str, heard_again: bool, after_ms: u64, wanted: bool) {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let x = Host::try_from("x").unwrap();
+    let mut roster = roster(&[("x", "b"), ("y", "c"), ("z", "c")], start);
+    let lose = |roster: &mut Roster, ms| {
+        roster.lose(&x, true);
+        roster.settle([zone(of)].into_iter(), at(ms));
+    };
+    lose(&mut roster, 0);
+    assert_eq!(roster.contest(&zone(of), at(2_000)), of == "b");
+    for host in ["y", "z"] {
+        roster.hear(&card(host, "c", 250), at(2_000));
+    }
+    if heard_again {
+        roster.hear(&card("x", "b", 250), at(3_000));
+        roster.settle([zone(of)].into_iter(), at(3_000));
+        lose(&mut roster, 11_000);
+    }
+    assert_eq!(roster.should_claim(&zone(of), at(after_ms)), wanted);
+}
+
+cases! { leaves:
+    a_zone_that_its_own_host_leads_behind_a_cut("b", false, 9_000, false);
+    it_for_a_while("b", false, 11_000, true);
+    it_until_its_host_is_gone("b", true, 13_000, true);
+    not_its_own_zone_to_others("a", false, 3_000, true);
+}
+
+/// The only other host refuses connections, and lives.
+#[test]
+fn a_host_that_refuses_and_gives_orders_is_behind_a_cut() {
+    let start = Instant::now();
+    let mut roster = roster(&[("x", "b")], start);
+    roster.lose(&Host::try_from("x").unwrap(), true);
+    roster.contest(&zone("b"), start + Duration::from_secs(2));
+    let now = start + Duration::from_secs(3);
+    roster.settle([zone("b")].into_iter(), now);
+    assert!(roster.is_isolated(now));
+}
--- a/crates/fleet/src/peer/link.rs
+++ b/crates/fleet/src/peer/link.rs
@@ -14,7 +14,7 @@
 use crate::member::Card;
 
 /// Time after which a batch that can't be delivered ends its session; below the time after which a
-/// silent host counts as dead.
+/// silent host counts as lost.
 const GIVE_UP_AFTER: Duration = Duration::from_millis(700);
 /// Pause before a batch is repeated.
 const REPEAT_AFTER: Duration = Duration::from_millis(40);
--- a/crates/fleet/src/peer/message.rs
+++ b/crates/fleet/src/peer/message.rs
@@ -76,7 +76,7 @@
 /// Why a host can't be reached.
 #[derive(Clone, Copy, Debug, Display, Error, Eq, PartialEq)]
 pub enum Unreachable {
-    /// The connection was refused: nothing listens there.
+    /// The connection was refused: nothing listens there, or a cut refuses for it.
     #[display("refused")]
     Refused,
     /// No answer.
