--- a/crates/fleet/src/control/tests/safety.rs
+++ b/crates/fleet/src/control/tests/safety.rs
@@ -2,7 +2,7 @@
 use proptest::prelude::*;
 
 use super::jobs::settled;
-use super::world::{Chances, Severance, World};
+use super::world::{Chances, Cut, World};
 use crate::job::Outcome;
 
 /// Cases of each property; more by `COLTSFOOTSHUNT_CASES`.
@@ -32,15 +32,26 @@
                 world.set_cut(host, other, cut);
             }
         }
-        6 => {
+        kind @ 6..=8 => {
+            let other = world.pick(world.hosts());
+            let cut = if kind == 8 { Cut::Silent } else { Cut::Refusing };
+            let cut = world.chance(0.5).then_some(cut);
+            if other != host {
+                world.set_path(host, other, cut);
+                if kind == 6 {
+                    world.set_path(other, host, cut);
+                }
+            }
+        }
+        9 => {
             let target = world.pick(world.targets.len());
-            let how = world.chance(0.7).then_some(Severance::Refusing);
+            let how = world.chance(0.7).then_some(Cut::Refusing);
             (0..world.hosts()).for_each(|host| world.sever(host, target, how));
         }
-        7 => {
+        10 => {
             let target = world.pick(world.targets.len());
             let refusing = world.chance(0.5);
-            let how = if refusing { Severance::Refusing } else { Severance::Silent };
+            let how = if refusing { Cut::Refusing } else { Cut::Silent };
             let cut = world.chance(0.7);
             world.sever(host, target, cut.then_some(how));
         }
@@ -168,10 +179,15 @@
     under_planned_stops(CALM, &[2, 5]);
     under_crashed_targets(CALM, &[3]);
     under_cuts_between_hosts(CALM, &[4]);
+    under_refusing_cuts_between_hosts(CALM, &[6]);
+    under_refusing_cuts_one_way(CALM, &[7]);
+    under_silent_cuts_one_way(CALM, &[8]);
+    under_cuts_of_all_kinds_and_lost_calls(LATE, &[4, 6, 7, 8]);
     under_all_of_it(LATE, &[0, 1, 2, 3, 4, 5, 5]);
-    under_targets_that_refuse_connections(CALM, &[6]);
-    under_targets_out_of_reach_of_one_host(CALM, &[7]);
-    under_all_of_it_and_targets_out_of_reach(LATE, &[0, 1, 2, 3, 4, 5, 5, 6, 7, 7]);
+    under_all_of_it_and_cuts_of_all_kinds(LATE, &[0, 1, 2, 3, 4, 5, 5, 6, 7, 8]);
+    under_targets_that_refuse_connections(CALM, &[9]);
+    under_targets_out_of_reach_of_one_host(CALM, &[10]);
+    under_all_of_it_and_targets_out_of_reach(LATE, &[0, 1, 2, 3, 4, 5, 5, 9, 10, 10]);
 }
 
 cases! { long_work:
@@ -181,6 +197,8 @@
     under_killed_hosts(CALM, &[0, 5]);
     under_planned_stops(CALM, &[2, 5]);
     under_cuts_between_hosts(CALM, &[4]);
+    under_refusing_cuts_between_hosts(CALM, &[6]);
+    under_cuts_one_way(CALM, &[7, 8]);
     under_all_of_it_at_once(LATE, &[0, 1, 2, 3, 4, 5, 5]);
-    under_targets_that_refuse_connections(CALM, &[6]);
+    under_targets_that_refuse_connections(CALM, &[9]);
 }
--- a/crates/fleet/src/control/tests/world/network.rs
+++ b/crates/fleet/src/control/tests/world/network.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 
 use super::super::target::Work;
-use super::{GIVE_UP_MS, Happening, Lane, Severance, World};
+use super::{Cut, GIVE_UP_MS, Happening, Lane, World};
 use crate::control::{Event, Request};
 use crate::job::Room;
 use crate::lease::{Answer, Call, Order, Rejection};
@@ -34,9 +34,9 @@
             let thaw = self.hosts[host].frozen_until - now_ms;
             return self.happen(thaw, Happening::Deliver { host, run, to });
         }
-        let refused = !self.is_up(other);
+        let cut = self.cuts.get(&(host, other)).copied();
+        let refused = !self.is_up(other) || cut == Some(Cut::Refusing);
         let frozen = now_ms < self.hosts[other].frozen_until;
-        let cut = self.cut.contains(&(host.min(other), host.max(other)));
         let from = self.hosts[host].card.clone();
         let Some(lane) = self.hosts[host].lanes.get_mut(&to) else {
             return;
@@ -55,7 +55,7 @@
             let event = Event::LinkLost { address: to, refused };
             return self.happen(0, Happening::Event(host, run, event));
         }
-        if frozen || cut {
+        if frozen || cut.is_some() {
             return self.happen(20, Happening::Deliver { host, run, to });
         }
         lane.number += 1;
@@ -78,8 +78,8 @@
         }
         if let Some(how) = self.severed.get(&(host, call.target.clone())) {
             let (answer, after) = match how {
-                Severance::Silent => (Answer::Silent, call.within.as_millis() as u64),
-                Severance::Refusing => (Answer::Unsent, 1),
+                Cut::Silent => (Answer::Silent, call.within.as_millis() as u64),
+                Cut::Refusing => (Answer::Unsent, 1),
             };
             let event = Event::Called(Box::new(call), answer);
             return self.happen(after, Happening::Event(host, run, event));
@@ -135,14 +135,14 @@
         let now_ms = self.now_ms();
         let severed = self.severed.get(&(host, call.target.clone())).copied();
         let down = self.targets.get(&call.target).is_some_and(|target| target.is_down(now_ms));
-        if down || severed == Some(Severance::Refusing) {
+        if down || severed == Some(Cut::Refusing) {
             let event = Event::Called(Box::new(call), Answer::Silent);
             return self.happen(1, Happening::Event(host, run, event));
         }
-        if severed == Some(Severance::Silent) && now_ms < until_ms {
+        if severed == Some(Cut::Silent) && now_ms < until_ms {
             return self.happen(5, Happening::Hold { host, run, call, until_ms });
         }
-        if severed == Some(Severance::Silent) {
+        if severed == Some(Cut::Silent) {
             let event = Event::Called(Box::new(call), Answer::Silent);
             return self.happen(1, Happening::Event(host, run, event));
         }
