fix(lease,steward): no lease outlasts the last word of an owner into its caller's repeat

What callers could see: two runs of one task. An owner that loses a steward by a refusal answers its callers at once, and they come again after 1.3 s. The steward, which hears nothing, misses the owner only after 0.8 s, renewed its targets' leases until then, and counted on its stops: if it is cut off from a target just then, the run goes on until 1.8 s, beside the repeat's. A comment held that a repeat comes later than 0.8 s and a lease together, which is not so.

Cause: the same class from the other side. That a stop was sent was taken for its arrival, and silence of an owner under 0.8 s for a sign that its work is wanted.

The mend: a lease is granted no longer than 1.15 s after the last word of each owner whose work is at the target (the platform's bound for repeats less 0.15 s for a slow clock, the killing of tasks and the way of the word); the word counts up to the moment at which the work was no longer wanted. An owner is heard four times a second, so leases of work whose owner is there stay above 0.85 s. Where less than half a lease could be granted nothing new is placed.

--- a/crates/fleet/src/control/tests/cuts.rs
+++ b/crates/fleet/src/control/tests/cuts.rs
@@ -125,5 +125,6 @@
     where_the_steward_stops_the_run_in_time(None, 1_200);
     where_the_steward_loses_its_targets_at_once(None, 0);
     where_the_steward_loses_its_targets_a_little_later(None, 400);
+    where_the_steward_loses_its_targets_before_it_misses_the_owner(None, 750);
     where_the_steward_hears_of_the_cut_at_once(Some(Cut::Refusing), 700);
 }
--- a/crates/fleet/src/control/tests/start.rs
+++ b/crates/fleet/src/control/tests/start.rs
@@ -10,7 +10,7 @@
 use crate::config::tests::{document, route};
 use crate::control::{Action, Event, Output, Request, Settings, State};
 use crate::job::{Id, Need, Outcome, Plan, Refusal, Room, Step, Submission, Ticket};
-use crate::lease::Token;
+use crate::lease::{Term, Token};
 use crate::member::tests::card;
 use crate::member::{Beat, Claim};
 use crate::peer::{Batch, Message};
@@ -20,11 +20,11 @@
 
 /// A host that knows the configuration, and nobody yet.
 fn alone(clock: &Arc<Time>) -> State {
-    let lease = Duration::from_secs(1);
+    let term = Term { longest: Duration::from_secs(1), repeat: Duration::from_millis(1_300) };
     let settings = Settings {
         card: card("me", "a", 250),
         seeds: Vec::new(),
-        steward: steward::Settings { lease, remote_factor: 1.5 },
+        steward: steward::Settings { term, remote_factor: 1.5 },
         stop_within: Duration::from_secs(5),
     };
     let mut state = State::new(settings, Arc::clone(clock) as Arc<dyn Clock>);
--- a/crates/fleet/src/control/tests/world.rs
+++ b/crates/fleet/src/control/tests/world.rs
@@ -19,7 +19,7 @@
 use crate::control::{Action, Event, Output, Settings, State};
 use crate::directory;
 use crate::job::{Id, Outcome, Plan, Task, Ticket};
-use crate::lease::{Answer, Call};
+use crate::lease::{Answer, Call, Term};
 use crate::member::Card;
 use crate::peer::Message;
 use crate::report::Note;
@@ -239,11 +239,12 @@
         one.card.incarnation = one.run * 16 + host as u64;
         one.lanes.clear();
         one.held.clear();
-        let lease = Duration::from_millis(LEASE_MS);
+        let repeat = Duration::from_millis(RESEND_MS);
+        let term = Term { longest: Duration::from_millis(LEASE_MS), repeat };
         let settings = Settings {
             card: one.card.clone(),
             seeds,
-            steward: steward::Settings { lease, remote_factor: 1.5 },
+            steward: steward::Settings { term, remote_factor: 1.5 },
             stop_within: Duration::from_secs(5),
         };
         let clock: Arc<dyn Clock> = Arc::clone(&self.time) as _;
--- a/crates/fleet/src/lease/mod.rs
+++ b/crates/fleet/src/lease/mod.rs
@@ -18,6 +18,6 @@
 
 pub use evidence::Evidence;
 pub use message::{Answer, Call, Ended, How, Listed, Order, Rejection, Report, Runner};
-pub use picture::{Attempt, Finding, Phase, Picture};
+pub use picture::{Attempt, Finding, Phase, Picture, Term};
 pub use timeout::Timeout;
 pub use token::{Mint, Token};
--- a/crates/fleet/src/lease/picture.rs
+++ b/crates/fleet/src/lease/picture.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use coltsfootshunt_core::name::Target;
+use coltsfootshunt_core::name::{Host, Target};
 
 use super::{Call, Evidence, Order, Rejection, Timeout, Token};
 use crate::directory::Entry;
@@ -27,11 +27,23 @@
 const CLOCK_DRIFT: f64 = 0.02;
 /// Age from which an idle target's clock is read anew: it may be off by a tenth of a lease then.
 const CLOCK_FRESH_FOR: Duration = Duration::from_secs(5);
+/// Time before a caller's repeat at which what an owner may have given up has ended: a slow clock's share
+/// of the longest lease, the time that ending a task takes, and that of an owner's word to its steward.
+const REPEAT_SLACK: Duration = Duration::from_millis(150);
 /// Slack for the time that ending a task takes.
 const LAPSE_SLACK: Duration = Duration::from_millis(100);
 /// Time after which an idle target's last ends are taken note of.
 const NOTE_ENDS_AFTER: Duration = Duration::from_millis(250);
 
+/// How long leases may last.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Term {
+    /// Longest lease that a target grants.
+    pub longest: Duration,
+    /// Time after a lost answer at which a caller may send its job again, through any host.
+    pub repeat: Duration,
+}
+
 /// What an answer showed.
 #[derive(Clone, Debug)]
 pub enum Finding {
@@ -73,7 +85,7 @@
     attempts: BTreeMap<Task, Attempt>,
     /// Attempts that others started; their room is not known.
     orphans: BTreeMap<Task, Orphan>,
-    lease: Duration,
+    term: Term,
     /// The target's clock, in milliseconds, and when that was heard.
     clock: Option<(u64, Instant)>,
     seen: u64,
@@ -94,15 +106,15 @@
 }
 
 impl Picture {
-    /// A target that this host has not asked yet. `lease` is the longest lease it grants.
+    /// A target that this host has not asked yet.
     #[must_use]
-    pub fn new(entry: Entry, lease: Duration, now: Instant) -> Self {
+    pub fn new(entry: Entry, term: Term, now: Instant) -> Self {
         Self {
             entry,
             phase: Phase::Free,
             attempts: BTreeMap::new(),
             orphans: BTreeMap::new(),
-            lease,
+            term,
             clock: None,
             seen: 0,
             noted: 0,
@@ -159,7 +171,8 @@
     #[must_use]
     pub fn free(&self, now: Instant) -> Option<Room> {
         let certain = matches!(self.phase, Phase::Held(_)) && !self.doubt && self.silences == 0;
-        if !certain || !self.orphans.is_empty() || now < self.closed_until {
+        let is_short = self.lease(now) < self.term.longest / 2;
+        if !certain || is_short || !self.orphans.is_empty() || now < self.closed_until {
             return None;
         }
         let used = self.attempts.values().fold(Room::default(), |sum, each| sum + each.room);
@@ -227,10 +240,10 @@
     /// Starts an attempt. The caller has checked that it fits.
     pub fn start(&mut self, task: &Task, spec: Arc<str>, attempt: Attempt, now: Instant) -> Call {
         let token = self.token();
-        let lease_until_ms = self.lease_until(now).unwrap_or_default();
-        self.leased_at = Some(now);
         let run = attempt.run;
         self.attempts.insert(task.clone(), Attempt { token, ..attempt });
+        let lease_until_ms = self.lease_until(now).unwrap_or_default();
+        self.leased_at = Some(now);
         let order = Order::Start { task: task.clone(), run, spec, lease_until_ms };
         self.call(token, order, self.timeout.within())
     }
@@ -262,6 +275,13 @@
         stop.into_iter().map(order).collect()
     }
 
+    /// Notes when the owners of attempts that are wanted were last heard.
+    pub fn hear(&mut self, heard: impl Fn(&Host) -> Option<Instant>) {
+        for attempt in self.attempts.values_mut().filter(|one| !one.unwanted) {
+            attempt.heard = heard(&attempt.owner).unwrap_or(attempt.heard);
+        }
+    }
+
     /// Marks attempts that nobody wants any more; they are stopped.
     pub fn unwant(&mut self, test: impl Fn(&Task, &Attempt) -> bool) {
         for (task, attempt) in &mut self.attempts {
@@ -301,13 +321,26 @@
     /// clock was since it was read.
     fn lease_until(&self, now: Instant) -> Option<u64> {
         let (clock_ms, at) = self.clock?;
-        let ahead = now.duration_since(at).mul_f64(1.0 - CLOCK_DRIFT) + self.lease;
+        let lease = self.lease(now);
+        if lease.is_zero() {
+            return None;
+        }
+        let ahead = now.duration_since(at).mul_f64(1.0 - CLOCK_DRIFT) + lease;
         Some(clock_ms.saturating_add(u64::try_from(ahead.as_millis()).unwrap_or_default()))
     }
 
+    /// The longest lease from now on that ends before a job can come again whose owner may have given it
+    /// up just after it was last heard.
+    fn lease(&self, now: Instant) -> Duration {
+        let repeat = |one: &Attempt| one.heard + self.term.repeat;
+        let earliest = self.attempts.values().map(repeat).min();
+        let left = earliest.map(|at| at.saturating_duration_since(now + REPEAT_SLACK));
+        left.map_or(self.term.longest, |left| left.min(self.term.longest))
+    }
+
     /// Time from the sending of a lease to its end, at the latest.
     fn lapses_after(&self) -> Duration {
-        self.lease.div_f64(1.0 - CLOCK_DRIFT) + LAPSE_SLACK
+        self.term.longest.div_f64(1.0 - CLOCK_DRIFT) + LAPSE_SLACK
     }
 
     fn token(&self) -> Token {
--- a/crates/fleet/src/lease/picture/attempt.rs
+++ b/crates/fleet/src/lease/picture/attempt.rs
@@ -51,6 +51,8 @@
     pub objective: Instant,
     /// When its caller goes.
     pub due: Instant,
+    /// When its owner was last heard while it was wanted.
+    pub heard: Instant,
     /// Whether nobody wants it any more.
     pub unwanted: bool,
     /// Whether it is to be stopped so that its task can start elsewhere.
@@ -83,6 +85,7 @@
             since,
             objective: since,
             due: since,
+            heard: since,
             unwanted: false,
             recalled: false,
             status: Status::Sent,
--- a/crates/fleet/src/lease/tests.rs
+++ b/crates/fleet/src/lease/tests.rs
@@ -7,12 +7,13 @@
 
 use super::{
     Answer, Attempt, Call, Ended, Finding, How, Listed, Mint, Order, Phase, Picture, Rejection,
-    Report, Timeout, Token,
+    Report, Term, Timeout, Token,
 };
 use crate::directory::tests::entry;
 use crate::job::{End, Id, Room, Task};
 
 const LEASE: Duration = Duration::from_millis(1_000);
+const TERM: Term = Term { longest: LEASE, repeat: Duration::from_millis(1_300) };
 const TOKEN: Token = Token(5);
 /// The target's clock at its first answer, in milliseconds.
 const CLOCK: u64 = 100;
@@ -44,7 +45,7 @@
 
 /// A target that this host has claimed.
 fn held(now: Instant) -> Picture {
-    let mut picture = Picture::new(entry("t", "a"), LEASE, now);
+    let mut picture = Picture::new(entry("t", "a"), TERM, now);
     let claim = picture.claim(TOKEN, now);
     let found = picture.answer(&claim, report(CLOCK, &[], &[]), now);
     assert!(matches!(found[..], [Finding::Claimed(TOKEN)]));
@@ -251,7 +252,7 @@
 #[test]
 fn orphans_are_stopped_before_anything_starts() {
     let now = Instant::now();
-    let mut picture = Picture::new(entry("t", "a"), LEASE, now);
+    let mut picture = Picture::new(entry("t", "a"), TERM, now);
     let claim = picture.claim(TOKEN, now);
     picture.answer(&claim, report(CLOCK, &[7], &[]), now);
     assert_eq!(free_cpu(&picture, now), None);
--- a/crates/fleet/src/member/roster.rs
+++ b/crates/fleet/src/member/roster.rs
@@ -8,8 +8,7 @@
 
 use super::{Beat, Card, Claim};
 
-/// Silence after which a host counts as lost: eight heartbeats of a steward, and a caller's repeat
-/// comes later than this and a target's lease together.
+/// Silence after which a host counts as lost: eight heartbeats of a steward.
 pub const LOST_AFTER: Duration = Duration::from_millis(800);
 /// Time after the start in which a host listens before it claims anything: some heartbeats of a
 /// steward.
@@ -86,6 +85,12 @@
         self.peers.get(host)
     }
 
+    /// When a host was last heard, if it ever was; this host is heard all the time.
+    #[must_use]
+    pub fn heard(&self, host: &Host, now: Instant) -> Option<Instant> {
+        if *host == self.me.host { Some(now) } else { Some(self.peers.get(host)?.heard) }
+    }
+
     /// All other hosts that were ever heard.
     pub fn peers(&self) -> impl Iterator<Item = &Peer> {
         self.peers.values()
--- a/crates/fleet/src/steward/message.rs
+++ b/crates/fleet/src/steward/message.rs
@@ -1,18 +1,16 @@
 //! What a steward wants done.
 
-use std::time::Duration;
-
 use coltsfootshunt_core::name::Host;
 
 use crate::job::{Ending, Stand};
-use crate::lease::Call;
+use crate::lease::{Call, Term};
 use crate::report::Note;
 
 /// What the platform says of targets.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
-    /// Longest lease that a target grants.
-    pub lease: Duration,
+    /// How long leases of targets may last.
+    pub term: Term,
     /// Factor on the run time of a task away from its data.
     pub remote_factor: f64,
 }
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -85,10 +85,10 @@
 
     /// Brings the set of targets in line with the directory and this host's claims.
     pub fn sync(&mut self, directory: &directory::List, roster: &Roster, now: Instant) {
-        let lease = self.settings.lease;
+        let term = self.settings.term;
         for entry in directory.iter().filter(|entry| roster.claims(&entry.zone)) {
             let picture = self.pictures.entry(entry.name.clone());
-            let picture = picture.or_insert_with(|| Picture::new(entry.clone(), lease, now));
+            let picture = picture.or_insert_with(|| Picture::new(entry.clone(), term, now));
             picture.update(entry);
         }
         self.pictures.retain(|name, picture| {
@@ -212,6 +212,7 @@
         let Some(picture) = self.pictures.get_mut(name) else {
             return;
         };
+        picture.hear(|owner| roster.heard(owner, now));
         let mine = roster.claims(&picture.entry.zone);
         let wanted = mine || picture.phase != Phase::Free;
         if wanted && picture.wants_claim(now) && !roster.is_held(&picture.entry.name) {
--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -63,7 +63,7 @@
         for (one, placing) in starts {
             jobs.insert((one.task.job.clone(), one.opening));
             started.insert(one.task.clone());
-            self.start(&one, placing, now, out);
+            self.start(&one, placing, roster, now, out);
         }
         self.line.remove(&started);
         self.line.begin(&jobs);
@@ -108,7 +108,14 @@
         attempts.filter(|(_, attempt)| attempt.unwanted).map(|(task, _)| task).collect()
     }
 
-    fn start(&mut self, one: &Waiting, placing: Placing, now: Instant, out: &mut Output) {
+    fn start(
+        &mut self,
+        one: &Waiting,
+        placing: Placing,
+        roster: &Roster,
+        now: Instant,
+        out: &mut Output,
+    ) {
         let Placing { target, expected, best } = placing;
         let Some(picture) = self.pictures.get_mut(&target) else {
             return;
@@ -121,6 +128,7 @@
         attempt.expected = expected;
         attempt.objective = one.objective;
         attempt.due = one.due;
+        attempt.heard = roster.heard(&one.owner, now).unwrap_or(now);
         out.notes.push(Note::Started {
             task: one.task.clone(),
             run: one.run,
--- a/crates/fleet/src/steward/tests.rs
+++ b/crates/fleet/src/steward/tests.rs
@@ -6,13 +6,13 @@
 use super::{Output, Settings, Steward};
 use crate::directory::{self, tests::entry};
 use crate::job::{Bundle, End, Grant, Id, Need, Part, Room, Stand};
-use crate::lease::{Answer, Call, Ended, How, Mint, Order, Report, Token};
+use crate::lease::{Answer, Call, Ended, How, Mint, Order, Report, Term, Token};
 use crate::member::tests::card;
 use crate::member::{Beat, Claim, Roster};
 use crate::speed::Book;
 use crate::spread::Load;
 
-const LEASE: Duration = Duration::from_secs(1);
+const TERM: Term = Term { longest: Duration::from_secs(1), repeat: Duration::from_millis(1_300) };
 
 struct Bench {
     steward: Steward,
@@ -33,7 +33,7 @@
         roster.claims.push(Claim { zone: Zone::try_from("a").unwrap(), token: Token(1) });
         let mut directory = directory::List::default();
         directory.read((0..targets).map(|one| entry(&format!("t{one}"), "a")).collect(), now);
-        let steward = Steward::new(Settings { lease: LEASE, remote_factor: 1.5 });
+        let steward = Steward::new(Settings { term: TERM, remote_factor: 1.5 });
         let (speeds, mint) = (Book::default(), Mint::new(1));
         let mut bench = Self { steward, roster, directory, speeds, mint, now, ended: 0 };
         bench.steward.sync(&bench.directory, &bench.roster, now);
--- a/crates/model/src/product.rs
+++ b/crates/model/src/product.rs
@@ -11,7 +11,7 @@
 use coltsfootshunt_fleet::control::{self, Action, Output, Request, State};
 use coltsfootshunt_fleet::directory::{self, Entry};
 use coltsfootshunt_fleet::job::{Id, Need, Outcome, Plan, Room, Step, Submission, Ticket};
-use coltsfootshunt_fleet::lease::{Answer as Reply, Call, Order};
+use coltsfootshunt_fleet::lease::{Answer as Reply, Call, Order, Term};
 use coltsfootshunt_fleet::member::Card;
 use coltsfootshunt_fleet::peer::{Batch, Message};
 use coltsfootshunt_fleet::steward;
@@ -27,7 +27,7 @@
 /// Way to a target or to another host, one way.
 const ONE_WAY: Duration = Duration::from_micros(500);
 /// Longest lease of a target.
-const LEASE: Duration = Duration::from_secs(1);
+const TERM: Term = Term { longest: Duration::from_secs(1), repeat: Duration::from_millis(1_300) };
 /// Time for which hosts run before jobs come: they settle who is steward.
 const LEAD: Duration = Duration::from_secs(2);
 /// Attempts that a task may fail.
@@ -174,7 +174,7 @@
             let settings = control::Settings {
                 card: card.clone(),
                 seeds: (0..product.zones * product.hosts).map(address).collect(),
-                steward: steward::Settings { lease: LEASE, remote_factor: 1.0 },
+                steward: steward::Settings { term: TERM, remote_factor: 1.0 },
                 stop_within: LEAD,
             };
             let state = State::new(settings, Arc::clone(&time) as Arc<dyn Clock>);
