test(entry): promises hold where peers that live refuse connections

No fault here. The worlds of `promises` never refused a call: a peer that could not be reached was always silent. A second property adds calls that are refused at random though the peer lives; it draws from its own strategy, so the cases of the first one are the same as before.

A refusal makes an entry forget the peer at once, share its targets and write off what it lent.

--- a/crates/entry/src/control/tests/promises.rs
+++ b/crates/entry/src/control/tests/promises.rs
@@ -27,6 +27,7 @@
     Deliver { which: usize, lose: bool },
     Double { which: usize },
     Drop { which: usize },
+    Refuse { which: usize },
     Pass { ms: u64 },
     Freeze { entry: usize },
     Wake { entry: usize },
@@ -72,6 +73,15 @@
     ]
 }
 
+/// The same, and calls that are refused though the peer lives.
+fn step_or_refusal() -> impl Strategy<Value = Step> {
+    let which = any::<u16>().prop_map(usize::from);
+    prop_oneof![
+        9 => step(),
+        1 => which.prop_map(|which| Step::Refuse { which }),
+    ]
+}
+
 fn place(which: usize, length: usize) -> Option<usize> {
     (length > 0).then(|| which % length)
 }
@@ -112,6 +122,11 @@
                 world.mail.remove(which);
             }
         }
+        Step::Refuse { which } => {
+            if let Some(which) = place(which, world.mail.len()) {
+                world.refuse(which);
+            }
+        }
         Step::Pass { ms } => world.pass(Duration::from_millis(ms)),
         Step::Freeze { entry } => world.entries[entry].frozen = true,
         Step::Wake { entry } => {
@@ -130,8 +145,7 @@
     std::env::var(CASES_VARIABLE).ok().and_then(|text| text.parse().ok()).unwrap_or(CASES)
 }
 
-#[test]
-fn promises_hold_in_any_interleaving() {
+fn promises_hold(step: impl Strategy<Value = Step>) {
     let config = Config {
         cases: cases(),
         rng_seed: RngSeed::Fixed(SEED),
@@ -141,7 +155,7 @@
     let mut starts = 0;
     let mut outcomes = std::collections::BTreeMap::new();
     let counted = std::cell::RefCell::new((&mut starts, &mut outcomes));
-    let steps = prop::collection::vec(step(), 1..250);
+    let steps = prop::collection::vec(step, 1..250);
     let mut runner = proptest::test_runner::TestRunner::new(config);
     let result = runner.run(&steps, |steps| {
         let mut world = World::new(ENTRIES);
@@ -161,3 +175,13 @@
     }
     assert!(starts > 0 && outcomes.len() == 4, "every outcome comes up");
 }
+
+#[test]
+fn promises_hold_in_any_interleaving() {
+    promises_hold(step());
+}
+
+#[test]
+fn promises_hold_where_peers_that_live_refuse() {
+    promises_hold(step_or_refusal());
+}
--- a/crates/entry/src/control/tests/world.rs
+++ b/crates/entry/src/control/tests/world.rs
@@ -260,6 +260,17 @@
         self.event(mail.from, event);
     }
 
+    /// A call meets a refused connection though the peer lives.
+    pub fn refuse(&mut self, which: usize) {
+        let mail = self.mail.remove(which);
+        let part = match &mail.call {
+            Call::Inherit(part) => Some(part.key()),
+            _ => None,
+        };
+        let response = Err(Unreachable::Refused);
+        self.event(mail.from, Event::Responded { peer: mail.peer, part, response });
+    }
+
     /// Delivers a call and leaves it under way, so that it comes again.
     pub fn double(&mut self, which: usize) {
         let mail = &self.mail[which];
