fix(entry): a stopping entry's records reach a peer that refused connections for a while

What callers saw: a planned stop under a cut that refuses connections ended at once as clean, without handing its records to anybody, though its peers lived and the stop had most of its 60 s left. Answers that had been given before were `unknown` afterwards, through every entry.

Cause: a refused connection counted as the end of the peer's process. The peer was forgotten at the first refusal, and a hand-over that knows no peer is over.

The mend: the roster remembers which peers it forgot without their word that they stop. While one of them was heard within the last 3.4 s, the time after which a silent peer counts as failed, the hand-over waits for it to be heard again; its address is tried each second. Stewardship and loans go on at once as before: targets refuse what is over their slots. A stop beside a peer that was really killed takes up to 3.4 s longer, as beside one whose host is gone (a_stop_ends_where_no_peer_comes_back).

What is said of an owner that no known entry answers for (`owner_gone`) no longer claims that it is gone; the wire form is the same. An owner behind a refusing cut is `unknown`, never `not_run`, and is found again after it (an_owner_that_refuses_is_not_taken_for_one_that_never_ran_it passed before, too).

--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -170,8 +170,8 @@
 #[derive(Clone, Debug, Display, Error, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Doubt {
-    /// No living entry answers for the owner's incarnation.
-    #[display("the owner is gone")]
+    /// No entry that is known here answers for the owner's incarnation.
+    #[display("no known entry answers for the owner")]
     OwnerGone,
     /// The owner does not answer.
     #[display("the owner can't be reached")]
--- a/crates/entry/src/control/fleet.rs
+++ b/crates/entry/src/control/fleet.rs
@@ -93,8 +93,9 @@
         }
     }
 
-    /// A call had no answer. A refused connection means that the process is gone; silence alone
-    /// does not, and heartbeats decide.
+    /// A call had no answer. After a refused connection the peer's targets and loans are shared at
+    /// once: its process is gone, or it is behind a cut, and then targets refuse what is over their
+    /// slots. After silence heartbeats decide.
     pub(super) fn unanswered(
         &mut self,
         peer: Incarnation,
--- a/crates/entry/src/control/stop.rs
+++ b/crates/entry/src/control/stop.rs
@@ -32,6 +32,9 @@
     fn hand_over(&mut self, now: Instant, out: &mut Vec<Action>) {
         let successor = self.roster.successor().map(|peer| peer.brief.clone());
         let chosen = successor.as_ref().map(|brief| brief.incarnation);
+        if chosen.is_none() && self.roster.misses_any(now) {
+            return;
+        }
         let Some(part) = self.stage.next_part(chosen.is_some(), now) else {
             return;
         };
--- a/crates/entry/src/control/tests/fleet.rs
+++ b/crates/entry/src/control/tests/fleet.rs
@@ -6,6 +6,7 @@
 use coltsfootshunt_testkit::cases;
 
 use super::world::{How, World};
+use crate::control::Route;
 use crate::drain::Exit;
 
 fn run_out(world: &mut World) {
@@ -135,3 +136,63 @@
     alone(1);
     with_a_peer(2);
 }
+
+/// Lets time pass while all calls between some entries are refused though all live.
+fn refuse_all(world: &mut World, time: Duration) {
+    for _ in 0..time.as_millis() / 50 {
+        while !world.running.is_empty() {
+            world.end(0, How::Output);
+        }
+        while !world.mail.is_empty() {
+            world.refuse(0);
+        }
+        world.pass(Duration::from_millis(50));
+    }
+}
+
+/// A peer that refuses connections for a while lives: a stopping entry's records still reach it.
+fn stop_hands_over_after_a_cut(refused: Duration) {
+    let mut world = World::new(2);
+    for _ in 0..3 {
+        world.submit(0, "once", 2, 30_000).expect("the entry is ready");
+    }
+    world.stop(0);
+    refuse_all(&mut world, refused);
+    run_out(&mut world);
+    assert_eq!(world.entries[0].exit, Some(Exit::Clean));
+    for which in 0..3 {
+        world.repeat(which, 1);
+    }
+    assert_eq!(world.outcomes.get("complete"), Some(&6), "{:?}", world.outcomes);
+}
+
+cases! { stop_hands_over_after_a_cut:
+    of_a_moment(Duration::from_millis(500));
+    of_some_seconds(Duration::from_secs(2));
+}
+
+/// A stop waits for a peer that refuses connections no longer than for a silent one.
+#[test]
+fn a_stop_ends_where_no_peer_comes_back() {
+    let mut world = World::new(2);
+    world.submit(0, "once", 2, 30_000).expect("the entry is ready");
+    world.stop(0);
+    refuse_all(&mut world, Duration::from_millis(4_000));
+    assert_eq!(world.entries[0].exit, Some(Exit::Clean));
+}
+
+/// What an entry says of a peer that refuses connections and lives: nothing definite, and the whole
+/// answer once it is reached again.
+#[test]
+fn an_owner_that_refuses_is_not_taken_for_one_that_never_ran_it() {
+    let mut world = World::new(2);
+    world.submit(0, "once", 2, 30_000).expect("the entry is ready");
+    refuse_all(&mut world, Duration::from_secs(1));
+    world.repeat(0, 1);
+    assert_eq!(world.outcomes.get("unknown"), Some(&1), "{:?}", world.outcomes);
+    assert_eq!(world.outcomes.get("not_run"), None, "{:?}", world.outcomes);
+    run_out(&mut world);
+    let snapshot = world.entries[1].state.as_ref().expect("it lives").snapshot();
+    let owner = world.entries[0].incarnation;
+    assert!(matches!(snapshot.route(owner), Route::At(_)), "it is known again");
+}
--- a/crates/entry/src/member/roster.rs
+++ b/crates/entry/src/member/roster.rs
@@ -48,6 +48,8 @@
     myself: Myself,
     peers: BTreeMap<Incarnation, Peer>,
     contacts: BTreeMap<SocketAddr, u32>,
+    /// Peers that were forgotten without a word of theirs, and when each was last heard.
+    missing: BTreeMap<SocketAddr, Instant>,
     told: BTreeMap<Incarnation, Vec<Brief>>,
     round: u64,
     changes: u64,
@@ -62,6 +64,7 @@
             myself,
             peers: BTreeMap::new(),
             contacts,
+            missing: BTreeMap::new(),
             told: BTreeMap::new(),
             round: 0,
             changes: 0,
@@ -103,24 +106,35 @@
         }
     }
 
-    /// A peer's host refused a connection: the process is gone.
+    /// A peer's host refused a connection: the process is gone, or it is behind a cut.
     pub fn doubt(&mut self, incarnation: Incarnation) {
         if let Some(peer) = self.peers.get_mut(&incarnation) {
             peer.refused = true;
         }
     }
 
+    /// Whether a peer that was forgotten may answer again soon: a refused connection is no proof
+    /// of its end.
+    #[must_use]
+    pub fn misses_any(&self, now: Instant) -> bool {
+        self.missing.values().any(|heard| now.duration_since(*heard) <= FAIL_AFTER)
+    }
+
     /// Forgets members that have failed. Returns them.
     pub fn bury(&mut self, now: Instant) -> Vec<Peer> {
         let failed = |peer: &Peer| {
             let limit = if peer.direct { FAIL_AFTER } else { FAIL_FAR_AFTER };
             peer.refused || now.duration_since(peer.heard) > limit
         };
+        self.missing.retain(|_, heard| now.duration_since(*heard) <= FAIL_AFTER);
         let dead: Vec<_> = self.peers.values().filter(|peer| failed(peer)).cloned().collect();
         for peer in &dead {
             self.remove(peer.brief.incarnation);
             // It may only be out of reach; it is asked again until it answers.
             self.contacts.insert(peer.brief.address, 0);
+            if !peer.brief.draining {
+                self.missing.insert(peer.brief.address, peer.heard);
+            }
         }
         dead
     }
@@ -266,6 +280,7 @@
             .is_some_and(|known| known.draining == brief.draining && known.weight == brief.weight);
         self.changes += u64::from(!same);
         self.contacts.remove(&brief.address);
+        self.missing.remove(&brief.address);
         let peer = Peer { heard: now, direct, refused: false, vouched: true, brief };
         self.peers.insert(peer.brief.incarnation, peer);
     }
--- a/crates/entry/src/peer/link.rs
+++ b/crates/entry/src/peer/link.rs
@@ -11,7 +11,7 @@
 /// Why a peer gave no answer.
 #[derive(Clone, Copy, Debug, Display, Error, Eq, PartialEq)]
 pub enum Unreachable {
-    /// Its host refused the connection: nothing listens there, and the call reached nobody.
+    /// Its host refused the connection, or a cut did: the call reached nobody.
     #[display("the peer's host refused the connection")]
     Refused,
     /// The call may have reached it.
