--- /dev/null
+++ b/crates/entry/tests/odd.rs
@@ -0,0 +1,167 @@
+//! Odd entries of other writers in the platform's store: hosts as processes go on and follow the list.
+
+use coltsfootshunt_platform_standin::process::{Fleet, Host, SERVICE};
+use coltsfootshunt_platform_standin::store::Store;
+use coltsfootshunt_platform_standin::target::Target;
+use coltsfootshunt_testkit::{cases, until};
+use serde_json::{Value, json};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_coltsfootshunt-entry");
+const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
+/// Items on one page of the stand-in's lists, and some more.
+const MORE_THAN_A_PAGE: usize = 210;
+
+/// An entry of another writer as JSON text, with one field of it replaced.
+fn foreign(field: &str, value: &str) -> String {
+    let mut fields = vec![
+        ("service", format!("{SERVICE:?}")),
+        ("address", "\"127.0.0.1:9\"".to_owned()),
+        ("zone", "\"a\"".to_owned()),
+        ("version", "\"v1\"".to_owned()),
+        ("slots", "8".to_owned()),
+        ("state", "\"ready\"".to_owned()),
+        ("remainingColdMs", "0".to_owned()),
+        ("sequence", "1".to_owned()),
+        ("born", "1".to_owned()),
+        ("labels", "[\"a\", \"r1-1\"]".to_owned()),
+        ("capacity", "{\"cpu\": 32000, \"memMb\": 65536, \"gpu\": 0}".to_owned()),
+    ];
+    fields.retain(|(name, _)| *name != field);
+    fields.push((field, value.to_owned()));
+    let fields: Vec<String> =
+        fields.iter().map(|(name, value)| format!("{name:?}: {value}")).collect();
+    format!("{{{}}}", fields.join(", "))
+}
+
+/// A list in a list, so many levels deep, and the same of objects.
+fn nested(levels: usize) -> [String; 2] {
+    let lists = format!("{}{}", "[".repeat(levels), "]".repeat(levels));
+    let objects = format!("{}0{}", "{\"in\":".repeat(levels), "}".repeat(levels));
+    [lists, objects]
+}
+
+/// Numbers that are too large, too small or too long.
+fn numbers() -> [String; 5] {
+    let (highest, beyond) = (u64::MAX.to_string(), (u128::from(u64::MAX) + 1).to_string());
+    ["9".repeat(400), "1e400".to_owned(), "-1".to_owned(), beyond, highest]
+}
+
+fn put_all(store: &Store, entries: impl IntoIterator<Item = String>) {
+    for (number, entry) in entries.into_iter().enumerate() {
+        store.put_bytes(&format!("servers/i-odd-{number}"), entry.as_bytes());
+    }
+}
+
+fn deep_entries(store: &Store) {
+    let fields = ["labels", "capacity", "address", "state", "unknown"];
+    let nested = [100, 1_000, 100_000].map(nested).concat();
+    put_all(
+        store,
+        fields.iter().flat_map(|field| nested.iter().map(|value| foreign(field, value))),
+    );
+    let whole = [100, 1_000, 100_000].map(self::nested).concat();
+    for (number, entry) in whole.iter().enumerate() {
+        store.put_bytes(&format!("servers/i-whole-{number}"), entry.as_bytes());
+    }
+}
+
+fn odd_numbers(store: &Store) {
+    let fields = ["born", "slots", "sequence", "remainingColdMs", "version", "unknown"];
+    let plain = fields.iter().flat_map(|field| numbers().map(|value| foreign(field, &value)));
+    let in_capacity = ["cpu", "memMb", "gpu"].into_iter().flat_map(|field| {
+        numbers().map(|value| {
+            let room = [("cpu", "1"), ("memMb", "1"), ("gpu", "0")];
+            let room = room.map(|(name, one)| {
+                let value = if name == field { &value } else { one };
+                format!("{name:?}: {value}")
+            });
+            foreign("capacity", &format!("{{{}}}", room.join(", ")))
+        })
+    });
+    put_all(store, plain.chain(in_capacity).collect::<Vec<_>>());
+}
+
+fn odd_ports(store: &Store) {
+    let ports = ["0", "65536", "-1", "99999999999999999999", "", "http"];
+    let hosts = ["127.0.0.1", "[::1]", "[fe80::1%3]", "name.example", "999.0.0.1"];
+    let addresses = hosts.iter().flat_map(|host| ports.map(|port| format!("\"{host}:{port}\"")));
+    put_all(store, addresses.map(|address| foreign("address", &address)).collect::<Vec<_>>());
+    store.put_bytes("servers/i-scope", foreign("address", "\"[fe80::1%3]:80\"").as_bytes());
+}
+
+/// Names that are no names, and values that are no text.
+fn odd_names(store: &Store) {
+    let entry = foreign("unknown", "1");
+    let long = "n".repeat(192);
+    for name in ["", "a b", "%41", "ä", "\u{0}", "\"", "\u{fffd}", "../op/config", &long] {
+        store.put_bytes(&format!("servers/{name}"), entry.as_bytes());
+    }
+    store.put_bytes("servers/i-no-text", b"\xff\xfe\x00");
+    store.put_bytes("servers/i-nothing", b"");
+    store.put_text("servers/i-no-base64", "*** no base64 ***");
+}
+
+/// Odd names fill the first page of the list, and what comes next is asked for by the last of them.
+fn a_page_of_odd_names(store: &Store) {
+    for number in 0..MORE_THAN_A_PAGE {
+        store.put(&format!("servers/!a b&after=#%2B+%zz?ä\u{1}\"{number:03}"), &json!(1));
+    }
+}
+
+/// Its targets have all the room that a number can say.
+fn nothing(_: &Store) {}
+
+async fn target(fleet: &Fleet, host: &Host, name: &str) -> Option<Value> {
+    let state = fleet.state(host).await?;
+    let targets = state["targets"].as_array()?.clone();
+    targets.into_iter().find(|target| target["target"] == name)
+}
+
+/// A host follows the list behind odd entries: a target that comes is used, one that leaves is left.
+#[tokio::main(flavor = "current_thread")]
+async fn follows(odd: fn(&Store), cpu: Option<u64>) {
+    let mut fleet = Fleet::start(PROGRAM, FOLDER, &["a"], 2).await;
+    if let Some(cpu) = cpu {
+        fleet.targets.iter().for_each(|target| target.resize(cpu));
+    }
+    odd(&fleet.store);
+    let mut host = fleet.host("a-1", "a", &[]);
+    fleet.launch(&mut host);
+    fleet.settled(&[&host]).await;
+    // Once more, so that each is a change that comes while the host follows the list.
+    odd(&fleet.store);
+    let late = Target::start("t-late", "a", &fleet.store, &fleet.ledger, None).await;
+    fleet.targets.push(late);
+    fleet.targets[0].drain();
+    let leaving = fleet.targets[0].name.clone();
+    until("the list is followed", || async {
+        let late = target(&fleet, &host, "t-late").await?;
+        let gone = target(&fleet, &host, &leaving).await?;
+        let is_held = late["phase"].as_str()?.starts_with("Held");
+        (is_held && gone["state"] == "draining").then_some(())
+    })
+    .await;
+    let before = host.lines().len();
+    for number in 1..=3 {
+        until("a job is served", || async {
+            let (status, body) =
+                fleet.submit(&host, &format!("{number:016x}"), (2, 14_000, 40)).await?;
+            (status == 200 && body["state"] == "completed").then_some(())
+        })
+        .await;
+    }
+    let lines = host.lines().into_iter().skip(before);
+    let mut started = lines.filter(|line| line["msg"] == "task started");
+    assert!(started.all(|line| line["target"] != leaving.as_str()));
+    assert!(!host.has_ended());
+    assert_eq!(fleet.ledger.broken(), Vec::<String>::new());
+}
+
+cases! { follows:
+    behind_nothing_odd(nothing, None);
+    behind_deep_entries(deep_entries, None);
+    behind_odd_numbers(odd_numbers, None);
+    behind_odd_ports(odd_ports, None);
+    behind_odd_names(odd_names, None);
+    behind_a_page_of_odd_names(a_page_of_odd_names, None);
+}
