fix(steward): sums over targets and stewards bear the largest capacity

What operators would see, where overflow is checked: two targets of one zone whose capacity is 2^64 - 1 (or 2^63), and hosts end by themselves, one after the other as each becomes steward, with exit status 0 and no line: the control thread panics and the process follows it. Without those checks the sums wrap: a steward says that it has few places or none.

Cause: places, free and fast places of a steward (u32), places of fast targets for one task (u64) and the free places that other stewards say they have (u32) were added without a bound. Such a capacity is valid.

The sums stay at the largest number that can be counted; room is added the same way.

--- a/crates/entry/tests/odd.rs
+++ b/crates/entry/tests/odd.rs
@@ -164,4 +164,6 @@
     behind_odd_ports(odd_ports, None);
     behind_odd_names(odd_names, None);
     behind_a_page_of_odd_names(a_page_of_odd_names, None);
+    with_targets_of_the_largest_capacity(nothing, Some(u64::MAX));
+    with_targets_of_half_the_largest_capacity(nothing, Some(u64::MAX / 2 + 1));
 }
--- a/crates/fleet/src/job/plan.rs
+++ b/crates/fleet/src/job/plan.rs
@@ -1,10 +1,11 @@
 //! What a job asks for, checked.
 
+use std::ops::Add;
 use std::sync::Arc;
 use std::time::Duration;
 
 use coltsfootshunt_core::name::Label;
-use derive_more::{Add, Display, Error};
+use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
 /// Digits of a job's identifier.
@@ -41,7 +42,7 @@
 }
 
 /// Processors, memory and accelerators: what a task takes or a target has.
-#[derive(Add, Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Room {
     /// Thousandths of a processor core.
     pub cpu_millis: u64,
@@ -71,6 +72,19 @@
     }
 }
 
+/// A target may say that it has the largest number there is: a sum beyond that stays there.
+impl Add for Room {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_add(other.cpu_millis),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+}
+
 /// What each task of a step needs of its target.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Need {
--- a/crates/fleet/src/spread/ends.rs
+++ b/crates/fleet/src/spread/ends.rs
@@ -29,7 +29,8 @@
             return UNKNOWN;
         };
         let rounds = u32::try_from(others / self.next.len()).unwrap_or(u32::MAX);
-        last.saturating_mul(rounds) + self.next[others % self.next.len()]
+        let next = self.next[others % self.next.len()];
+        last.saturating_mul(rounds).saturating_add(next)
     }
 
     /// The times, the next one first.
--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -139,14 +139,14 @@
         let being_stopped: HashSet<Task> = self.being_stopped().into_iter().cloned().collect();
         let elsewhere = roster.alive().filter(|peer| !peer.beat.claims.is_empty());
         // Others may see the same places.
-        let mut free = elsewhere.map(|peer| peer.beat.load.free).sum::<u32>() / 2;
+        let mut free = elsewhere.map(|peer| u64::from(peer.beat.load.free)).sum::<u64>() / 2;
         let shared = self.line.take(|one| match one.hold {
             Hold::Shared => false,
             Hold::Asked(at) => now.duration_since(at) > ANSWER_WITHIN,
             Hold::Own if one.is_long(now) => !being_stopped.contains(&one.task),
             Hold::Own => {
                 let goes = now.duration_since(one.since) > SHARE_AFTER && free > 0;
-                free -= u32::from(goes);
+                free -= u64::from(goes);
                 goes
             }
         });
--- a/crates/fleet/src/steward/state/load.rs
+++ b/crates/fleet/src/steward/state/load.rs
@@ -100,12 +100,13 @@
             let each = self.typical.unwrap_or(all / 2.0).max(1.0);
             let factor = speeds.slowness(&picture.entry.name, now).exp();
             let places = (all / each).floor();
-            sum.places += places as u32;
+            // A target may have more places than can be counted.
+            sum.places = sum.places.saturating_add(places as u32);
             sum.rate += places * each / factor;
             let free = (free.cpu_millis as f64 / each) as u32;
-            sum.free += free;
+            sum.free = sum.free.saturating_add(free);
             if is_fast(Duration::from_secs_f64(factor), Duration::from_secs_f64(fastest)) {
-                sum.free_fast += free;
+                sum.free_fast = sum.free_fast.saturating_add(free);
             }
         }
         sum
@@ -135,7 +136,7 @@
         let work = self.line.work(now);
         Load {
             places: capacity.places,
-            free: capacity.free.saturating_sub(others + kept),
+            free: capacity.free.saturating_sub(others.saturating_add(kept)),
             free_fast: capacity.free_fast.saturating_sub(long),
             long,
             ends_ms: ends.told(),
--- a/crates/fleet/src/steward/state/place.rs
+++ b/crates/fleet/src/steward/state/place.rs
@@ -154,8 +154,10 @@
         let free = candidates.iter().filter(|one| is_fast(one.expected, best));
         Fast {
             best,
-            free: free.map(|one| one.free.cpu_millis / each).sum(),
-            places: places.map(|spot| spot.picture.entry.capacity.cpu_millis / each).sum(),
+            free: free.map(|one| one.free.cpu_millis / each).fold(0, u64::saturating_add),
+            places: places
+                .map(|spot| spot.picture.entry.capacity.cpu_millis / each)
+                .fold(0, u64::saturating_add),
             wait: self.pool.wait(self.waiting),
         }
     }
--- a/crates/fleet/src/steward/tests.rs
+++ b/crates/fleet/src/steward/tests.rs
@@ -1,3 +1,5 @@
+mod largest;
+
 use std::time::{Duration, Instant, SystemTime};
 
 use coltsfootshunt_core::name::{Host, Kind, Service, Zone};
--- /dev/null
+++ b/crates/fleet/src/steward/tests/largest.rs
@@ -0,0 +1,61 @@
+//! Targets and stewards that say the largest numbers there are.
+
+use coltsfootshunt_testkit::cases;
+
+use super::*;
+
+/// Targets with so many thousandths of a core, megabytes and accelerators each.
+fn bench(targets: usize, each: u64) -> Bench {
+    let mut bench = Bench::new(targets);
+    let mut entries: Vec<_> = bench.directory.iter().cloned().collect();
+    let room = Room { cpu_millis: each, memory_mb: each, accelerators: each };
+    entries.iter_mut().for_each(|entry| entry.capacity = room);
+    bench.directory.read(entries, bench.now);
+    bench.steward.sync(&bench.directory, &bench.roster, bench.now);
+    bench
+}
+
+/// Tasks of a job that take so many thousandths of a core each start where there is room.
+fn starts_tasks(each: u64, cpu_millis: u64, wanted: usize) {
+    let mut bench = bench(3, each);
+    let mut bundle = bundle(1, 6);
+    bundle.parts.iter_mut().for_each(|part| part.need.room.cpu_millis = cpu_millis);
+    bench.accept_bundle(bundle, "owner");
+    let before = bench.steward.load(&bench.roster, &bench.speeds, bench.now);
+    assert!(before.places > 0, "{before:?}");
+    assert_eq!(starts(&bench.dispatch()), wanted);
+    // What more comes is weighed against what runs.
+    bench.accept(2, 2, "owner");
+    bench.dispatch();
+    assert!(bench.steward.load(&bench.roster, &bench.speeds, bench.now).places > 0);
+}
+
+cases! { starts_tasks:
+    that_are_small_where_all_fit(u64::MAX, 1, 6);
+    that_ask_for_nothing(u64::MAX, 0, 6);
+    of_the_usual_size(u64::MAX, 14_000, 6);
+    of_half_a_target(u64::MAX, u64::MAX / 2, 6);
+    of_a_whole_target(u64::MAX, u64::MAX, 3);
+    where_two_targets_are_beyond_the_largest_number(u64::MAX / 2 + 1, 1, 6);
+}
+
+/// What waits here goes to other stewards that say that they have the most places there can be.
+#[test]
+fn others_may_have_any_number_of_places() {
+    let mut bench = Bench::new(1);
+    for (name, zone) in [("other", "b"), ("third", "c")] {
+        bench.roster.hear(&card(name, zone, 250), bench.now);
+        let claims = vec![Claim { zone: Zone::try_from(zone).unwrap(), token: Token(2) }];
+        let most = u32::MAX;
+        let load =
+            Load { free: most, free_fast: most, places: most, long: most, ..Load::default() };
+        let load = Load { ends_ms: [Some(most); 8], waits_ms: [most; 6], ..load };
+        let beat = Beat { claims, load, ..Beat::default() };
+        bench.roster.beat(&Host::try_from(name).unwrap(), beat);
+    }
+    bench.accept(1, 6, "owner");
+    assert_eq!(starts(&bench.dispatch()), 2);
+    bench.now += Duration::from_millis(40);
+    let returned = bench.dispatch().endings;
+    assert_eq!(returned.iter().filter(|(_, one)| one.end == End::NotRun).count(), 4);
+}
