--- a/crates/entry/tests/odd.rs
+++ b/crates/entry/tests/odd.rs
@@ -1,5 +1,6 @@
 //! Odd entries of other writers in the platform's store: hosts as processes go on and follow the list.
 
+use coltsfootshunt_http::Method;
 use coltsfootshunt_platform_standin::process::{Fleet, Host, SERVICE};
 use coltsfootshunt_platform_standin::store::Store;
 use coltsfootshunt_platform_standin::target::Target;
@@ -157,6 +158,52 @@
     assert_eq!(fleet.ledger.broken(), Vec::<String>::new());
 }
 
+/// The body of a job with one field of its steps replaced; each step comes after the one before.
+fn job(steps: usize, field: &str, value: &str) -> String {
+    let step = |number: usize| {
+        let mut fields =
+            vec![("count", "1"), ("cpu", "14000"), ("memMb", "64"), ("estimatedMs", "40")];
+        fields.retain(|(name, _)| *name != field);
+        fields.push((field, value));
+        let after = number.checked_sub(1).map_or(String::new(), |before| before.to_string());
+        let fields: Vec<String> =
+            fields.iter().map(|(name, value)| format!("{name:?}:{value}")).collect();
+        format!("{{{},\"after\":[{after}]}}", fields.join(","))
+    };
+    let steps: Vec<String> = (0..steps).map(step).collect();
+    format!("{{\"spec\":\"cpu=14000 ms=40\",\"bestEffort\":true,\"steps\":[{}]}}", steps.join(","))
+}
+
+/// A host answers odd jobs, or lets them wait, and serves the next one.
+#[tokio::main(flavor = "current_thread")]
+async fn serves_on(steps: usize) {
+    let fleet = Fleet::start(PROGRAM, FOLDER, &["a"], 2).await;
+    let mut hosts = fleet.start_hosts(&[("a-1", "a")]).await;
+    let fields = ["count", "cpu", "memMb", "gpu", "estimatedMs", "antiAffinity", "unknown"];
+    let deep = [100, 1_000, 30_000].map(nested).concat();
+    let values: Vec<String> = numbers().into_iter().chain(deep).collect();
+    let bodies =
+        fields.iter().flat_map(|field| values.iter().map(|value| job(steps, field, value)));
+    let host = &hosts[0];
+    let calls = bodies.enumerate().map(|(number, body)| {
+        let path = format!("/cut/{number:016x}");
+        let fleet = &fleet;
+        async move { fleet.call(Method::POST, host, &path, &body).await.map(|answer| answer.0) }
+    });
+    let statuses = futures_util::future::join_all(calls).await;
+    assert!(statuses.iter().all(Option::is_some), "{statuses:?}");
+    let (status, _) =
+        fleet.submit(host, "ffffffffffffffff", (2, 14_000, 40)).await.expect("an answer");
+    assert_eq!(status, 200);
+    assert!(!hosts[0].has_ended());
+    assert_eq!(fleet.ledger.broken(), Vec::<String>::new());
+}
+
+cases! { serves_on:
+    behind_odd_jobs(1);
+    behind_odd_jobs_of_most_steps(1_000);
+}
+
 cases! { follows:
     behind_nothing_odd(nothing, None);
     behind_deep_entries(deep_entries, None);
--- /dev/null
+++ b/crates/fleet/src/control/tests/extremes.rs
@@ -0,0 +1,69 @@
+//! The largest numbers that a caller's job, the configuration and other hosts may say.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootshunt_core::name::Kind;
+use coltsfootshunt_testkit::cases;
+
+use super::start::{alone, hear_steward};
+use super::world::Time;
+use crate::config::tests::{document, route};
+use crate::config::Route;
+use crate::control::{Action, Event, Output, Request, State};
+use crate::job::{Id, Need, Outcome, Plan, Room, Step, Submission, Ticket};
+use crate::store::News;
+
+/// Steps one after the other, each of one task of a declared run time.
+fn chain(steps: usize, estimate_ms: u64) -> Plan {
+    let room = Room { cpu_millis: u64::MAX, memory_mb: u64::MAX, accelerators: u64::MAX };
+    let need = Need { room, estimate_ms, ..Need::default() };
+    let after = |step: usize| step.checked_sub(1).into_iter().collect();
+    let step = |number| Step { count: 1, need: need.clone(), after: after(number) };
+    Plan::new("work".into(), (0..steps).map(step).collect()).unwrap()
+}
+
+fn submit(state: &mut State, plan: Plan, patience: Duration) -> Vec<Action> {
+    let submission = Submission {
+        id: Id::try_from("0000000000000001").unwrap(),
+        kind: Kind::try_from("cut").unwrap(),
+        plan: Arc::new(plan),
+        patience,
+    };
+    state.handle(Event::Request(Ticket(2), Request::Submit(submission)));
+    state.settle()
+}
+
+/// The host turns the job away or sends it to a steward; it does not end.
+fn decides(plan: Plan, patience_ms: u64, change: impl Fn(&mut Route)) {
+    let mut state = alone(&Arc::new(Time::new()));
+    let mut changed = route("cut", "/a/");
+    change(&mut changed);
+    let news = News::Document(Arc::new(document(2, vec![changed])));
+    state.handle(Event::Store(news));
+    hear_steward(&mut state);
+    state.settle();
+    let actions = submit(&mut state, plan, Duration::from_millis(patience_ms));
+    let refused = |action: &Action| {
+        let Action::Answer(Ticket(2), Output::Outcome(outcome)) = action else {
+            return false;
+        };
+        matches!(outcome, Outcome::Refused { .. })
+    };
+    let sent = |action: &Action| matches!(action, Action::Send(..));
+    assert!(actions.iter().any(|action| refused(action) || sent(action)), "{actions:?}");
+}
+
+/// Lets a caller of the route wait for ever.
+fn unbounded(route: &mut Route) {
+    route.timeout = Duration::from_millis(u64::MAX);
+    route.allowance = Duration::from_millis(u64::MAX);
+}
+
+cases! { decides:
+    on_the_longest_run_time(chain(1, u64::MAX), 1_500, |_| {});
+    on_the_longest_chain(chain(1_000, u64::MAX), 1_500, |_| {});
+    on_the_longest_chain_for_a_caller_that_waits_for_ever(
+        chain(1_000, u64::MAX), u64::MAX, unbounded);
+    on_a_short_job_for_a_caller_that_waits_for_ever(chain(1, 50), u64::MAX, unbounded);
+}
--- a/crates/fleet/src/control/tests/mod.rs
+++ b/crates/fleet/src/control/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Whole hosts against targets that keep to the published protocol, under random failures.
 
+mod extremes;
 mod jobs;
 mod safety;
 mod start;
--- a/crates/fleet/src/control/tests/start.rs
+++ b/crates/fleet/src/control/tests/start.rs
@@ -19,7 +19,7 @@
 use crate::store::News;
 
 /// A host that knows the configuration, and nobody yet.
-fn alone(clock: &Arc<Time>) -> State {
+pub(super) fn alone(clock: &Arc<Time>) -> State {
     let lease = Duration::from_secs(1);
     let settings = Settings {
         card: card("me", "a", 250),
@@ -34,7 +34,7 @@
 }
 
 /// A steward in another availability zone is heard.
-fn hear_steward(state: &mut State) {
+pub(super) fn hear_steward(state: &mut State) {
     let claims = vec![Claim { zone: Zone::try_from("b").unwrap(), token: Token(2) }];
     let load = Load { free: 8, places: 10, ..Load::default() };
     let beat = Message::Beat(Beat { claims, load, ..Beat::default() });
--- a/crates/fleet/src/job/open.rs
+++ b/crates/fleet/src/job/open.rs
@@ -323,7 +323,7 @@
         self.must_stand |= *end == End::NoFastTarget;
         // A task that goes back from a line has not used its number.
         part.tries += u32::from(*run >= part.run);
-        part.run = part.run.max(run + 1);
+        part.run = part.run.max(run.saturating_add(1));
         match *end {
             End::Done => {
                 part.state = State::Done;
--- a/crates/fleet/src/job/plan.rs
+++ b/crates/fleet/src/job/plan.rs
@@ -10,6 +10,9 @@
 
 /// Digits of a job's identifier.
 const ID_DIGITS: usize = 16;
+/// Longest declared run time that counts, in milliseconds: thirty days, longer than any caller waits. Sums
+/// and multiples of it stay far below what times can hold.
+const MAX_ESTIMATE_MS: u64 = 30 * 24 * 3_600 * 1_000;
 /// Most tasks of one job; the brief's largest job.
 pub const MAX_TASKS: u32 = 1_000;
 
@@ -104,7 +107,7 @@
     /// Declared run time.
     #[must_use]
     pub fn estimate(&self) -> Duration {
-        Duration::from_millis(self.estimate_ms.max(1))
+        Duration::from_millis(self.estimate_ms.clamp(1, MAX_ESTIMATE_MS))
     }
 }
 
