fix(config): a stretch is a checked type

What operators would see: a route with a stretch below zero, or so large that a time multiplied by it can't be held, ends each host at the next job of that route, in any build.

Cause: the factor went into Duration::mul_f64, which panics then. The store takes only valid configurations, but hosts take one from each other as well, and the range is nowhere written down.

Stretch::try_from checks it, for the store's copy and for a peer's, and multiplies up to the longest time. A configuration with a negative one can't be read: the one in force stays.

--- a/crates/fleet/src/config/document.rs
+++ b/crates/fleet/src/config/document.rs
@@ -6,6 +6,8 @@
 use coltsfootshunt_core::name::{Kind, Service};
 use serde::{Deserialize, Serialize};
 
+use super::Stretch;
+
 /// Where a kind's jobs come in and how they are run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
@@ -24,7 +26,7 @@
     /// Longest time for an answer.
     pub timeout: Duration,
     /// A job is on time within this multiple of its ideal run time,
-    pub stretch: f64,
+    pub stretch: Stretch,
     /// plus this.
     pub allowance: Duration,
 }
--- a/crates/fleet/src/config/mod.rs
+++ b/crates/fleet/src/config/mod.rs
@@ -2,9 +2,11 @@
 
 mod document;
 mod holder;
+mod stretch;
 
 #[cfg(test)]
 pub(crate) mod tests;
 
 pub use document::{Document, Limits, Route};
 pub use holder::Holder;
+pub use stretch::{Stretch, Unfit};
--- /dev/null
+++ b/crates/fleet/src/config/stretch.rs
@@ -0,0 +1,38 @@
+//! How much longer than its ideal run time a job may take.
+
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+/// A multiple of a job's ideal run time; finite and not below zero.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
+pub struct Stretch(f64);
+
+/// The number is no multiple of a time.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq)]
+#[display("a stretch is a finite number from 0, not {_0}")]
+pub struct Unfit(#[error(not(source))] f64);
+
+impl Stretch {
+    /// So many times as long; the longest time there is if that is longer.
+    #[must_use]
+    pub fn of(self, time: Duration) -> Duration {
+        Duration::try_from_secs_f64(time.as_secs_f64() * self.0).unwrap_or(Duration::MAX)
+    }
+}
+
+impl TryFrom<f64> for Stretch {
+    type Error = Unfit;
+
+    fn try_from(factor: f64) -> Result<Self, Unfit> {
+        if factor.is_finite() && factor >= 0.0 { Ok(Self(factor)) } else { Err(Unfit(factor)) }
+    }
+}
+
+impl From<Stretch> for f64 {
+    fn from(stretch: Stretch) -> Self {
+        stretch.0
+    }
+}
--- a/crates/fleet/src/config/tests.rs
+++ b/crates/fleet/src/config/tests.rs
@@ -4,7 +4,7 @@
 use coltsfootshunt_core::name::{Kind, Service};
 use coltsfootshunt_testkit::cases;
 
-use super::{Document, Holder, Limits, Route};
+use super::{Document, Holder, Limits, Route, Stretch};
 
 pub(crate) fn route(kind: &str, prefix: &str) -> Route {
     Route {
@@ -15,7 +15,7 @@
         priority: 0,
         attempts: 2,
         timeout: Duration::from_millis(1_500),
-        stretch: 1.6,
+        stretch: Stretch::try_from(1.6).unwrap(),
         allowance: Duration::from_millis(60),
     }
 }
@@ -56,3 +56,18 @@
     by_authority("other.example", "/a/1", None);
     whatever_its_case("Jobs.Example", "/a/1", Some("wide"));
 }
+
+/// Times are multiplied by what the operators' configuration says.
+fn stretches(factor: f64, ms: u64, wanted: Option<Duration>) {
+    let stretch = Stretch::try_from(factor).ok();
+    assert_eq!(stretch.map(|stretch| stretch.of(Duration::from_millis(ms))), wanted);
+}
+
+cases! { stretches:
+    by_a_factor(1.5, 100, Some(Duration::from_millis(150)));
+    to_nothing(0.0, 100, Some(Duration::ZERO));
+    to_the_longest_time_at_most(1e308, 100, Some(Duration::MAX));
+    by_nothing_below_zero(-1.0, 100, None);
+    by_nothing_without_end(f64::INFINITY, 100, None);
+    by_what_is_a_number(f64::NAN, 100, None);
+}
--- a/crates/fleet/src/control/tests/extremes.rs
+++ b/crates/fleet/src/control/tests/extremes.rs
@@ -9,7 +9,7 @@
 use super::start::{alone, hear_steward};
 use super::world::Time;
 use crate::config::tests::{document, route};
-use crate::config::Route;
+use crate::config::{Route, Stretch};
 use crate::control::{Action, Event, Output, Request, State};
 use crate::job::{Id, Need, Outcome, Plan, Room, Step, Submission, Ticket};
 use crate::store::News;
@@ -65,5 +65,8 @@
     on_the_longest_chain(chain(1_000, u64::MAX), 1_500, |_| {});
     on_the_longest_chain_for_a_caller_that_waits_for_ever(
         chain(1_000, u64::MAX), u64::MAX, unbounded);
+    on_the_largest_stretch(chain(1_000, u64::MAX), 1_500, |route| {
+        route.stretch = Stretch::try_from(f64::MAX).unwrap();
+    });
     on_a_short_job_for_a_caller_that_waits_for_ever(chain(1, 50), u64::MAX, unbounded);
 }
--- a/crates/model/src/product.rs
+++ b/crates/model/src/product.rs
@@ -7,7 +7,7 @@
 
 use coltsfootshunt_core::clock::Clock;
 use coltsfootshunt_core::name::{Target, Zone};
-use coltsfootshunt_fleet::config::{Document, Limits, Route};
+use coltsfootshunt_fleet::config::{Document, Limits, Route, Stretch};
 use coltsfootshunt_fleet::control::{self, Action, Output, Request, State};
 use coltsfootshunt_fleet::directory::{self, Entry};
 use coltsfootshunt_fleet::job::{Id, Need, Outcome, Plan, Room, Step, Submission, Ticket};
@@ -389,7 +389,7 @@
         priority: 0,
         attempts: ATTEMPTS,
         timeout: PATIENCE,
-        stretch: STRETCH,
+        stretch: Stretch::try_from(STRETCH).expect("it is a factor"),
         allowance: ALLOWANCE,
     };
     let limits =
