fix(store): what can't be read is told, and a configuration of that kind is passed over

What operators would see: after a configuration that can't be read, each host writes 'store lost' and 'store regained' by turns and reads the key anew every 0.3 s until the next good one; a good one that came just before it is passed over. An entry of a target that can't be read is counted and not named, one of a host not even counted. While there is no configuration at all the key is read again without a pause.

Cause: a value that can't be read was a failure of the call, which began to follow the configuration anew; what was wrong with an entry was dropped where it was decoded.

The host tells each change once (store::Told), a stale read again nothing; the line 'entry unreadable' is cut to 80 characters a field and counted under the usual name.

--- a/crates/fleet/src/control/fleet.rs
+++ b/crates/fleet/src/control/fleet.rs
@@ -10,7 +10,7 @@
 use crate::peer::Message;
 use crate::report::Note;
 use crate::steward;
-use crate::store::{Listing, News};
+use crate::store::{Listing, News, Unreadable};
 
 /// Time between heartbeats of a steward; what it has free changes in tens of milliseconds.
 const STEWARD_BEATS_EVERY: Duration = Duration::from_millis(100);
@@ -126,19 +126,36 @@
             }
             News::Targets(Listing { entries, unreadable }) => {
                 let before = self.directory.iter().count();
+                let odd = unreadable.len();
+                let news = self.told_targets.list(unreadable);
+                self.note_unreadable(news);
                 self.directory.read(entries, now);
                 let known = self.directory.iter().count();
-                if known != before || unreadable != self.unreadable {
-                    self.unreadable = unreadable;
-                    self.note(Note::Targets { known, unreadable });
+                if known != before || odd != self.unreadable {
+                    self.unreadable = odd;
+                    self.note(Note::Targets { known, unreadable: odd });
                 }
             }
-            News::Hosts(cards) => self.meet(&cards),
+            News::Hosts(Listing { entries, unreadable }) => {
+                let news = self.told_hosts.list(unreadable);
+                self.note_unreadable(news);
+                self.meet(&entries);
+            }
+            News::Unreadable(one) => {
+                let news = self.told_configuration.list(vec![one]);
+                self.note_unreadable(news);
+            }
             News::Lost(failure) => self.note(Note::StoreLost { failure }),
             News::Regained => self.note(Note::StoreRegained),
         }
     }
 
+    fn note_unreadable(&mut self, unreadable: Vec<Unreadable>) {
+        for Unreadable { key, revision, why } in unreadable {
+            self.note(Note::Unreadable { key, revision, why });
+        }
+    }
+
     pub(super) fn link_lost(&mut self, address: SocketAddr, refused: bool, now: Instant) {
         let peer = self.roster.peers().find(|peer| peer.card.address == address);
         let Some(host) = peer.map(|peer| peer.card.host.clone()) else {
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -17,6 +17,7 @@
 use crate::report::Note;
 use crate::speed;
 use crate::steward::{self, Steward};
+use crate::store;
 
 /// Time between looks at everything that has no event of its own.
 pub(super) const TICK: Duration = Duration::from_millis(50);
@@ -62,6 +63,10 @@
     pub(super) asked: Option<Instant>,
     /// Entries of the last list of targets that could not be read.
     pub(super) unreadable: usize,
+    /// What was told of entries that can't be read.
+    pub(super) told_targets: store::Told,
+    pub(super) told_hosts: store::Told,
+    pub(super) told_configuration: store::Told,
     pub(super) out: Vec<Action>,
     snapshot: Snapshot,
     ticked: Instant,
@@ -93,6 +98,9 @@
             taught: None,
             asked: None,
             unreadable: 0,
+            told_targets: store::Told::default(),
+            told_hosts: store::Told::default(),
+            told_configuration: store::Told::default(),
             out: Vec::new(),
             snapshot: Snapshot::default(),
             ticked: now,
--- a/crates/fleet/src/report/lines.rs
+++ b/crates/fleet/src/report/lines.rs
@@ -1,5 +1,6 @@
 //! Notes as JSON lines and metrics.
 
+use std::borrow::Cow;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -13,6 +14,9 @@
 /// Lines that wait to be written; more are dropped and counted by the logger.
 const CHANNEL: usize = 4_096;
 
+/// Characters of a key or a reason in a line; other writers choose them.
+const FOREIGN_CHARS: usize = 80;
+
 /// Writes notes down.
 pub trait Log: Send + Sync {
     /// Writes one note.
@@ -160,6 +164,10 @@
         Note::Targets { known, unreadable } => {
             info!(log, "{}", name; "targets" => known, "unreadable" => unreadable);
         }
+        Note::Unreadable { key, revision, why } => {
+            warn!(log, "{}", name; "key" => %short(key), "revision" => revision,
+                "reason" => %short(why));
+        }
         Note::StoreLost { failure } => warn!(log, "{}", name; "reason" => %failure),
         Note::Paused { gap } => warn!(log, "{}", name; "gap_ms" => millis(*gap)),
         Note::Begun { address } => info!(log, "{}", name; "address" => %address),
@@ -218,6 +226,14 @@
     }
 }
 
+/// The beginning of what another writer chose.
+pub(super) fn short(text: &str) -> Cow<'_, str> {
+    match text.char_indices().nth(FOREIGN_CHARS) {
+        Some((end, _)) => format!("{}...", &text[..end]).into(),
+        None => text.into(),
+    }
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/fleet/src/report/note.rs
+++ b/crates/fleet/src/report/note.rs
@@ -239,6 +239,15 @@
         /// Entries of the list that could not be read and name no target.
         unreadable: usize,
     },
+    /// An entry of the store can't be read: it names nothing to use.
+    Unreadable {
+        /// Where it is.
+        key: Arc<str>,
+        /// Its last change.
+        revision: u64,
+        /// What is wrong with it.
+        why: Arc<str>,
+    },
     /// The store stopped answering.
     StoreLost {
         /// How.
@@ -302,6 +311,7 @@
             Self::PeerLost { .. } => "peer lost",
             Self::InForce { .. } => "configuration in force",
             Self::Targets { .. } => "targets known",
+            Self::Unreadable { .. } => "entry unreadable",
             Self::StoreLost { .. } => "store lost",
             Self::StoreRegained => "store regained",
             Self::Paused { .. } => "process was paused",
--- a/crates/fleet/src/store/agent.rs
+++ b/crates/fleet/src/store/agent.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use super::{Failure, News, Store};
+use super::{Failure, News, Reading, Store};
 use crate::control::{Event, Handle};
 use crate::member::Card;
 
@@ -41,11 +41,18 @@
         let mut known = 0;
         while !self.control.is_closed() {
             match self.noted(self.store.document(known, WATCH_WAIT).await).await {
-                Ok((document, revision)) => {
+                Ok(Reading { document, unreadable, revision }) => {
                     known = revision;
+                    if let Some(unreadable) = unreadable {
+                        self.tell(News::Unreadable(unreadable)).await;
+                    }
                     if let Some(document) = document {
                         self.tell(News::Document(document)).await;
                     }
+                    if known == 0 {
+                        // There is nothing to watch yet.
+                        tokio::time::sleep(PAUSE).await;
+                    }
                 }
                 Err(_) => {
                     // Events may be gone from the history: read anew.
@@ -81,7 +88,7 @@
             let pause = match self.noted(self.store.hosts().await).await {
                 Ok(hosts) => {
                     // Gone from the store, as when its keys were taken away.
-                    registered &= hosts.contains(&card);
+                    registered &= hosts.entries.contains(&card);
                     self.tell(News::Hosts(hosts)).await;
                     HOSTS_EVERY
                 }
--- a/crates/fleet/src/store/message.rs
+++ b/crates/fleet/src/store/message.rs
@@ -24,31 +24,54 @@
     Unreadable,
 }
 
-/// A complete list of targets.
+/// Something in the store that can't be read; it names nothing to use.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Unreadable {
+    /// Where it is.
+    pub key: Arc<str>,
+    /// Its last change.
+    pub revision: u64,
+    /// What is wrong with it.
+    pub why: Arc<str>,
+}
+
+/// A complete list.
+#[derive(Clone, Debug)]
+pub struct Listing<T> {
+    /// What could be read.
+    pub entries: Vec<T>,
+    /// The others.
+    pub unreadable: Vec<Unreadable>,
+}
+
+impl<T> From<Vec<T>> for Listing<T> {
+    fn from(entries: Vec<T>) -> Self {
+        Self { entries, unreadable: Vec::new() }
+    }
+}
+
+/// What the store says of the configuration.
 #[derive(Clone, Debug, Default)]
-pub struct Listing {
-    /// The targets.
-    pub entries: Vec<Entry>,
-    /// Entries that could not be read; they name no target.
-    pub unreadable: usize,
+pub struct Reading {
+    /// The newest one that could be read; none if it did not change.
+    pub document: Option<Arc<Document>>,
+    /// The newest one, if that could not be read.
+    pub unreadable: Option<Unreadable>,
+    /// Revision of the store from which to go on; 0 if there is no configuration yet.
+    pub revision: u64,
 }
 
 /// The store, as far as this system uses it.
 #[async_trait]
 pub trait Store: Send + Sync {
-    /// The configuration, once it differs from `known` (a revision of the store) or `wait` is over;
-    /// none if it did not change. Also the revision from which to go on.
-    async fn document(
-        &self,
-        known: u64,
-        wait: Duration,
-    ) -> Result<(Option<Arc<Document>>, u64), Failure>;
+    /// The configuration, once it differs from `known` (a revision of the store) or `wait` is over.
+    async fn document(&self, known: u64, wait: Duration) -> Result<Reading, Failure>;
 
     /// All targets. A stale answer may be seconds old.
-    async fn targets(&self, stale: bool) -> Result<Listing, Failure>;
+    async fn targets(&self, stale: bool) -> Result<Listing<Entry>, Failure>;
 
     /// All hosts that registered.
-    async fn hosts(&self) -> Result<Vec<Card>, Failure>;
+    async fn hosts(&self) -> Result<Listing<Card>, Failure>;
 
     /// Registers this host.
     async fn register(&self, card: &Card) -> Result<(), Failure>;
@@ -60,9 +83,11 @@
     /// A configuration.
     Document(Arc<Document>),
     /// A complete list of targets.
-    Targets(Listing),
+    Targets(Listing<Entry>),
     /// Hosts that registered.
-    Hosts(Vec<Card>),
+    Hosts(Listing<Card>),
+    /// A configuration that can't be read; the one in force stays.
+    Unreadable(Unreadable),
     /// The store stopped answering.
     Lost(Failure),
     /// The store answers again.
--- a/crates/fleet/src/store/mod.rs
+++ b/crates/fleet/src/store/mod.rs
@@ -3,6 +3,11 @@
 
 mod agent;
 mod message;
+mod told;
+
+#[cfg(test)]
+mod tests;
 
 pub use agent::Agent;
-pub use message::{Failure, Listing, News, Store};
+pub use message::{Failure, Listing, News, Reading, Store, Unreadable};
+pub use told::Told;
--- /dev/null
+++ b/crates/fleet/src/store/tests.rs
@@ -0,0 +1,26 @@
+use coltsfootshunt_testkit::cases;
+
+use super::{Told, Unreadable};
+
+fn unreadable(key: &str, revision: u64) -> Unreadable {
+    Unreadable { key: key.into(), revision, why: "it is odd".into() }
+}
+
+/// Reads of a list, each with the keys and revisions that can't be read; which of the last are told.
+fn tells(reads: &[&[(&str, u64)]], wanted: &[(&str, u64)]) {
+    let mut told = Told::default();
+    let mut last = Vec::new();
+    for read in reads {
+        last = told.list(read.iter().map(|(key, revision)| unreadable(key, *revision)).collect());
+    }
+    let last: Vec<(&str, u64)> = last.iter().map(|one| (&*one.key, one.revision)).collect();
+    assert_eq!(last, wanted);
+}
+
+cases! { tells:
+    all_at_first(&[&[("a", 1), ("b", 2)]], &[("a", 1), ("b", 2)]);
+    nothing_twice(&[&[("a", 1)], &[("a", 1)]], &[]);
+    a_change(&[&[("a", 1), ("b", 2)], &[("a", 3), ("b", 2)]], &[("a", 3)]);
+    nothing_of_a_stale_read(&[&[("a", 3)], &[("a", 1)], &[("a", 3)]], &[]);
+    what_comes_back_after_it_could_be_read(&[&[("a", 1)], &[], &[("a", 4)]], &[("a", 4)]);
+}
