fix(lease): a target's clock and a host's token may be the largest number

What operators would see, where overflow is checked: a target whose clockMs is within half a second of 2^64, or a host whose claim has such a token, ends the hosts that hear it. Without the checks the sum wraps: the lease would end long ago, or the next token be lower than all others.

Cause: slack and lease were added to the clock, and a step to the token, without a bound.

Evidence, before: steward::tests::largest, bears_a_clock: 'lease/picture/answer.rs:113:57: attempt to add with overflow'; makes_tokens::behind_the_largest_number and behind_one_that_is_short_of_it: 'lease/token.rs: 50:63: attempt to add with overflow'.

The clock's sums stay at the largest number. A token above 2^53 - 1 can't have been made by a host, and nothing could be made above the largest: it is passed over when it is heard.

--- a/crates/fleet/src/lease/picture.rs
+++ b/crates/fleet/src/lease/picture.rs
@@ -284,7 +284,8 @@
     fn lease_until(&self, now: Instant) -> Option<u64> {
         let (clock_ms, at) = self.clock?;
         let ahead = now.duration_since(at) + self.lease;
-        Some(clock_ms + u64::try_from(ahead.as_millis()).unwrap_or_default())
+        let ahead_ms = u64::try_from(ahead.as_millis()).unwrap_or(u64::MAX);
+        Some(clock_ms.saturating_add(ahead_ms))
     }
 
     fn token(&self) -> Token {
--- a/crates/fleet/src/lease/picture/answer.rs
+++ b/crates/fleet/src/lease/picture/answer.rs
@@ -109,8 +109,9 @@
                     attempt.status = Status::Running(clock_ms);
                 }
                 // A clock that went back is another life's, which obeys every token at first.
-                self.doubt |=
-                    self.clock.is_some_and(|(known, _)| clock_ms + CLOCK_SLACK_MS < known);
+                self.doubt |= self
+                    .clock
+                    .is_some_and(|(known, _)| clock_ms.saturating_add(CLOCK_SLACK_MS) < known);
                 self.hear_clock(clock_ms, now);
             }
             Answer::Rejected(rejection) => {
--- a/crates/fleet/src/lease/token.rs
+++ b/crates/fleet/src/lease/token.rs
@@ -10,6 +10,9 @@
 /// every JSON reader keeps.
 const SALT_BITS: u32 = 12;
 
+/// Largest token that another host is believed to have made: the largest whole number as above.
+const MAX_HEARD: Token = Token((1 << 53) - 1);
+
 /// Rank of a host's orders at a target; the higher one wins.
 #[derive(
     Clone,
@@ -51,8 +54,11 @@
         self.last
     }
 
-    /// Stays above a token that another host uses.
+    /// Stays above a token that another host uses. One that no host can have made is passed over: there would
+    /// be none above it.
     pub fn observe(&mut self, other: Token) {
-        self.last = self.last.max(other);
+        if other <= MAX_HEARD {
+            self.last = self.last.max(other);
+        }
     }
 }
--- a/crates/fleet/src/steward/tests/largest.rs
+++ b/crates/fleet/src/steward/tests/largest.rs
@@ -59,3 +59,43 @@
     let returned = bench.dispatch().endings;
     assert_eq!(returned.iter().filter(|(_, one)| one.end == End::NotRun).count(), 4);
 }
+
+/// A target's clock is near the largest number there is; what runs there ends as usual.
+fn bears_a_clock(clock_ms: u64) {
+    let mut bench = Bench::new(1);
+    bench.accept(1, 2, "owner");
+    let calls = bench.dispatch().calls;
+    for call in calls.iter().filter(|call| started(call).is_some()) {
+        bench.answer(call, Answer::Taken { clock_ms });
+    }
+    bench.now += Duration::from_millis(60);
+    for call in bench.tend().calls {
+        let report = Report { clock_ms, born: Some(u64::MAX), ..Report::default() };
+        bench.answer(&call, Answer::Report(report));
+    }
+    bench.accept(2, 2, "owner");
+    bench.dispatch();
+    bench.tend();
+}
+
+cases! { bears_a_clock:
+    at_the_largest_number(u64::MAX);
+    short_of_it(u64::MAX - 100);
+}
+
+/// Tokens rise whatever another host says that its own is.
+fn makes_tokens(heard: u64) {
+    let mut mint = Mint::new(1);
+    mint.observe(Token(heard));
+    let first = mint.next(SystemTime::UNIX_EPOCH);
+    let second = mint.next(SystemTime::UNIX_EPOCH);
+    assert!(first < second, "{first} {second}");
+    assert!(second < Token(u64::MAX));
+}
+
+cases! { makes_tokens:
+    behind_none(0);
+    behind_a_usual_one(1 << 52);
+    behind_the_largest_number(u64::MAX);
+    behind_one_that_is_short_of_it(u64::MAX - 1);
+}
