fix(speed): another host's run times are taken only if ends can have made them

What operators would see: one host that tells run times beyond all bounds ends each host that hears it at the next job of that kind, in any build.

Cause: the sums of a trend came in unchecked, and the run time that they forecast went into Duration::from_secs_f64, which panics. The same message's factors of targets were checked.

Evidence, before: decides_behind::long_run_times: 'time.rs:962:23: cannot convert float seconds to Duration: value is either too big or NaN'.

Trends that ends can't have made are passed over, and a forecast is a thousand years at most.

--- a/crates/fleet/src/control/tests/extremes.rs
+++ b/crates/fleet/src/control/tests/extremes.rs
@@ -12,6 +12,8 @@
 use crate::config::{Route, Stretch};
 use crate::control::{Action, Event, Output, Request, State};
 use crate::job::{Id, Need, Outcome, Plan, Room, Step, Submission, Ticket};
+use crate::member::tests::card;
+use crate::peer::{Batch, Message};
 use crate::store::News;
 
 /// Steps one after the other, each of one task of a declared run time.
@@ -70,3 +72,31 @@
     });
     on_a_short_job_for_a_caller_that_waits_for_ever(chain(1, 50), u64::MAX, unbounded);
 }
+
+/// Another host says that run times of a kind are beyond all bounds; jobs are decided on as before.
+fn decides_behind(trend: [f64; 6]) {
+    let mut state = alone(&Arc::new(Time::new()));
+    hear_steward(&mut state);
+    state.settle();
+    let [ends, declared, took, declared_squared, product, took_squared] = trend;
+    let trend = serde_json::from_value(serde_json::json!({
+        "ends": ends, "declared": declared, "took": took,
+        "declared_squared": declared_squared, "product": product, "took_squared": took_squared,
+    }));
+    let kinds = vec![(Kind::try_from("cut").unwrap(), trend.unwrap())];
+    let learned = Message::Learned { targets: Vec::new(), kinds };
+    let batch =
+        Batch { from: card("steward", "b", 250), session: 1, number: 2, messages: vec![learned] };
+    state.handle(Event::Request(Ticket(1), Request::Deliver(batch)));
+    state.settle();
+    let actions = submit(&mut state, chain(1, 50), Duration::from_millis(1_500));
+    let sent = |action: &Action| matches!(action, Action::Send(_, Message::Run(_)));
+    assert!(actions.iter().any(sent), "{actions:?}");
+}
+
+cases! { decides_behind:
+    a_usual_trend([20.0, -60.0, -60.0, 180.0, 180.0, 180.0]);
+    long_run_times([500.0, -1_500.0, 1e300, 4_500.0, 0.0, 1e300]);
+    times_below_zero([-1.0, -1.0, -1.0, -1.0, -1.0, -1.0]);
+    sums_without_bounds([f64::MAX; 6]);
+}
--- a/crates/fleet/src/speed/book.rs
+++ b/crates/fleet/src/speed/book.rs
@@ -134,7 +134,8 @@
 
     /// Takes over what another host's targets have taught of kinds.
     pub fn hear_kinds(&mut self, from: &Host, kinds: Vec<(Kind, Trend)>) {
-        self.heard.insert(from.clone(), kinds.into_iter().collect());
+        let sound = kinds.into_iter().filter(|(_, trend)| trend.is_sound());
+        self.heard.insert(from.clone(), sound.collect());
         self.all = self.kinds.clone();
         for (kind, trend) in self.heard.values().flatten() {
             *self.all.entry(kind.clone()).or_default() += *trend;
--- a/crates/fleet/src/speed/trend.rs
+++ b/crates/fleet/src/speed/trend.rs
@@ -22,6 +22,11 @@
 /// Shortest run time that counts, in seconds.
 const SHORTEST: f64 = 1e-4;
 
+/// Longest run time that counts, in seconds: a thousand years, far below what times can hold.
+const LONGEST: f64 = 3.2e10;
+/// Bound of each sum either way: the ends that count times the square of the longest run time's logarithm.
+const LARGEST_SUM: f64 = 1e6;
+
 /// Sums over ends of one kind, of logarithms of seconds: of the declared time, and of the run time on an
 /// average target. Sums of several hosts add up.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -84,10 +89,19 @@
     pub fn forecast(&self, declared: Duration) -> Forecast {
         let declared = logarithm(declared);
         let line = self.line(declared);
-        let median = Duration::from_secs_f64(line.at(declared).exp());
+        let median = Duration::from_secs_f64(line.at(declared).exp().min(LONGEST));
         Forecast { median, deviation: line.deviation }
     }
 
+    /// Whether ends can have made it; another host's word may be odd.
+    #[must_use]
+    pub fn is_sound(&self) -> bool {
+        let squares = [self.ends, self.declared_squared, self.took_squared];
+        let sums = [self.declared, self.took, self.product];
+        let is_bounded = |sum: &f64| sum.abs() <= LARGEST_SUM;
+        squares.iter().all(|sum| *sum >= 0.0) && squares.iter().chain(&sums).all(is_bounded)
+    }
+
     fn fade(&mut self) {
         let left = 1.0 - FORGET;
         self.ends *= left;
