fix(platform): an entry of another form names no target

What operators would see: a target is listed, claimed again and again and counted as able to hold a job that can never run there, though its entry is another writer's: port 0, an address of no single machine or with a scope (no request can be built for that: the call ends by a panic and the claim never ends), a list in place of an object, an object in place of the state, a text in place of slots.

Cause: addresses were taken as they parse; decoders of structs take a list of the fields' values, and those of names of variants an object; fields that this system does not use were not looked at.

--- /dev/null
+++ b/crates/core/src/endpoint.rs
@@ -0,0 +1,50 @@
+//! Addresses that can be connected to.
+
+use std::net::{IpAddr, SocketAddr};
+
+use derive_more::{Display, Error};
+use serde::Deserialize;
+
+/// Where another process listens.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Deserialize)]
+#[serde(try_from = "SocketAddr")]
+pub struct Endpoint(SocketAddr);
+
+/// Why an address can't be connected to.
+#[derive(Clone, Copy, Debug, Display, Error, Eq, PartialEq)]
+pub enum Unfit {
+    /// Nothing listens on port 0.
+    #[display("port 0 can't be connected to")]
+    Port,
+    /// It names no single machine.
+    #[display("the address names no single machine")]
+    Machine,
+    /// It holds on one link only, and has no form in a URL.
+    #[display("the address has a scope")]
+    Scope,
+}
+
+impl TryFrom<SocketAddr> for Endpoint {
+    type Error = Unfit;
+
+    fn try_from(address: SocketAddr) -> Result<Self, Unfit> {
+        let ip = address.ip();
+        let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+        if address.port() == 0 {
+            return Err(Unfit::Port);
+        }
+        if ip.is_unspecified() || ip.is_multicast() || is_broadcast {
+            return Err(Unfit::Machine);
+        }
+        match address {
+            SocketAddr::V6(address) if address.scope_id() != 0 => Err(Unfit::Scope),
+            _ => Ok(Self(address)),
+        }
+    }
+}
+
+impl From<Endpoint> for SocketAddr {
+    fn from(endpoint: Endpoint) -> Self {
+        endpoint.0
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod answer;
 pub mod clock;
 pub mod config;
+pub mod endpoint;
 pub mod job;
 pub mod name;
 pub mod submission;
