fix(entry): a configuration that can't be read is passed over, not watched without a pause

What operators would see, on the product's own interface: with a document that can't be read where the configuration is kept, each zone's delegates call the platform hundreds of times a second until the next one.

Cause: the watch went on behind the last version that could be read, so each one was answered at once with the same document, and an answered watch has no pause.

Evidence, before: keeps (crates/entry/tests/odd_configuration.rs), calls of one entry in two seconds: 819 to 1,993, and 29 for a document of 200,000 bytes; 20 are allowed.

The watch goes on behind whatever it has seen; the one in force stays.

--- a/crates/entry/src/platform/agent.rs
+++ b/crates/entry/src/platform/agent.rs
@@ -137,13 +137,14 @@
                 Ok(None)
             };
             let answered = found.is_ok();
-            if let Ok(Some(entry)) = found
-                && let Ok(document) = serde_json::from_str::<Document>(&entry.value)
-            {
+            if let Ok(Some(entry)) = found {
+                // Behind one that can't be read, too: the one in force stays until the next one.
                 version = entry.version;
-                let event = Event::Configuration(Box::new(document));
-                if self.control.tell(event).await.is_err() {
-                    return;
+                if let Ok(document) = serde_json::from_str::<Document>(&entry.value) {
+                    let event = Event::Configuration(Box::new(document));
+                    if self.control.tell(event).await.is_err() {
+                        return;
+                    }
                 }
             }
             let watches = snapshot.delegate && snapshot.revision.0 > 0 && answered;
