--- a/crates/fleet/src/job/plan.rs
+++ b/crates/fleet/src/job/plan.rs
@@ -1,14 +1,18 @@
 //! What a job asks for, checked.
 
+use std::ops::Add;
 use std::sync::Arc;
 use std::time::Duration;
 
 use coltsfootshunt_core::name::Label;
-use derive_more::{Add, Display, Error};
+use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
 /// Digits of a job's identifier.
 const ID_DIGITS: usize = 16;
+/// Longest declared run time that counts, in milliseconds: thirty days, longer than any caller waits. Sums
+/// and multiples of it stay far below what times can hold.
+const MAX_ESTIMATE_MS: u64 = 30 * 24 * 3_600 * 1_000;
 /// Most tasks of one job; the brief's largest job.
 pub const MAX_TASKS: u32 = 1_000;
 
@@ -41,7 +45,7 @@
 }
 
 /// Processors, memory and accelerators: what a task takes or a target has.
-#[derive(Add, Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Room {
     /// Thousandths of a processor core.
     pub cpu_millis: u64,
@@ -71,6 +75,19 @@
     }
 }
 
+/// A target may say that it has the largest number there is: a sum beyond that stays there.
+impl Add for Room {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_add(other.cpu_millis),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+}
+
 /// What each task of a step needs of its target.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Need {
@@ -90,7 +107,7 @@
     /// Declared run time.
     #[must_use]
     pub fn estimate(&self) -> Duration {
-        Duration::from_millis(self.estimate_ms.max(1))
+        Duration::from_millis(self.estimate_ms.clamp(1, MAX_ESTIMATE_MS))
     }
 }
 
--- a/crates/fleet/src/lease/picture.rs
+++ b/crates/fleet/src/lease/picture.rs
@@ -326,7 +326,8 @@
             return None;
         }
         let ahead = now.duration_since(at).mul_f64(1.0 - CLOCK_DRIFT) + lease;
-        Some(clock_ms.saturating_add(u64::try_from(ahead.as_millis()).unwrap_or_default()))
+        let ahead_ms = u64::try_from(ahead.as_millis()).unwrap_or(u64::MAX);
+        Some(clock_ms.saturating_add(ahead_ms))
     }
 
     /// The longest lease from now on that ends before a job can come again whose owner may have given it
--- a/crates/model/src/product.rs
+++ b/crates/model/src/product.rs
@@ -7,7 +7,7 @@
 
 use coltsfootshunt_core::clock::Clock;
 use coltsfootshunt_core::name::{Target, Zone};
-use coltsfootshunt_fleet::config::{Document, Limits, Route};
+use coltsfootshunt_fleet::config::{Document, Limits, Route, Stretch};
 use coltsfootshunt_fleet::control::{self, Action, Output, Request, State};
 use coltsfootshunt_fleet::directory::{self, Entry};
 use coltsfootshunt_fleet::job::{Id, Need, Outcome, Plan, Room, Step, Submission, Ticket};
@@ -179,7 +179,7 @@
             };
             let state = State::new(settings, Arc::clone(&time) as Arc<dyn Clock>);
             play.hosts.push(Host { card, state, sent: BTreeMap::new() });
-            let listing = Listing { entries: entries.clone(), unreadable: 0 };
+            let listing = Listing::from(entries.clone());
             for news in [News::Document(Arc::clone(&document)), News::Targets(listing)] {
                 let event = Box::new(control::Event::Store(news));
                 play.agenda.put(Duration::ZERO, Event::Host(number, event));
@@ -389,7 +389,7 @@
         priority: 0,
         attempts: ATTEMPTS,
         timeout: PATIENCE,
-        stretch: STRETCH,
+        stretch: Stretch::try_from(STRETCH).expect("it is a factor"),
         allowance: ALLOWANCE,
     };
     let limits =
