--- a/crates/fleet/src/control/tests/world.rs
+++ b/crates/fleet/src/control/tests/world.rs
@@ -159,6 +159,8 @@
     cuts: BTreeMap<(usize, usize), Cut>,
     /// Cuts from a host to a target that lives.
     severed: BTreeMap<(usize, coltsfootshunt_core::name::Target), Cut>,
+    /// Targets that the list of the store lacks.
+    hidden: BTreeSet<coltsfootshunt_core::name::Target>,
     /// The host that callers send to; any, if none.
     door: Option<usize>,
     pub(super) starts: BTreeMap<Task, u32>,
@@ -187,6 +189,7 @@
             slow_percent: 100,
             cuts: BTreeMap::new(),
             severed: BTreeMap::new(),
+            hidden: BTreeSet::new(),
             door: None,
             starts: BTreeMap::new(),
             grants: 0,
@@ -258,7 +261,8 @@
 
     /// A host reads the list of targets.
     fn read_targets(&mut self, host: usize) {
-        let entries: Vec<_> = self.targets.values().map(|target| target.entry.clone()).collect();
+        let entries = self.targets.values().map(|target| target.entry.clone());
+        let entries: Vec<_> = entries.filter(|entry| !self.hidden.contains(&entry.name)).collect();
         let run = self.hosts[host].run;
         let news = Event::Store(News::Targets(Listing::from(entries)));
         self.happen(2, Happening::Event(host, run, news));
--- a/crates/fleet/src/control/tests/world/cuts.rs
+++ b/crates/fleet/src/control/tests/world/cuts.rs
@@ -50,6 +50,17 @@
         (0..self.targets.len()).for_each(|target| self.sever(host, target, Some(Cut::Silent)));
     }
 
+    /// The entry of a target vanishes from the store's list though it lives, or is back.
+    pub(in crate::control::tests) fn hide(&mut self, target: usize, hidden: bool) {
+        if let Some(name) = self.targets.keys().nth(target).cloned() {
+            if hidden {
+                self.hidden.insert(name)
+            } else {
+                self.hidden.remove(&name)
+            };
+        }
+    }
+
     /// Hosts that claim a zone.
     pub(in crate::control::tests) fn stewards(&self, zone: &str) -> Vec<usize> {
         let zone = Zone::try_from(zone).unwrap();
