--- a/crates/standin/src/cut.rs
+++ b/crates/standin/src/cut.rs
@@ -104,6 +104,13 @@
     let _ = stream.set_zero_linger();
 }
 
+/// Resets the connection once its other half is gone too.
+fn reset_half(half: OwnedWriteHalf) {
+    reset(half.as_ref());
+    // Dropping it would end the stream in good order first.
+    half.forget();
+}
+
 async fn join(near: TcpStream, far: TcpStream, wire: watch::Receiver<Wire>) {
     for stream in [&near, &far] {
         // Without these the relay would only be slower.
@@ -127,7 +134,7 @@
     loop {
         let fault = wire.borrow_and_update().fault;
         match fault {
-            Fault::Reset => return reset(to.as_ref()),
+            Fault::Reset => return reset_half(to),
             Fault::Silent => return tokio::time::sleep(SILENCE).await,
             Fault::Mute if answers => return tokio::time::sleep(SILENCE).await,
             Fault::None | Fault::Delay(_) | Fault::Mute => {}
