test(standin): a relay that refuses connections

What was missing: the relay accepted each new connection and reset it then, so no test ever met a target that lives and whose connections are refused, as a cut with resets makes them.

Change: Fault::Refuse resets open connections and closes the listening socket; at its end the relay listens on the same port again and tries until it can, each failure printed. A relay has a loopback number of its own, so that no outgoing connection and no other relay takes its port meanwhile.

--- a/crates/standin/src/cut.rs
+++ b/crates/standin/src/cut.rs
@@ -1,7 +1,8 @@
-//! A TCP relay whose connections can be cut, delayed, reset and made deaf, in place of a network that
-//! fails.
+//! A TCP relay whose connections can be cut, delayed, reset, refused and made deaf, in place of a
+//! network that fails.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -14,6 +15,8 @@
 const SILENCE: Duration = Duration::from_secs(30);
 /// Bytes that are passed on at once.
 const CHUNK: usize = 16 << 10;
+/// Time between tries to listen on a port again; far below any fault's length.
+const BIND_AGAIN_AFTER: Duration = Duration::from_millis(20);
 
 /// What a relay does to its connections, open ones too.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -27,8 +30,10 @@
     Silent,
     /// Requests pass, answers don't.
     Mute,
-    /// Connections are reset.
+    /// Connections are accepted and reset.
     Reset,
+    /// Open connections are reset, new ones refused: nothing listens.
+    Refuse,
 }
 
 /// Where a relay leads, and its fault.
@@ -52,15 +57,10 @@
     /// # Errors
     /// The system gives no port.
     pub async fn start() -> std::io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let listener = TcpListener::bind((loopback(), 0)).await?;
         let address = listener.local_addr()?;
         let wire = watch::Sender::new(Wire::default());
-        let seen = wire.subscribe();
-        let server = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(relay(stream, seen.clone()));
-            }
-        });
+        let server = tokio::spawn(serve(listener, address, wire.subscribe()));
         Ok(Self { address, wire, server })
     }
 
@@ -86,6 +86,55 @@
     }
 }
 
+/// A loopback number for one relay: outgoing connections and other relays don't take its port while
+/// it is closed.
+fn loopback() -> Ipv4Addr {
+    static RELAYS: AtomicU32 = AtomicU32::new(0);
+    let number = RELAYS.fetch_add(1, Ordering::Relaxed);
+    let low = u8::try_from(number % 250).expect("it is below 250") + 1;
+    let middle = u8::try_from(number / 250 % 6).expect("it is below 6") + 250;
+    let high = u8::try_from(std::process::id() % 250).expect("it is below 250") + 2;
+    Ipv4Addr::new(127, high, middle, low)
+}
+
+/// Accepts connections; nothing listens while they are to be refused.
+async fn serve(mut listener: TcpListener, address: SocketAddr, wire: watch::Receiver<Wire>) {
+    let mut watched = wire.clone();
+    loop {
+        tokio::select! {
+            refused = watched.wait_for(|wire| wire.fault == Fault::Refuse) => {
+                if refused.is_err() {
+                    return;
+                }
+            }
+            () = accept(&listener, &wire) => return,
+        }
+        drop(listener);
+        if watched.wait_for(|wire| wire.fault != Fault::Refuse).await.is_err() {
+            return;
+        }
+        listener = bind(address).await;
+    }
+}
+
+async fn accept(listener: &TcpListener, wire: &watch::Receiver<Wire>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(relay(stream, wire.clone()));
+    }
+}
+
+/// Listens again. Another process may hold the port for a while; connections are refused until it
+/// is free.
+async fn bind(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(error) => eprintln!("the relay can't listen on {address} again yet: {error}"),
+        }
+        tokio::time::sleep(BIND_AGAIN_AFTER).await;
+    }
+}
+
 async fn relay(near: TcpStream, wire: watch::Receiver<Wire>) {
     let Wire { to, fault } = *wire.borrow();
     match (to, fault) {
@@ -94,7 +143,7 @@
                 join(near, far, wire).await;
             }
         }
-        (_, Fault::Reset) => reset(&near),
+        (_, Fault::Reset | Fault::Refuse) => reset(&near),
         _ => tokio::time::sleep(SILENCE).await,
     }
 }
@@ -134,7 +183,7 @@
     loop {
         let fault = wire.borrow_and_update().fault;
         match fault {
-            Fault::Reset => return reset_half(to),
+            Fault::Reset | Fault::Refuse => return reset_half(to),
             Fault::Silent => return tokio::time::sleep(SILENCE).await,
             Fault::Mute if answers => return tokio::time::sleep(SILENCE).await,
             Fault::None | Fault::Delay(_) | Fault::Mute => {}
--- a/crates/standin/tests/cut.rs
+++ b/crates/standin/tests/cut.rs
@@ -2,6 +2,7 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use coltsfootshunt_standin::cut::{Fault, Relay};
 use coltsfootshunt_testkit::{cases, until};
@@ -69,4 +70,18 @@
 
 cases! { breaks_off:
     by_a_reset(Fault::Reset, ErrorKind::ConnectionReset);
+    by_a_refusal(Fault::Refuse, ErrorKind::ConnectionRefused);
+}
+
+#[tokio::test]
+async fn a_port_taken_meanwhile_is_listened_on_once_it_is_free() {
+    let mut relay = Relay::start().await.expect("a loopback port is free");
+    relay.point(echo().await);
+    relay.set(Fault::Refuse);
+    let taken = until("the port is free", || async { TcpListener::bind(relay.address).await.ok() });
+    let taken = taken.await;
+    relay.set(Fault::None);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    drop(taken);
+    until("the relay listens again", || async { connect(relay.address).await.ok() }).await;
 }
