test(soak): a seed's faults don't depend on the number of jobs between them

What was missing: faults and jobs drew from one generator. How many jobs fit between two faults depends on the machine, so a seed's faults differed from run to run and a kept seed replayed only the first of them.

Evidence (before): seed 1 twice in a row, same from the first fault to the 11th, another 12th to 16th (a cut of target 4 for 2.1 s in one run, a frozen host 2 for 0.3 s in the other).

Change: jobs draw from a generator of their own, drawn from the seed. The two fixed seeds therefore have other faults from now on; neither was kept for a failure (they came with the soak), and their old faults could not be replayed.

--- a/crates/entry/tests/soak_world/mod.rs
+++ b/crates/entry/tests/soak_world/mod.rs
@@ -40,7 +40,10 @@
     hosts: Vec<Host>,
     target_relays: Vec<Relay>,
     store_relays: Vec<Relay>,
+    /// Draws faults and the time between them, whatever number of jobs comes in between.
     rng: StdRng,
+    /// Draws jobs.
+    load: StdRng,
     heals: Vec<(Instant, Heal)>,
     /// Hosts whose processes were told to end.
     told: Vec<bool>,
@@ -77,13 +80,17 @@
             hosts.push(host);
         }
         fleet.settled(&hosts.iter().collect::<Vec<_>>()).await;
+        // Each draws from its own, in this order: one that is added at the end changes no other.
+        let mut seeds = StdRng::seed_from_u64(seed);
+        let mut next = || StdRng::from_rng(&mut seeds);
         Self {
             told: vec![false; hosts.len()],
             fleet,
             hosts,
             target_relays,
             store_relays,
-            rng: StdRng::seed_from_u64(seed),
+            rng: next(),
+            load: next(),
             heals: Vec::new(),
             version: 1,
             jobs: 0,
@@ -114,7 +121,7 @@
             self.heal();
             self.watch();
             self.submit();
-            let gap = self.rng.random_range(JOB_GAP_MS);
+            let gap = self.load.random_range(JOB_GAP_MS);
             tokio::time::sleep(Duration::from_millis(gap)).await;
         }
     }
@@ -122,8 +129,8 @@
     fn submit(&mut self) {
         self.jobs += 1;
         let fronts: Vec<_> = self.hosts.iter().map(|host| host.callers).collect();
-        let first = self.rng.random_range(0..fronts.len());
-        let job = Job::new(self.jobs, &mut self.rng);
+        let first = self.load.random_range(0..fronts.len());
+        let job = Job::new(self.jobs, &mut self.load);
         let caller = Caller { client: self.client.clone(), fronts, first };
         self.callers.push(tokio::spawn(caller.run(job)));
     }
