test(soak): connections to targets and to the store are refused at times; red

The check of it was there: the targets' ledger notes each task that runs twice at the same time.

A crashed target refuses connections in one of two cases; the others accept and reset them as before. Refusals draw from a generator of their own, so the other faults of a seed stay as they were.

--- a/crates/entry/tests/soak.rs
+++ b/crates/entry/tests/soak.rs
@@ -29,6 +29,8 @@
 cases! { replays:
     first_seed(1);
     second_seed(2);
+    // A refused connection was taken for the end of what ran at its target: tasks ran twice.
+    refused_while_it_runs(200_118_555_672_488);
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/entry/tests/soak_world/fault.rs
+++ b/crates/entry/tests/soak_world/fault.rs
@@ -53,7 +53,8 @@
             }
             7 => {
                 // A crash ends the target's connections and with them what is on its way.
-                self.target_relays[target].set(Fault::Reset);
+                let refuses = self.refusals.random_bool(0.5);
+                self.target_relays[target].set(if refuses { Fault::Refuse } else { Fault::Reset });
                 self.fleet.targets[target].crash();
                 self.heals.push((end, Heal::TargetRelay(target)));
             }
@@ -62,6 +63,25 @@
         }
     }
 
+    /// Refuses connections at times: what is behind the relay lives, and nothing listens.
+    pub(crate) fn refuse(&mut self) {
+        let lasts = Duration::from_millis(self.refusals.random_range(LASTS_MS));
+        let end = Instant::now() + lasts;
+        let host = self.refusals.random_range(0..self.hosts.len());
+        let target = self.refusals.random_range(0..self.target_relays.len());
+        match self.refusals.random_range(0..6) {
+            0 | 1 => {
+                self.target_relays[target].set(Fault::Refuse);
+                self.heals.push((end, Heal::TargetRelay(target)));
+            }
+            2 => {
+                self.store_relays[host].set(Fault::Refuse);
+                self.heals.push((end, Heal::StoreRelay(host)));
+            }
+            _ => {}
+        }
+    }
+
     fn wire_fault(&mut self) -> Fault {
         match self.rng.random_range(0..4) {
             0 => Fault::Delay(Duration::from_millis(self.rng.random_range(20..2_500))),
--- a/crates/entry/tests/soak_world/mod.rs
+++ b/crates/entry/tests/soak_world/mod.rs
@@ -44,6 +44,8 @@
     rng: StdRng,
     /// Draws jobs.
     load: StdRng,
+    /// Draws refusals, which come beside the other faults.
+    refusals: StdRng,
     heals: Vec<(Instant, Heal)>,
     /// Hosts whose processes were told to end.
     told: Vec<bool>,
@@ -91,6 +93,7 @@
             store_relays,
             rng: next(),
             load: next(),
+            refusals: next(),
             heals: Vec::new(),
             version: 1,
             jobs: 0,
@@ -111,6 +114,7 @@
             let gap = Duration::from_millis(self.rng.random_range(GAP_MS));
             self.load_for(gap).await;
             self.disturb();
+            self.refuse();
         }
         self.load_for(Duration::from_secs(1)).await;
     }
