--- a/crates/entry/tests/refusal.rs
+++ b/crates/entry/tests/refusal.rs
@@ -14,7 +14,7 @@
 /// Time into a refusal at which its target still runs the task; well under its lease.
 const RUNS_ON: Duration = Duration::from_millis(150);
 
-async fn refuse(times: u32, lasts: Duration) {
+async fn refuse(times: u32, lasts: Duration, most_starts: u32) {
     let mut relays = Vec::new();
     for _ in 0..TARGETS {
         relays.push(Relay::start().await.expect("a loopback port is free"));
@@ -40,17 +40,20 @@
         let (answer, ()) = tokio::join!(job, refusal);
         assert!(answer.is_some(), "the caller gets an answer");
         assert_eq!(fleet.ledger.broken(), Vec::<String>::new(), "logs in {:?}", fleet.folder());
+        let starts = fleet.ledger.starts(&id);
+        assert!(starts <= most_starts, "{starts} starts, logs in {:?}", fleet.folder());
         fleet.settled(&hosts.iter().collect::<Vec<_>>()).await;
     }
 }
 
-/// Refuses a target's connections while it runs a task; no other target runs it meanwhile.
-fn a_target_that_refuses_connections_runs_its_task_once(times: u32, lasts_ms: u64) {
+/// Refuses a target's connections while it runs a task; no other target runs it meanwhile, and it
+/// starts again only once the lease has ended.
+fn a_target_that_refuses_connections_runs_its_task_once(times: u32, lasts_ms: u64, starts: u32) {
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
-    runtime.block_on(refuse(times, Duration::from_millis(lasts_ms)));
+    runtime.block_on(refuse(times, Duration::from_millis(lasts_ms), starts));
 }
 
 cases! { a_target_that_refuses_connections_runs_its_task_once:
-    for_less_than_its_lease(5, 300);
-    for_longer_than_its_lease(3, 1_800);
+    for_less_than_its_lease(5, 300, 1);
+    for_longer_than_its_lease(3, 1_800, 2);
 }
