fix(control): a message that a cut held up is void once its session was given up

What callers could see: two runs of one task. A host sends a task to a steward as a cut begins; the bytes are held up. After 0.8 s each gives the other up, the owner answers its caller, and the caller comes again 1.3 s later through another host. The cut ends while the repeat runs, the held-up message arrives first, in the old session, and the steward starts the task a second time; its time left is told relative to its arrival, so it looks fresh.

Cause, the same class: the arrival of a message was taken as proof that its sender still wants it. The receiving host had itself given the sender up by then.

The mend: a batch that continues a session of a peer that was not heard for 0.8 s is answered as broken; the sender begins a new session, with whose first message all that came before is void, as after any loss.

--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -12,8 +12,8 @@
 use crate::directory;
 use crate::job::{self, Id, Outcome, Ticket};
 use crate::lease::Mint;
-use crate::member::{Card, Roster};
-use crate::peer::{Inbox, Message, Taken};
+use crate::member::{Card, LOST_AFTER, Roster};
+use crate::peer::{Ack, Batch, Inbox, Message, Taken};
 use crate::report::Note;
 use crate::speed;
 use crate::steward::{self, Steward};
@@ -169,6 +169,7 @@
             Request::State(id) => Output::State(self.job_state(&id)),
             Request::Cancel(id) => Output::Cancelled(self.cancel(&id, now)),
             Request::Pending(kind) => Output::Pending(self.jobs.untouched(&kind)),
+            Request::Deliver(batch) if self.is_over(&batch, now) => Output::Ack(Ack::Broken),
             Request::Deliver(batch) => Output::Ack(match self.inbox.take(&batch) {
                 Taken::Answer(ack) => ack,
                 Taken::Act { fresh } => {
@@ -176,7 +177,7 @@
                     for message in batch.messages {
                         self.message(&batch.from, message, now);
                     }
-                    crate::peer::Ack::Taken
+                    Ack::Taken
                 }
             }),
             Request::Dump => Output::Dump(self.dump(now)),
@@ -184,6 +185,13 @@
         self.out.push(Action::Answer(ticket, output));
     }
 
+    /// Whether a batch belongs to a session that this host has given up: a cut held it up, and its sender
+    /// has answered the callers of what is in it.
+    fn is_over(&self, batch: &Batch, now: Instant) -> bool {
+        let known = self.roster.peer(&batch.from.host).filter(|peer| peer.card == batch.from);
+        batch.number > 1 && known.is_some_and(|peer| now.duration_since(peer.heard) > LOST_AFTER)
+    }
+
     fn job_state(&self, id: &Id) -> Option<JobState> {
         if let Some(open) = self.jobs.get(id) {
             return Some(if open.touched { JobState::Running } else { JobState::Queued });
--- a/crates/fleet/src/control/tests/mod.rs
+++ b/crates/fleet/src/control/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Whole hosts against targets that keep to the published protocol, under random failures.
 
 mod cuts;
+mod evidence;
 mod extremes;
 mod jobs;
 mod safety;
--- a/crates/fleet/src/control/tests/safety.rs
+++ b/crates/fleet/src/control/tests/safety.rs
@@ -60,6 +60,14 @@
             let hidden = world.chance(0.5);
             world.hide(target, hidden);
         }
+        // What the cut holds up arrives when it ends.
+        12 => {
+            world.holds_up = true;
+            let for_ms = 500 + world.pick(3_500) as u64;
+            for other in (0..world.hosts()).filter(|other| *other != host) {
+                world.cut_for(host, other, for_ms);
+            }
+        }
         _ => {
             let killed: Vec<usize> = (0..world.hosts()).filter(|one| !world.is_up(*one)).collect();
             killed.into_iter().for_each(|one| world.start(one));
@@ -137,6 +145,17 @@
     keeps_promises(seed, SHORT, chances, kinds);
 }
 
+/// A message that a cut held up was acted on after its sender had been given up and its caller had come again.
+fn held_up(seed: u64, mix: Mix, chances: Chances) {
+    keeps_promises(seed, mix, chances, &[12]);
+}
+
+cases! { held_up:
+    seed_of_short_work(10_133_900_383_219_896_787, SHORT, CALM);
+    seed_of_long_work(13_816_815_059_462_110_367, LONG, CALM);
+    seed_of_runs_that_hang(1_603_505_714_170_103_243, SHORT, HANGING);
+}
+
 // Seeds that once broke a promise, with what was wrong.
 cases! { replays:
     // A host that had lost another told it only a second later, after the caller's repeat.
@@ -170,10 +189,26 @@
 }
 
 const LATE: Chances =
-    Chances { call_lost: 0.05, answer_lost: 0.05, late: 0.8, fails: 0.02, sheds: 0.0 };
+    Chances { call_lost: 0.05, answer_lost: 0.05, late: 0.8, fails: 0.02, sheds: 0.0, hangs: 0.0 };
 const CALM: Chances =
-    Chances { call_lost: 0.0, answer_lost: 0.0, late: 0.0, fails: 0.02, sheds: 0.0 };
+    Chances { call_lost: 0.0, answer_lost: 0.0, late: 0.0, fails: 0.02, sheds: 0.0, hangs: 0.0 };
 const SHEDDING: Chances = Chances { sheds: 0.4, ..CALM };
+/// Runs that outlast their callers' patience and pause, on which a second run would show.
+const HANGING: Chances = Chances { hangs: 0.25, ..CALM };
+const HANGING_LATE: Chances = Chances { hangs: 0.25, ..LATE };
+
+fn lasting(chances: Chances, kinds: &'static [u8]) {
+    holds(SHORT, chances, kinds);
+}
+
+cases! { lasting:
+    under_frozen_and_killed_hosts(HANGING, &[0, 1, 5]);
+    under_cuts_between_hosts(HANGING, &[4]);
+    under_cuts_between_hosts_that_hold_messages_up(HANGING, &[12]);
+    under_refusing_cuts_and_targets_out_of_reach(HANGING, &[6, 7, 8, 9, 10]);
+    under_calls_that_are_lost_or_carried_out_late(HANGING_LATE, &[4, 6, 5, 0]);
+    under_all_of_it(HANGING_LATE, &[0, 1, 2, 3, 4, 5, 5, 6, 7, 8, 9, 10, 11, 12]);
+}
 
 cases! { property:
     under_calls_that_are_lost_or_carried_out_late(LATE, &[]);
@@ -192,6 +227,7 @@
     under_entries_that_vanish_and_crashed_targets(LATE, &[3, 11, 11]);
     under_all_of_it(LATE, &[0, 1, 2, 3, 4, 5, 5]);
     under_all_of_it_and_cuts_of_all_kinds(LATE, &[0, 1, 2, 3, 4, 5, 5, 6, 7, 8]);
+    under_cuts_between_hosts_that_hold_messages_up(CALM, &[12]);
     under_targets_that_refuse_connections(CALM, &[9]);
     under_targets_out_of_reach_of_one_host(CALM, &[10]);
     under_all_of_it_and_targets_out_of_reach(LATE, &[0, 1, 2, 3, 4, 5, 5, 9, 10, 10]);
@@ -208,4 +244,5 @@
     under_cuts_one_way(CALM, &[7, 8]);
     under_all_of_it_at_once(LATE, &[0, 1, 2, 3, 4, 5, 5]);
     under_targets_that_refuse_connections(CALM, &[9]);
+    under_cuts_between_hosts_that_hold_messages_up(CALM, &[12]);
 }
--- a/crates/fleet/src/control/tests/world.rs
+++ b/crates/fleet/src/control/tests/world.rs
@@ -16,12 +16,12 @@
 
 use super::target::{LEASE_MS, Target};
 use crate::config::tests::{document, route};
-use crate::control::{Action, Event, Output, Settings, State};
+use crate::control::{Action, Event, Output, Request, Settings, State};
 use crate::directory;
 use crate::job::{Id, Outcome, Plan, Task, Ticket};
 use crate::lease::{Answer, Call, Term};
 use crate::member::Card;
-use crate::peer::Message;
+use crate::peer::{Batch, Message};
 use crate::report::Note;
 use crate::steward;
 use crate::store::{Listing, News};
@@ -72,6 +72,10 @@
 }
 
 enum Happening {
+    /// A batch that a cut held up arrives.
+    HeldUp(usize, Batch),
+    /// A cut between two hosts ends.
+    Mend(usize, usize),
     /// A host looks around.
     Wake(usize, u64),
     /// Something reaches a host; the number names the run of its process.
@@ -141,6 +145,8 @@
     pub(super) fails: f64,
     /// A target turns the call away and does nothing.
     pub(super) sheds: f64,
+    /// A run takes eight times as long as its caller says.
+    pub(super) hangs: f64,
 }
 
 pub(super) struct World {
@@ -157,6 +163,10 @@
     pub(super) slow_percent: u64,
     /// Cuts from one host to another.
     cuts: BTreeMap<(usize, usize), Cut>,
+    /// Whether bytes that a cut between hosts holds up arrive when it ends, as on the platform.
+    pub(super) holds_up: bool,
+    /// What cuts hold up, by sender and receiver.
+    held_up: Vec<(usize, usize, Batch)>,
     /// Cuts from a host to a target that lives.
     severed: BTreeMap<(usize, coltsfootshunt_core::name::Target), Cut>,
     /// Targets that the list of the store lacks.
@@ -188,6 +198,8 @@
             chances: Chances::default(),
             slow_percent: 100,
             cuts: BTreeMap::new(),
+            holds_up: false,
+            held_up: Vec::new(),
             severed: BTreeMap::new(),
             hidden: BTreeSet::new(),
             door: None,
@@ -368,6 +380,12 @@
             }
             Happening::Hold { host, run, call, until_ms } => self.hold(host, run, call, until_ms),
             Happening::Deliver { host, run, to } => self.deliver(host, run, to),
+            Happening::HeldUp(to, batch) => {
+                let (ticket, run) = (self.ticket(), self.hosts[to].run);
+                let event = Event::Request(ticket, Request::Deliver(batch));
+                self.happen(0, Happening::Event(to, run, event));
+            }
+            Happening::Mend(one, other) => self.set_cut(one, other, false),
             Happening::Send(id) => self.send(&id),
             Happening::GiveUp(id, attempt) => {
                 let caller = &self.callers[&id];
--- a/crates/fleet/src/control/tests/world/cuts.rs
+++ b/crates/fleet/src/control/tests/world/cuts.rs
@@ -2,7 +2,8 @@
 
 use coltsfootshunt_core::name::Zone;
 
-use super::{Host, World};
+use super::{Happening, Host, World};
+use crate::peer::Batch;
 
 /// What a cut does to connections.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -21,11 +22,29 @@
         self.set_path(other, one, cut);
     }
 
+    /// Cuts two hosts off from each other for a while.
+    pub(in crate::control::tests) fn cut_for(&mut self, one: usize, other: usize, for_ms: u64) {
+        self.set_cut(one, other, true);
+        self.happen(for_ms, Happening::Mend(one, other));
+    }
+
+    /// What a cut held up arrives when it ends, before any new connection is made.
+    fn release(&mut self, from: usize, to: usize) {
+        let all = std::mem::take(&mut self.held_up);
+        let (freed, held) = all.into_iter().partition(|(by, at, _)| (*by, *at) == (from, to));
+        self.held_up = held;
+        let freed: Vec<(usize, usize, Batch)> = freed;
+        freed.into_iter().for_each(|(_, to, batch)| self.happen(1, Happening::HeldUp(to, batch)));
+    }
+
     /// Cuts what one host sends to another, or mends that.
     pub(in crate::control::tests) fn set_path(&mut self, from: usize, to: usize, cut: Option<Cut>) {
         match cut {
             Some(cut) => self.cuts.insert((from, to), cut),
-            None => self.cuts.remove(&(from, to)),
+            None => {
+                self.release(from, to);
+                self.cuts.remove(&(from, to))
+            }
         };
     }
 
--- a/crates/fleet/src/control/tests/world/network.rs
+++ b/crates/fleet/src/control/tests/world/network.rs
@@ -48,7 +48,14 @@
             lane.trying = None;
             return;
         }
+        let first = lane.trying.is_none();
         let since = *lane.trying.get_or_insert(now_ms);
+        if first && cut == Some(Cut::Silent) && self.holds_up {
+            // Its bytes are on their way, and it is given up later without a reset.
+            let (session, number) = (lane.session, lane.number + 1);
+            let batch = Batch { from: from.clone(), session, number, messages: lane.batch.clone() };
+            self.held_up.push((host, other, batch));
+        }
         if refused || now_ms >= since + GIVE_UP_MS {
             lane.begin();
             lane.trying = None;
@@ -99,6 +106,9 @@
         let before = target.running.len();
         let is_fast = target.entry.name.to_string().ends_with('0');
         let percent = if is_fast { 100 } else { self.slow_percent };
+        // Nothing is drawn where nothing hangs, so that kept seeds stay what they are.
+        let hangs = self.chances.hangs > 0.0 && self.rng.random_bool(self.chances.hangs);
+        let percent = if hangs { percent * 8 } else { percent };
         let answer = target.take(call.token, &call.order, now_ms, |_| {
             let (room, takes_ms) = takes.unwrap_or_default();
             Work { room, takes_ms: takes_ms * percent / 100, fails }
--- a/crates/fleet/src/member/mod.rs
+++ b/crates/fleet/src/member/mod.rs
@@ -8,4 +8,4 @@
 pub(crate) mod tests;
 
 pub use message::{Beat, Card, Claim};
-pub use roster::{Peer, Roster};
+pub use roster::{LOST_AFTER, Peer, Roster};
