fix(lease): a takeover gives no lease to what others started

A steward that takes a target over renewed the lease of everything there, also of runs that the steward before it had started, while it waited for its own stops of them. The one before, cut off, counted on the end of the lease that it had given: where stops were carried out late and renewals were not, it called a run lost that went on (1,403 ms in the test), and had it started elsewhere.

A claim without attempts of this host, and a renewal while there are only those of others, lease nothing now, so that what others started ends when they reckon it.

Evidence: evidence::a_lease_is_over_although_another_steward_has_the_target ('it runs on at 1403 ms') and a_takeover_gives_no_lease_to_what_others_started (1,002 ms granted for none) failed before.

--- a/crates/fleet/src/lease/picture.rs
+++ b/crates/fleet/src/lease/picture.rs
@@ -192,9 +192,8 @@
     /// Claims the target, or raises the fence on it.
     pub fn claim(&mut self, token: Token, now: Instant) -> Call {
         self.phase = Phase::Claiming(token);
-        // What a lease needs is the target's clock; before it is known only attempts of this host
-        // could gain from one, and there are none.
-        let lease_until_ms = self.lease_until(now);
+        // Only attempts of this host gain from a lease; what others started comes to its end.
+        let lease_until_ms = self.lease_until(now).filter(|_| !self.attempts.is_empty());
         if lease_until_ms.is_some() && self.silences == 0 {
             self.leased_at = Some(now);
         }
@@ -219,7 +218,10 @@
         let at_once = self.is_idle() || self.silences > 0;
         let wait = if at_once { Duration::ZERO } else { self.renewal_wait(now) };
         // A second silence in a row renews nothing, so that the lease comes to an end.
-        let lease_until_ms = self.lease_until(now).filter(|_| self.silences < 2);
+        // What others started comes to its end: their stewards count on it.
+        let foreign = self.attempts.is_empty() && !self.orphans.is_empty();
+        let renews = self.silences < 2 && !foreign;
+        let lease_until_ms = self.lease_until(now).filter(|_| renews);
         if lease_until_ms.is_some() {
             self.leased_at = Some(now);
         }
