test(lease): two hosts share a token after observing a third (fails)

Evidence: both tests fail on this code: "both processes issue [Token, Token, ...]", and a successor issues just the five tokens that its predecessor used.

--- a/crates/fleet/src/lease/tests.rs
+++ b/crates/fleet/src/lease/tests.rs
@@ -1,4 +1,5 @@
 mod proof;
+mod token;
 
 use std::time::{Duration, Instant, SystemTime};
 
--- /dev/null
+++ b/crates/fleet/src/lease/tests/token.rs
@@ -0,0 +1,46 @@
+//! Tokens of processes that have observed each other's tokens.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, SystemTime};
+
+use coltsfootshunt_testkit::cases;
+
+use crate::lease::{Issuer, Token};
+
+fn at(wall_ms: u64) -> SystemTime {
+    SystemTime::UNIX_EPOCH + Duration::from_millis(wall_ms)
+}
+
+/// Guards against two hosts with slow clocks that count up from the same observed token and give a
+/// target orders under the same tokens. `wall_ms` has the time of day of each.
+fn processes_share_a_token(observed_at_ms: Option<u64>, wall_ms: [u64; 2]) {
+    let mut issuers = [Issuer::new(2_683), Issuer::new(1_461)];
+    if let Some(observed_at_ms) = observed_at_ms {
+        let observed = Issuer::new(224).next(at(observed_at_ms));
+        issuers.iter_mut().for_each(|issuer| issuer.observe(observed));
+    }
+    let mut issue = |process: usize| -> BTreeSet<Token> {
+        (0..20).map(|_| issuers[process].next(at(wall_ms[process]))).collect()
+    };
+    let (first, second) = (issue(0), issue(1));
+    let shared: Vec<_> = first.intersection(&second).collect();
+    assert!(shared.is_empty(), "both processes issue {shared:?}");
+}
+
+cases! { processes_share_a_token:
+    after_they_observed_a_third_process(Some(12_000), [10_000, 10_003]);
+    after_they_observed_an_old_token(Some(9_000), [10_000, 10_003]);
+    without_observing_any(None, [10_000, 10_000]);
+}
+
+/// Guards against a successor with a slow clock that runs through the tokens that its predecessor
+/// has used since its claim was observed.
+#[test]
+fn successor_repeats_tokens_of_its_predecessor() {
+    let (mut predecessor, mut successor) = (Issuer::new(224), Issuer::new(2_683));
+    let claim = predecessor.next(at(12_000));
+    let used: Vec<Token> = (0..5).map(|_| predecessor.next(at(12_000))).collect();
+    successor.observe(claim);
+    let issued: Vec<Token> = (0..5).map(|_| successor.next(at(10_000))).collect();
+    assert!(issued.iter().all(|token| !used.contains(token)), "{issued:?} of {used:?}");
+}
