feat(lease): report work of another process under the same token

Change: a report after the claim that lists an unknown attempt is written as `token shared` with target, token and task, once for each such attempt. No decision rests on it yet. Test: `lease::tests::token::reports_attempt_of_another_process_under_the_same_token`.

--- a/crates/fleet/src/lease/tests/token.rs
+++ b/crates/fleet/src/lease/tests/token.rs
@@ -1,11 +1,12 @@
 //! Tokens of processes that have observed each other's tokens.
 
 use std::collections::BTreeSet;
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use coltsfootshunt_testkit::cases;
 
-use crate::lease::{Issuer, Token};
+use super::{CLOCK, TOKEN, claimed_tracker, report, start_and_confirm, task};
+use crate::lease::{Change, Issuer, Token};
 
 fn at(wall_ms: u64) -> SystemTime {
     SystemTime::UNIX_EPOCH + Duration::from_millis(wall_ms)
@@ -44,3 +45,16 @@
     let issued: Vec<Token> = (0..5).map(|_| successor.next(at(10_000))).collect();
     assert!(issued.iter().all(|token| !used.contains(token)), "{issued:?} of {used:?}");
 }
+
+/// Two hosts hold a target under one token. The report that lists the other's attempt says so.
+#[test]
+fn reports_attempt_of_another_process_under_the_same_token() {
+    let now = Instant::now();
+    let mut tracker = claimed_tracker(now);
+    start_and_confirm(&mut tracker, 0, now);
+    let renewal = tracker.next_renewal(now).unwrap();
+    let changes = tracker.handle_response(&renewal, report(CLOCK + 5, &[0, 1], &[]), now);
+    let is_reported =
+        |change: &Change| matches!(change, Change::SharedToken(TOKEN, one) if *one == task(1));
+    assert!(changes.iter().any(is_reported), "{changes:?}");
+}
--- a/crates/fleet/src/lease/tracker.rs
+++ b/crates/fleet/src/lease/tracker.rs
@@ -73,6 +73,9 @@
         /// Time since the last order that extended the lease; none if there was none.
         since_renewal: Option<Duration>,
     },
+    /// A report lists an attempt that this host did not start and that its claim did not find. The claim
+    /// voided all orders under other tokens, so another process uses this one.
+    SharedToken(Token, Task),
     /// The target accepted the stop of an orphan, an attempt that another host started.
     Orphan(Task),
     /// The target rejected the start of a task.
--- a/crates/fleet/src/lease/tracker/response.rs
+++ b/crates/fleet/src/lease/tracker/response.rs
@@ -204,6 +204,10 @@
                 }
                 _ => {
                     let same = stopped.get(&listed.task).filter(|known| known.run == listed.run);
+                    if same.is_none() && !is_claim {
+                        changes
+                            .push(Change::SharedToken(self.current_token(), listed.task.clone()));
+                    }
                     let stop_sent_at = same.and_then(|known| known.stop_sent_at);
                     let orphan = Orphan { run: listed.run, stop_sent_at };
                     self.orphans.insert(listed.task.clone(), orphan);
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -128,6 +128,10 @@
             warn!(log, "{}", name; "job" => %task.job, "task" => %task, "target" => %target,
                 "reason" => %rejection);
         }
+        Record::TokenShared { target, token, task } => {
+            warn!(log, "{}", name; "job" => %task.job, "task" => %task, "target" => %target,
+                "token" => token.0);
+        }
         Record::OrphanStopped { target, task } => {
             warn!(log, "{}", name; "job" => %task.job, "task" => %task, "target" => %target);
         }
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -195,6 +195,16 @@
         /// Number of attempts that are stopped.
         recalled: usize,
     },
+    /// A target lists an attempt that this host did not start, so another process gives it orders under
+    /// the same fencing token.
+    TokenShared {
+        /// Name of the target.
+        target: Target,
+        /// Fencing token of this host.
+        token: Token,
+        /// Identifier of the task.
+        task: Task,
+    },
     /// An orphan was stopped: an attempt that an earlier steward had started.
     OrphanStopped {
         /// Name of the target.
@@ -309,6 +319,7 @@
             Self::TargetFenced { .. } => "target fenced",
             Self::TargetLost { .. } => "target lost",
             Self::TargetStalled { .. } => "target hangs",
+            Self::TokenShared { .. } => "token shared",
             Self::OrphanStopped { .. } => "orphan stopped",
             Self::StewardshipTaken { .. } => "stewardship taken",
             Self::StewardshipResigned { .. } => "stewardship given up",
--- a/crates/fleet/src/steward/state/change.rs
+++ b/crates/fleet/src/steward/state/change.rs
@@ -54,6 +54,9 @@
         Change::Lost { evidence, since_renewal } => {
             Record::TargetLost { target, evidence: *evidence, since_renewal: *since_renewal }
         }
+        Change::SharedToken(token, task) => {
+            Record::TokenShared { target, token: *token, task: task.clone() }
+        }
         Change::Orphan(task) => Record::OrphanStopped { target, task: task.clone() },
         Change::StartRejected(task, rejection) => {
             Record::StartRejected { target, task: task.clone(), rejection: *rejection }
