fix(lease): a token always bears the low bits of the process that issues it

Cause: `observe` keeps another host's token as the last one, and `next` added one millisecond to that number, low bits included, as long as the own clock was behind it. Two hosts that had observed the same claim counted up from the same number, target by target in the same order; a successor ran through the numbers of its predecessor. Why it works: only the time of the last token is counted on; the low bits are the process's own, so tokens of processes with different low bits differ, whatever was observed.

--- a/crates/fleet/src/lease/token.rs
+++ b/crates/fleet/src/lease/token.rs
@@ -49,12 +49,20 @@
     pub fn next(&mut self, wall_clock: SystemTime) -> Token {
         let since_epoch = wall_clock.duration_since(UNIX_EPOCH).unwrap_or_default();
         let millis = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX >> SALT_BITS);
-        let candidate = Token((millis << SALT_BITS) | self.salt);
-        self.last =
-            if candidate > self.last { candidate } else { Token(self.last.0 + (1 << SALT_BITS)) };
+        let candidate = self.token_at(millis);
+        self.last = if candidate > self.last {
+            candidate
+        } else {
+            // The last token may be another process's, so only its time is counted on.
+            self.token_at((self.last.0 >> SALT_BITS) + 1)
+        };
         self.last
     }
 
+    fn token_at(&self, millis: u64) -> Token {
+        Token((millis << SALT_BITS) | self.salt)
+    }
+
     /// Keeps later tokens above one that another host uses. Tokens beyond the largest possible one are
     /// ignored, since none could be issued above them.
     pub fn observe(&mut self, other: Token) {
