fix(lease): processes that know each other never share the low bits of their tokens

What operators could see: two hosts whose processes drew the same 12 random bits issue the same token when they claim a zone in the same millisecond or count up from the same observed token. The odds are 1 in 4,096 for each pair: nothing for 8 hosts, one fleet in five for 41 hosts, with a new draw at each restart. Cause: bits that must differ were drawn and never compared. Change: each heartbeat says the low bits (`token_suffix`). A host that hears its own from a peer takes others that no known peer uses, claims its targets again and says so (`token suffix changed`); a steward keeps its bits against a host without claims. The former bits need no agreement, store or clock. Evidence: `processes_with_equal_suffixes_choose_different_ones` (there was nothing to choose with before) and `void_token_is_not_held`. Left: two processes that have never heard each other, as likely as before.

--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -118,7 +118,25 @@
         for claim in &heartbeat.claims {
             self.issuer.observe(claim.token);
         }
+        // Of a steward and a host without claims, the latter takes another suffix.
+        let keeps_suffix = heartbeat.claims.is_empty() && !self.membership.claims.is_empty();
+        let shares_suffix = heartbeat.token_suffix == self.issuer.suffix();
         self.membership.record_heartbeat(&from.host, heartbeat);
+        if shares_suffix && !keeps_suffix {
+            self.change_token_suffix(&from.host);
+        }
+    }
+
+    /// Issues tokens with another suffix, because a peer uses the same. Targets are claimed again, since
+    /// their tokens may be the peer's too.
+    fn change_token_suffix(&mut self, peer: &Host) {
+        let before = self.issuer.suffix();
+        let others = self.membership.peers().map(|peer| peer.heartbeat.token_suffix).collect();
+        self.issuer.change_suffix(&others);
+        let after = self.issuer.suffix();
+        self.record(Record::TokenSuffixChanged { peer: peer.clone(), before, after });
+        self.steward.void_tokens();
+        self.last_heartbeat = None;
     }
 
     /// Adds unknown hosts to those that are contacted until they are heard from.
@@ -313,6 +331,7 @@
             load: self.steward.load(&self.membership, &self.speeds, now),
             config_version: self.config.version(),
             knows_targets: !self.directory.is_empty(),
+            token_suffix: self.issuer.suffix(),
         }
     }
 }
--- a/crates/fleet/src/lease/mod.rs
+++ b/crates/fleet/src/lease/mod.rs
@@ -19,5 +19,5 @@
 pub use evidence::Evidence;
 pub use message::{Call, Client, End, Ended, Order, Rejection, Report, Response, Running};
 pub use timeout::Timeout;
-pub use token::{Issuer, Token};
+pub use token::{Issuer, Suffix, Token};
 pub use tracker::{Attempt, Change, Phase, Term, Tracker};
--- a/crates/fleet/src/lease/tests/token.rs
+++ b/crates/fleet/src/lease/tests/token.rs
@@ -5,8 +5,9 @@
 
 use coltsfootshunt_testkit::cases;
 
-use super::{CLOCK, TOKEN, claimed_tracker, report, start_and_confirm, task};
-use crate::lease::{Change, Issuer, Token};
+use super::{CLOCK, TERM, TOKEN, claimed_tracker, free_cpu, report, start_and_confirm, task};
+use crate::directory::tests::entry;
+use crate::lease::{Change, Issuer, Suffix, Token, Tracker};
 
 fn at(wall_ms: u64) -> SystemTime {
     SystemTime::UNIX_EPOCH + Duration::from_millis(wall_ms)
@@ -58,3 +59,33 @@
         |change: &Change| matches!(change, Change::SharedToken(TOKEN, one) if *one == task(1));
     assert!(changes.iter().any(is_reported), "{changes:?}");
 }
+
+/// Guards against two processes that drew the same low bits and issue the same token in the same
+/// millisecond.
+#[test]
+fn processes_with_equal_suffixes_choose_different_ones() {
+    let incarnations = [0x1_0777, 0x2_0777, 0x3_0777];
+    let mut issuers = incarnations.map(Issuer::new);
+    let others = BTreeSet::from([issuers[0].suffix(), Suffix::from(5)]);
+    issuers.iter_mut().skip(1).for_each(|issuer| issuer.change_suffix(&others));
+    let suffixes: BTreeSet<Suffix> = issuers.iter().map(Issuer::suffix).collect();
+    assert_eq!(suffixes.len(), incarnations.len(), "{suffixes:?}");
+    assert!(!suffixes.contains(&Suffix::from(5)));
+    let tokens: BTreeSet<Token> = issuers.map(|mut issuer| issuer.next(at(10_000))).into();
+    assert_eq!(tokens.len(), incarnations.len(), "{tokens:?}");
+}
+
+/// A claim that is pending when its token turns out to be another process's does not count.
+#[test]
+fn void_token_is_not_held() {
+    let now = Instant::now();
+    let mut tracker = Tracker::new(entry("t", "a"), TERM, now);
+    let claim = tracker.claim(TOKEN, now);
+    tracker.void_token();
+    assert!(tracker.handle_response(&claim, report(CLOCK, &[], &[]), now).is_empty());
+    assert_eq!(free_cpu(&tracker, now), None);
+    assert!(tracker.wants_claim(now));
+    let claim = tracker.claim(Token(6), now);
+    let changes = tracker.handle_response(&claim, report(CLOCK, &[], &[]), now);
+    assert!(matches!(changes[..], [Change::Claimed(Token(6))]));
+}
--- a/crates/fleet/src/lease/token.rs
+++ b/crates/fleet/src/lease/token.rs
@@ -1,14 +1,17 @@
 //! Fencing tokens.
 
+use std::collections::BTreeSet;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Low bits that differ between processes, so that two hosts that issue a token in the same
-/// millisecond issue different ones. Together with 41 bits of Unix milliseconds they stay below 2^53, up to which all JSON
-/// parsers keep integers exact.
-const SALT_BITS: u32 = 12;
+/// Number of low bits of a token that name the process that issued it. Together with 41 bits of Unix
+/// milliseconds they stay below 2^53, up to which all JSON parsers keep integers exact.
+const SUFFIX_BITS: u32 = 12;
+/// Maximum number of suffixes tried to find one that no other process uses.
+const MAX_ATTEMPTS: u64 = 64;
 
 /// Largest token accepted from another host: the largest integer that JSON keeps exact.
 const MAX_OBSERVED: Token = Token((1 << 53) - 1);
@@ -30,11 +33,27 @@
 )]
 pub struct Token(pub u64);
 
+/// Low bits of all tokens of a process. Processes that know each other use different ones, so that
+/// none issues a token of another.
+#[derive(
+    Clone, Copy, Debug, Default, Display, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+pub struct Suffix(u16);
+
+impl From<u64> for Suffix {
+    /// Takes the lowest bits of a number.
+    fn from(number: u64) -> Self {
+        let bits = number & ((1 << SUFFIX_BITS) - 1);
+        Self(u16::try_from(bits).expect("a suffix has fewer bits than u16"))
+    }
+}
+
 /// Issues tokens that increase within this process and, by wall-clock time, across all processes. It
 /// needs no store, so a steward can be replaced while the store is unreachable.
 #[derive(Debug)]
 pub struct Issuer {
-    salt: u64,
+    incarnation: u64,
+    suffix: Suffix,
     last: Token,
 }
 
@@ -42,27 +61,39 @@
     /// Creates the issuer of one incarnation of a host.
     #[must_use]
     pub fn new(incarnation: u64) -> Self {
-        Self { salt: incarnation & ((1 << SALT_BITS) - 1), last: Token::default() }
+        Self { incarnation, suffix: Suffix::from(incarnation), last: Token::default() }
+    }
+
+    /// Suffix of the tokens that are issued now.
+    #[must_use]
+    pub fn suffix(&self) -> Suffix {
+        self.suffix
+    }
+
+    /// Changes the suffix to one that is not among those of other processes.
+    pub fn change_suffix(&mut self, others: &BTreeSet<Suffix>) {
+        // The hash contains the incarnation, so that two processes that leave the same suffix choose
+        // different ones.
+        let hash = |attempt| xxh3_64_with_seed(&self.incarnation.to_le_bytes(), attempt);
+        let mut candidates = (0..MAX_ATTEMPTS).map(|attempt| Suffix::from(hash(attempt)));
+        let unused = candidates.find(|one| *one != self.suffix && !others.contains(one));
+        self.suffix = unused.unwrap_or(self.suffix);
     }
 
     /// Issues a token above all that this process has issued or observed.
     pub fn next(&mut self, wall_clock: SystemTime) -> Token {
         let since_epoch = wall_clock.duration_since(UNIX_EPOCH).unwrap_or_default();
-        let millis = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX >> SALT_BITS);
+        let millis = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX >> SUFFIX_BITS);
         let candidate = self.token_at(millis);
         self.last = if candidate > self.last {
             candidate
         } else {
             // The last token may be another process's, so only its time is counted on.
-            self.token_at((self.last.0 >> SALT_BITS) + 1)
+            self.token_at((self.last.0 >> SUFFIX_BITS) + 1)
         };
         self.last
     }
 
-    fn token_at(&self, millis: u64) -> Token {
-        Token((millis << SALT_BITS) | self.salt)
-    }
-
     /// Keeps later tokens above one that another host uses. Tokens beyond the largest possible one are
     /// ignored, since none could be issued above them.
     pub fn observe(&mut self, other: Token) {
@@ -70,4 +101,8 @@
             self.last = self.last.max(other);
         }
     }
+
+    fn token_at(&self, millis: u64) -> Token {
+        Token((millis << SUFFIX_BITS) | u64::from(self.suffix.0))
+    }
 }
--- a/crates/fleet/src/lease/tracker.rs
+++ b/crates/fleet/src/lease/tracker.rs
@@ -324,6 +324,15 @@
         matching.map(|one| one.recalled = true).count()
     }
 
+    /// Makes the target be claimed again, because another process may use the current token. A pending
+    /// claim is void.
+    pub fn void_token(&mut self) {
+        if let Phase::Claiming(_) = self.phase {
+            self.phase = Phase::Held(Token::default());
+        }
+        self.is_uncertain |= self.phase != Phase::Free;
+    }
+
     fn end_attempt(
         &mut self,
         task: &Task,
--- a/crates/fleet/src/member/message.rs
+++ b/crates/fleet/src/member/message.rs
@@ -5,7 +5,7 @@
 use coltsfootshunt_core::name::{Host, Target, Zone};
 use serde::{Deserialize, Serialize};
 
-use crate::lease::Token;
+use crate::lease::{Suffix, Token};
 use crate::routing::Load;
 
 /// Identity of one run of a host's process.
@@ -51,4 +51,6 @@
     pub config_version: u64,
     /// Whether it knows any target.
     pub knows_targets: bool,
+    /// Suffix of its fencing tokens.
+    pub token_suffix: Suffix,
 }
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -146,6 +146,9 @@
         Record::TargetClaimed { target, token } => {
             info!(log, "{}", name; "target" => %target, "token" => token.0);
         }
+        Record::TokenSuffixChanged { peer, before, after } => {
+            warn!(log, "{}", name; "peer" => %peer, "before" => %before, "after" => %after);
+        }
         Record::TargetFenced { target, token } => {
             warn!(log, "{}", name; "target" => %target, "token" => token.0);
         }
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -7,7 +7,7 @@
 use coltsfootshunt_core::name::{Host, Kind, Target, Zone};
 
 use crate::job::{End, Id, Outcome, Size, Task};
-use crate::lease::{Evidence, Rejection, Token};
+use crate::lease::{Evidence, Rejection, Suffix, Token};
 use crate::store;
 
 /// A decision of this host or a change of the state that it knows. Each is written as one log line.
@@ -205,6 +205,15 @@
         /// Identifier of the task.
         task: Task,
     },
+    /// A peer uses the same low bits for its fencing tokens as this host, which takes others.
+    TokenSuffixChanged {
+        /// Peer that uses the former suffix.
+        peer: Host,
+        /// Suffix until now.
+        before: Suffix,
+        /// Suffix from now on.
+        after: Suffix,
+    },
     /// An orphan was stopped: an attempt that an earlier steward had started.
     OrphanStopped {
         /// Name of the target.
@@ -320,6 +329,7 @@
             Self::TargetLost { .. } => "target lost",
             Self::TargetStalled { .. } => "target hangs",
             Self::TokenShared { .. } => "token shared",
+            Self::TokenSuffixChanged { .. } => "token suffix changed",
             Self::OrphanStopped { .. } => "orphan stopped",
             Self::StewardshipTaken { .. } => "stewardship taken",
             Self::StewardshipResigned { .. } => "stewardship given up",
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -158,6 +158,11 @@
         }
     }
 
+    /// Claims all targets again, because another process may use the tokens of this one.
+    pub fn void_tokens(&mut self) {
+        self.trackers.values_mut().for_each(Tracker::void_token);
+    }
+
     /// Releases all targets and empties the queue after this process was paused, since other
     /// stewards may have claimed the targets.
     pub fn release_targets(&mut self, output: &mut Output) {
