fix(lease): a token that another process uses is given up

What operators could see: two hosts that cannot hear each other and issue the same token both give a target orders; each took the other's attempts for leftovers of a former steward, stopped them under the shared token and started its own. Cause: an attempt that appears at a target after the claim was handled like one that the claim had found, though the claim voids all orders under other tokens, so that only a process with the same token can have started it. Change: such an attempt makes the view uncertain: nothing is started or stopped before a claim with a higher token, which fences the other process. The host also takes other low bits and claims its other targets again. Left: the first order of the other process is noticed only after it was accepted.

--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -123,18 +123,18 @@
         let shares_suffix = heartbeat.token_suffix == self.issuer.suffix();
         self.membership.record_heartbeat(&from.host, heartbeat);
         if shares_suffix && !keeps_suffix {
-            self.change_token_suffix(&from.host);
+            self.change_token_suffix(Some(&from.host));
         }
     }
 
-    /// Issues tokens with another suffix, because a peer uses the same. Targets are claimed again, since
-    /// their tokens may be the peer's too.
-    fn change_token_suffix(&mut self, peer: &Host) {
+    /// Issues tokens with another suffix, because another process uses the same: a peer, or one that only
+    /// a target has heard. Targets are claimed again, since their tokens may be that process's too.
+    pub(super) fn change_token_suffix(&mut self, peer: Option<&Host>) {
         let before = self.issuer.suffix();
         let others = self.membership.peers().map(|peer| peer.heartbeat.token_suffix).collect();
         self.issuer.change_suffix(&others);
         let after = self.issuer.suffix();
-        self.record(Record::TokenSuffixChanged { peer: peer.clone(), before, after });
+        self.record(Record::TokenSuffixChanged { peer: peer.cloned(), before, after });
         self.steward.void_tokens();
         self.last_heartbeat = None;
     }
--- a/crates/fleet/src/control/targets.rs
+++ b/crates/fleet/src/control/targets.rs
@@ -9,6 +9,7 @@
 use crate::job::{Assignment, Completion, End, Grant, Item, Reservation, Task};
 use crate::lease::{Call, Phase, Rejection, Response};
 use crate::peer::Message;
+use crate::report::Record;
 use crate::steward::Output;
 
 impl State {
@@ -48,6 +49,9 @@
         let contested_zone = self.contested_zone(call, &response);
         let mut output = Output::default();
         self.steward.handle_response(call, response, &mut self.speeds, now, &mut output);
+        if output.records.iter().any(|record| matches!(record, Record::TokenShared { .. })) {
+            self.change_token_suffix(None);
+        }
         if let Some(zone) = contested_zone
             && self.membership.record_rival(&zone, now)
         {
--- a/crates/fleet/src/lease/tests/token.rs
+++ b/crates/fleet/src/lease/tests/token.rs
@@ -47,9 +47,10 @@
     assert!(issued.iter().all(|token| !used.contains(token)), "{issued:?} of {used:?}");
 }
 
-/// Two hosts hold a target under one token. The report that lists the other's attempt says so.
+/// Guards against a second process under the same token: once the target lists its attempt, nothing is
+/// started or stopped there before a claim with a higher token.
 #[test]
-fn reports_attempt_of_another_process_under_the_same_token() {
+fn token_of_another_process_is_given_up() {
     let now = Instant::now();
     let mut tracker = claimed_tracker(now);
     start_and_confirm(&mut tracker, 0, now);
@@ -58,6 +59,12 @@
     let is_reported =
         |change: &Change| matches!(change, Change::SharedToken(TOKEN, one) if *one == task(1));
     assert!(changes.iter().any(is_reported), "{changes:?}");
+    assert!(tracker.due_stops(now).is_empty(), "the other process may hold the target");
+    assert!(tracker.wants_claim(now));
+    let claim = tracker.claim(Token(6), now);
+    tracker.handle_response(&claim, report(CLOCK + 6, &[0, 1], &[]), now);
+    assert_eq!(tracker.due_stops(now).len(), 1, "the fence voids the other process's orders");
+    assert_eq!(free_cpu(&tracker, now), None);
 }
 
 /// Guards against two processes that drew the same low bits and issue the same token in the same
--- a/crates/fleet/src/lease/tracker/response.rs
+++ b/crates/fleet/src/lease/tracker/response.rs
@@ -205,6 +205,7 @@
                 _ => {
                     let same = stopped.get(&listed.task).filter(|known| known.run == listed.run);
                     if same.is_none() && !is_claim {
+                        self.is_uncertain = true;
                         changes
                             .push(Change::SharedToken(self.current_token(), listed.task.clone()));
                     }
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -147,7 +147,7 @@
             info!(log, "{}", name; "target" => %target, "token" => token.0);
         }
         Record::TokenSuffixChanged { peer, before, after } => {
-            warn!(log, "{}", name; "peer" => %peer, "before" => %before, "after" => %after);
+            warn!(log, "{}", name; "peer" => peer.as_deref(), "before" => %before, "after" => %after);
         }
         Record::TargetFenced { target, token } => {
             warn!(log, "{}", name; "target" => %target, "token" => token.0);
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -205,10 +205,10 @@
         /// Identifier of the task.
         task: Task,
     },
-    /// A peer uses the same low bits for its fencing tokens as this host, which takes others.
+    /// Another process uses the same low bits for its fencing tokens as this host, which takes others.
     TokenSuffixChanged {
-        /// Peer that uses the former suffix.
-        peer: Host,
+        /// Peer that uses the former suffix; `None` if only a target has heard of that process.
+        peer: Option<Host>,
         /// Suffix until now.
         before: Suffix,
         /// Suffix from now on.
