test(control): hosts of the simulation have their own time of day

Each host now has an offset to the true time, which a test sets or steps at any moment; it outlasts a restart. The steady time and the uptime are not affected.

New invariants, checked all the while: no two processes use one fencing token at one incarnation of a target, no process claims a target twice with one token, and no two processes claim one zone with one token. A violation of these no longer ends the checks of capacity and of tasks that run twice.

New fault 13 steps the time of day of a host. New cases in `tokens`: cuts in turn, successors of a killed host, and incarnations with equal low bits.

--- a/crates/fleet/src/control/tests/mod.rs
+++ b/crates/fleet/src/control/tests/mod.rs
@@ -10,3 +10,4 @@
 mod simulation;
 mod startup;
 mod target;
+mod tokens;
--- a/crates/fleet/src/control/tests/safety.rs
+++ b/crates/fleet/src/control/tests/safety.rs
@@ -10,6 +10,9 @@
 /// Random seeds per property, unless set by `COLTSFOOTSHUNT_CASES`.
 const CASES: u32 = 12;
 
+/// Steps of a host's time of day, in milliseconds.
+const CLOCK_STEPS_MS: [i64; 4] = [200, 2_000, 5_000, 20_000];
+
 fn cases() -> u32 {
     std::env::var("COLTSFOOTSHUNT_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(CASES)
 }
@@ -25,6 +28,7 @@
 /// - 10: start or end a partition of a host from a target
 /// - 11: remove a target from the store's list, or put it back
 /// - 12: partition a host from all others for 0.5 to 4 s; the batches in flight arrive afterwards
+/// - 13: step a host's time of day by 0.2, 2, 5 or 20 s, ahead or back
 fn inject_fault(sim: &mut Simulation, faults: &[u8]) {
     let host = sim.random_below(sim.host_count());
     match faults[sim.random_below(faults.len())] {
@@ -82,6 +86,11 @@
                 sim.partition_for(host, other, for_ms);
             }
         }
+        13 => {
+            let by_ms = CLOCK_STEPS_MS[sim.random_below(CLOCK_STEPS_MS.len())];
+            let is_ahead = sim.random_bool(0.5);
+            sim.step_clock(host, if is_ahead { by_ms } else { -by_ms });
+        }
         _ => {
             let killed: Vec<usize> = (0..sim.host_count()).filter(|one| !sim.is_up(*one)).collect();
             killed.into_iter().for_each(|one| sim.start(one));
@@ -104,7 +113,8 @@
 const LONG_WORK: Workload = Workload { run_ms: (150, 800), slow_percent: 220 };
 
 /// Runs random work under random faults and checks the safety invariants: no target is over its
-/// capacity, no task runs twice at once, and no refused job has started.
+/// capacity, no task runs twice at once, no two processes use one fencing token at a target, and no
+/// refused job has started.
 fn run_and_check(seed: u64, workload: Workload, fault_rates: FaultRates, faults: &[u8]) {
     let mut sim = converged(seed);
     sim.fault_rates = fault_rates;
@@ -262,6 +272,18 @@
     under_all_faults_and_unreachable_targets(LOSSY, &[0, 1, 2, 3, 4, 5, 5, 9, 10, 10]);
 }
 
+/// Guards against tokens that depend on the hosts' times of day: two processes must not use the same
+/// one, and no step of a clock may lead to an unsafe run.
+fn stepped_clocks(fault_rates: FaultRates, faults: &'static [u8]) {
+    check_property(SHORT_WORK, fault_rates, faults);
+}
+
+cases! { stepped_clocks:
+    under_partitions(RELIABLE, &[4, 6, 13]);
+    under_partitions_and_killed_hosts(RELIABLE, &[0, 5, 6, 13, 13]);
+    under_all_faults(LOSSY, &[0, 1, 2, 3, 4, 5, 5, 6, 7, 8, 9, 10, 11, 12, 13, 13, 13]);
+}
+
 cases! { long_work:
     without_faults(RELIABLE, &[]);
     under_lost_and_delayed_calls(LOSSY, &[]);
--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -1,13 +1,15 @@
 //! Deterministic simulation of hosts, targets, callers and the network between them, on one thread.
 
 mod callers;
+mod clock;
 mod network;
 mod partitions;
+mod tokens;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant, SystemTime};
+use std::sync::Arc;
+use std::time::Duration;
 
 use coltsfootshunt_core::clock::Clock;
 use coltsfootshunt_model::event_queue::EventQueue;
@@ -20,13 +22,16 @@
 use crate::directory;
 use crate::job::{Id, Outcome, Plan, RequestId, Task};
 use crate::lease::{self, Call, Term};
-use crate::member::Identity;
+use crate::member::{Claim, Identity};
 use crate::peer::{Batch, Message};
 use crate::report::Record;
 use crate::steward;
 use crate::store::{Listing, Update};
 
+use clock::HostClock;
+pub(super) use clock::ManualClock;
 pub(super) use partitions::Partition;
+use tokens::Ledger;
 
 /// Availability zones; each has two hosts and [`TARGETS_PER_ZONE`] targets.
 pub(super) const ZONES: [&str; 2] = ["a", "b"];
@@ -38,40 +43,6 @@
 /// Time after which a batch that can't be delivered ends its session.
 const DELIVERY_TIMEOUT_MS: u64 = 700;
 
-/// Clock that only the simulation advances.
-pub(super) struct ManualClock {
-    start: Instant,
-    now_ms: Mutex<u64>,
-}
-
-impl ManualClock {
-    pub(super) fn new() -> Self {
-        Self { start: Instant::now(), now_ms: Mutex::new(0) }
-    }
-
-    pub(super) fn set(&self, now_ms: u64) {
-        *self.now_ms.lock().unwrap() = now_ms;
-    }
-
-    fn now_ms(&self) -> u64 {
-        *self.now_ms.lock().unwrap()
-    }
-}
-
-impl Clock for ManualClock {
-    fn now(&self) -> Instant {
-        self.start + Duration::from_millis(self.now_ms())
-    }
-
-    fn wall_time(&self) -> SystemTime {
-        SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000) + self.uptime()
-    }
-
-    fn uptime(&self) -> Duration {
-        Duration::from_millis(self.now_ms())
-    }
-}
-
 /// Scheduled event. Hosts are numbered by their index; an incarnation is one run of a host's
 /// process.
 enum SimEvent {
@@ -115,6 +86,7 @@
 
 struct Host {
     identity: Identity,
+    clock: Arc<HostClock>,
     state: Option<State>,
     incarnation: u64,
     frozen_until_ms: u64,
@@ -166,6 +138,9 @@
 pub(super) struct Simulation {
     time: Arc<ManualClock>,
     hosts: Vec<Host>,
+    /// Returns the number that identifies an incarnation of a host: by default one in which all low
+    /// bits differ.
+    identify: fn(usize, u64) -> u64,
     pub(super) targets: BTreeMap<coltsfootshunt_core::name::Target, Target>,
     events: EventQueue<u64, SimEvent>,
     callers: BTreeMap<Id, Caller>,
@@ -192,17 +167,27 @@
     pub(super) grants: u32,
     /// Number of times that a target fenced a steward.
     pub(super) fenced_calls: u32,
+    tokens: Ledger,
     pub(super) violations: Vec<String>,
+    /// Whether a task has run twice or a target was over its capacity; the first time is reported.
+    has_unsafe_run: bool,
     /// Whether actions are printed; set by `COLTSFOOTSHUNT_TRACE`.
     is_traced: bool,
 }
 
 impl Simulation {
     pub(super) fn new(seed: u64) -> Self {
+        Self::with_incarnations(seed, |host, run| run * 16 + host as u64)
+    }
+
+    /// Creates a simulation in which `identify` returns the number that identifies the given run of a
+    /// host's process, from 1 on.
+    pub(super) fn with_incarnations(seed: u64, identify: fn(usize, u64) -> u64) -> Self {
         let time = Arc::new(ManualClock::new());
         let mut sim = Self {
             time,
             hosts: Vec::new(),
+            identify,
             targets: BTreeMap::new(),
             events: EventQueue::default(),
             callers: BTreeMap::new(),
@@ -220,7 +205,9 @@
             starts: BTreeMap::new(),
             grants: 0,
             fenced_calls: 0,
+            tokens: Ledger::default(),
             violations: Vec::new(),
+            has_unsafe_run: false,
             is_traced: std::env::var_os("COLTSFOOTSHUNT_TRACE").is_some(),
         };
         for (number, zone) in ZONES.iter().flat_map(|zone| [zone, zone]).enumerate() {
@@ -232,6 +219,7 @@
             let pending_events = Vec::new();
             let host = Host {
                 identity,
+                clock: Arc::new(HostClock::new(Arc::clone(&sim.time))),
                 state: None,
                 incarnation: 0,
                 frozen_until_ms: 0,
@@ -272,7 +260,7 @@
         let seeds = self.hosts.iter().map(|one| one.identity.address).collect();
         let one = &mut self.hosts[host];
         one.incarnation += 1;
-        one.identity.incarnation = one.incarnation * 16 + host as u64;
+        one.identity.incarnation = (self.identify)(host, one.incarnation);
         one.channels.clear();
         one.pending_events.clear();
         let repeat = Duration::from_millis(RETRY_DELAY_MS);
@@ -283,7 +271,7 @@
             steward: steward::Settings { term, remote_factor: 1.5 },
             stop_timeout: Duration::from_secs(5),
         };
-        let clock: Arc<dyn Clock> = Arc::clone(&self.time) as _;
+        let clock: Arc<dyn Clock> = Arc::clone(&one.clock) as _;
         one.state = Some(State::new(settings, clock));
         let incarnation = one.incarnation;
         let update = Update::Document(Arc::new(document(1, vec![route("cut", "/a/")])));
@@ -355,10 +343,11 @@
     }
 
     fn check_invariants(&mut self) {
-        if !self.violations.is_empty() {
+        if self.has_unsafe_run {
             return;
         }
         let now_ms = self.now_ms();
+        let known = self.violations.len();
         let mut seen: BTreeSet<&Task> = BTreeSet::new();
         for target in self.targets.values() {
             if !target.entry.capacity.covers(&target.used()) {
@@ -371,6 +360,7 @@
                 }
             }
         }
+        self.has_unsafe_run = self.violations.len() > known;
     }
 
     fn schedule(&mut self, in_ms: u64, event: SimEvent) {
@@ -453,6 +443,7 @@
                 }
             }
             Action::Call(call) => {
+                self.record_target_claim(host, &call);
                 if self.rng.random_bool(self.fault_rates.call_lost) {
                     let is_late = self.rng.random_bool(self.fault_rates.late);
                     if is_late {
@@ -492,6 +483,9 @@
                 }
             }
             Action::Exit => self.kill(host),
+            Action::Record(Record::StewardshipTaken { zone, token }) => {
+                self.record_zone_claim(host, &Claim { zone, token });
+            }
             Action::Record(record) => {
                 self.fenced_calls += u32::from(matches!(record, Record::TargetFenced { .. }))
             }
--- a/crates/fleet/src/control/tests/simulation/network.rs
+++ b/crates/fleet/src/control/tests/simulation/network.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 
 use super::super::target::Work;
+use super::tokens::Process;
 use super::{Channel, DELIVERY_TIMEOUT_MS, Partition, SimEvent, Simulation};
 use crate::control::{Event, Request};
 use crate::job::Resources;
@@ -121,14 +122,17 @@
             let (resources, run_ms) = workload.unwrap_or_default();
             Work { resources, run_ms: run_ms * percent / 100, fails }
         });
+        let has_started = target.running.len() > before;
+        self.record_acceptance(Process { host, incarnation }, &call, &response);
         if let Order::Start { task, .. } = &call.order
-            && target.running.len() > before
+            && has_started
         {
             *self.starts.entry(task.clone()).or_default() += 1;
         }
         let waits = match &call.order {
             Order::Renew { acknowledged, max_wait, .. } if !max_wait.is_zero() => {
-                let has_news = target.has_unacknowledged(*acknowledged);
+                let target = self.targets.get(&call.target);
+                let has_news = target.is_some_and(|one| one.has_unacknowledged(*acknowledged));
                 (!has_news && matches!(response, Response::Report(_))).then_some(*max_wait)
             }
             _ => None,
