test(control): two hosts use one token when their clocks differ; known to fail

A host whose clock is behind a claim that it has observed issues `last + 4096`, with the low bits of the claim's host, as does each other host that has observed the claim. One process that took a zone over issued its targets' tokens by the same steps, so that a host that hears its claim counts up through them.

--- a/crates/fleet/src/control/tests/safety.rs
+++ b/crates/fleet/src/control/tests/safety.rs
@@ -213,6 +213,10 @@
     delayed_order_2(5_246_549_182_611_661_508, LOSSY, &[0, 1, 2, 3, 4, 5, 5]);
     delayed_order_3(5_246_509_154_007_231_725, LOSSY, &[0, 1, 2, 3, 4, 5, 5]);
     all_faults_2(8_241_656_503_248_976_402, LOSSY, &[0, 1, 2, 3, 4, 5, 5]);
+    // A host whose clock was behind counted on from another's token, and a target obeyed both.
+    shared_token(9_153_100_551_808_855_363, RELIABLE, &[1, 12, 13]);
+    shared_token_2(9_153_100_188_097_288_469, RELIABLE, &[1, 12, 13]);
+    shared_token_under_lost_calls(8_118_244_811_764_222_800, LOSSY, &[4, 6, 7, 8, 13, 13]);
 }
 
 const LOSSY: FaultRates = FaultRates {
@@ -281,6 +285,8 @@
 cases! { stepped_clocks:
     under_partitions(RELIABLE, &[4, 6, 13]);
     under_partitions_and_killed_hosts(RELIABLE, &[0, 5, 6, 13, 13]);
+    under_frozen_hosts_and_partitions_that_delay_batches(RELIABLE, &[1, 12, 13]);
+    under_all_partitions_and_lost_calls(LOSSY, &[4, 6, 7, 8, 13, 13]);
     under_all_faults(LOSSY, &[0, 1, 2, 3, 4, 5, 5, 6, 7, 8, 9, 10, 11, 12, 13, 13, 13]);
 }
 
--- a/crates/fleet/src/control/tests/tokens.rs
+++ b/crates/fleet/src/control/tests/tokens.rs
@@ -111,9 +111,13 @@
     silent_with_equal_clocks(Ahead::Others, 0, Partition::Silent);
     silent_with_stewards_5_s_ahead(Ahead::Stewards(&ZONES), 5_000, Partition::Silent);
     silent_with_stewards_20_s_ahead(Ahead::Stewards(&ZONES), 20_000, Partition::Silent);
+    silent_with_others_5_s_ahead(Ahead::Others, 5_000, Partition::Silent);
+    silent_with_others_20_s_ahead(Ahead::Others, 20_000, Partition::Silent);
     refusing_with_equal_clocks(Ahead::Others, 0, Partition::Refusing);
     refusing_with_stewards_5_s_ahead(Ahead::Stewards(&ZONES), 5_000, Partition::Refusing);
     refusing_with_stewards_20_s_ahead(Ahead::Stewards(&ZONES), 20_000, Partition::Refusing);
+    refusing_with_others_5_s_ahead(Ahead::Others, 5_000, Partition::Refusing);
+    refusing_with_others_20_s_ahead(Ahead::Others, 20_000, Partition::Refusing);
 }
 
 /// Guards against one token in the orders of two successors of a killed host, which are cut off from
@@ -134,6 +138,9 @@
 
 cases! { successors_use_different_tokens:
     of_a_host_with_the_true_clock(&["a"], 0);
+    of_a_host_that_was_5_s_ahead(&["a"], 5_000);
+    of_a_host_that_was_20_s_ahead(&["a"], 20_000);
+    of_a_host_of_the_other_zone_that_was_20_s_ahead(&["b"], 20_000);
 }
 
 /// Restarts the targets of zone a, so that the steward claims them anew: their last tokens are then
@@ -227,6 +234,9 @@
 }
 
 cases! { incarnations_with_equal_low_bits:
+    under_silent_cuts(0, |sim| cut_in_turn(sim, Partition::Silent));
     under_refusing_cuts(0, |sim| cut_in_turn(sim, Partition::Refusing));
+    under_refusing_cuts_with_a_clock_ahead(5_000, |sim| cut_in_turn(sim, Partition::Refusing));
     of_two_successors(0, |sim| kill_steward_during_cut(sim, "a"));
+    of_two_successors_of_a_host_that_was_ahead(5_000, |sim| kill_steward_during_cut(sim, "a"));
 }
