test(control): the simulation ends a session that its receiver does not know

The simulation dropped the acknowledgement `SessionLost`, so the peers of a host that restarted before they had missed it never spoke to it again; the real transport starts a new session (`peer::outbox`). Now the sender does so too and is told that the session is lost. No check changes. Found in a trace of `takes_over::after_a_restart_with_the_clock_stepped_back_by_20_s`: the restarted host heard nobody for 10 s and took the other zone too.

--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -145,6 +145,8 @@
     events: EventQueue<u64, SimEvent>,
     callers: BTreeMap<Id, Caller>,
     open_requests: BTreeMap<(usize, RequestId), Id>,
+    /// Delivered batches that were not acknowledged yet, by receiver, with sender and its incarnation.
+    open_batches: BTreeMap<(usize, RequestId), (usize, u64)>,
     next_request_id: u64,
     rng: StdRng,
     pub(super) fault_rates: FaultRates,
@@ -192,6 +194,7 @@
             events: EventQueue::default(),
             callers: BTreeMap::new(),
             open_requests: BTreeMap::new(),
+            open_batches: BTreeMap::new(),
             next_request_id: 1,
             rng: StdRng::seed_from_u64(seed),
             fault_rates: FaultRates::default(),
@@ -442,6 +445,9 @@
                     self.record_outcome(&id, Some(outcome));
                 }
             }
+            Action::Respond(request_id, Response::Ack(ack)) => {
+                self.acknowledge_batch(host, request_id, ack);
+            }
             Action::Call(call) => {
                 self.record_target_claim(host, &call);
                 if self.rng.random_bool(self.fault_rates.call_lost) {
--- a/crates/fleet/src/control/tests/simulation/network.rs
+++ b/crates/fleet/src/control/tests/simulation/network.rs
@@ -9,9 +9,9 @@
 use super::tokens::Process;
 use super::{Channel, DELIVERY_TIMEOUT_MS, Partition, SimEvent, Simulation};
 use crate::control::{Event, Request};
-use crate::job::Resources;
+use crate::job::{RequestId, Resources};
 use crate::lease::{Call, Order, Rejection, Response};
-use crate::peer::{Batch, Message};
+use crate::peer::{Ack, Batch, Message};
 
 impl Simulation {
     pub(super) fn send_message(&mut self, host: usize, to: SocketAddr, message: Message) {
@@ -74,10 +74,28 @@
         let request_id = self.new_request_id();
         let other_incarnation = self.hosts[other].incarnation;
         let event = Event::Request(request_id, Request::Deliver(batch));
+        self.open_batches.insert((other, request_id), (host, incarnation));
         self.schedule(1, SimEvent::Host(other, other_incarnation, event));
         self.schedule(2, SimEvent::Deliver { host, incarnation, to });
     }
 
+    /// Handles the acknowledgement of a batch. A receiver that doesn't know the session makes the sender
+    /// start another one.
+    pub(super) fn acknowledge_batch(&mut self, receiver: usize, request_id: RequestId, ack: Ack) {
+        let Some((sender, incarnation)) = self.open_batches.remove(&(receiver, request_id)) else {
+            return;
+        };
+        let address = self.hosts[receiver].identity.address;
+        if ack == Ack::SessionLost
+            && self.hosts[sender].incarnation == incarnation
+            && let Some(channel) = self.hosts[sender].channels.get_mut(&address)
+        {
+            channel.start_session();
+            let event = Event::SessionLost { address, refused: false };
+            self.schedule(1, SimEvent::Host(sender, incarnation, event));
+        }
+    }
+
     pub(super) fn deliver_call(
         &mut self,
         host: usize,
