fix(lease): a host with a slower clock takes targets over

What callers saw: a zone without a host that can start anything, for as long as its last steward's clock was ahead. Cause: hosts observed the tokens of claims on zones, not the later ones at targets, so a successor with a slower clock started below them; each fenced claim raised its token by a millisecond only, and was evidence of a living rival, to which the zone was left for 8 s. Change: a heartbeat says the highest token that a host has issued or observed; a new steward starts 200 ms above it, for what its predecessor may have issued since its last heartbeat; a fenced claim raises the token by a second.

--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -15,6 +15,8 @@
 /// Interval between heartbeats of a steward; its free capacity changes within tens of
 /// milliseconds.
 const STEWARD_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which a steward may have issued tokens that no peer has heard of: two heartbeat intervals.
+const UNREPORTED_TOKENS: Duration = Duration::from_millis(200);
 /// Interval between heartbeats of other hosts: a third of the silence after which they count as
 /// lost.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -115,9 +117,7 @@
             self.last_config_request = Some(now);
             self.send(from.address, Message::ConfigRequest);
         }
-        for claim in &heartbeat.claims {
-            self.issuer.observe(claim.token);
-        }
+        self.issuer.observe(heartbeat.highest_token, Duration::ZERO);
         // Of a steward and a host without claims, the latter takes another suffix.
         let keeps_suffix = heartbeat.claims.is_empty() && !self.membership.claims.is_empty();
         let shares_suffix = heartbeat.token_suffix == self.issuer.suffix();
@@ -244,6 +244,8 @@
         self.resign_zones(&resigned, now);
         for zone in zones {
             if self.membership.should_claim(zone, now) {
+                // The last steward may have issued tokens since its last heartbeat.
+                self.issuer.observe(self.issuer.highest(), UNREPORTED_TOKENS);
                 let token = self.issuer.next(self.clock.wall_time());
                 self.membership.claims.push(Claim { zone: zone.clone(), token });
                 self.record(Record::StewardshipTaken { zone: zone.clone(), token });
@@ -331,6 +333,7 @@
             load: self.steward.load(&self.membership, &self.speeds, now),
             config_version: self.config.version(),
             knows_targets: !self.directory.is_empty(),
+            highest_token: self.issuer.highest(),
             token_suffix: self.issuer.suffix(),
         }
     }
--- a/crates/fleet/src/control/targets.rs
+++ b/crates/fleet/src/control/targets.rs
@@ -1,17 +1,21 @@
 //! Targets for which this host is the steward: leases, queued tasks and grants.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use coltsfootshunt_core::name::{Host, Target, Zone};
 
 use super::{Action, State};
 use crate::job::{Assignment, Completion, End, Grant, Item, Reservation, Task};
-use crate::lease::{Call, Phase, Rejection, Response};
+use crate::lease::{Call, Phase, Rejection, Response, Tracker};
 use crate::peer::Message;
 use crate::report::Record;
 use crate::steward::Output;
 
+/// Step by which tokens rise after a target has rejected a claim. The target doesn't tell the highest
+/// token that it has seen, which may be that of a former steward whose clock was seconds ahead.
+const FENCED_CLAIM_STEP: Duration = Duration::from_secs(1);
+
 impl State {
     /// Enqueues tasks from an owner, or returns them if this host is no steward.
     pub(super) fn enqueue_tasks(&mut self, from: &Host, assignment: Assignment, now: Instant) {
@@ -46,6 +50,9 @@
     /// Handles the result of a call. If the target follows another steward, this host may give up
     /// its claim on the zone.
     pub(super) fn target_responded(&mut self, call: &Call, response: Response, now: Instant) {
+        if self.is_fenced_claim(call, &response) {
+            self.issuer.observe(call.token, FENCED_CLAIM_STEP);
+        }
         let contested_zone = self.contested_zone(call, &response);
         let mut output = Output::default();
         self.steward.handle_response(call, response, &mut self.speeds, now, &mut output);
@@ -61,12 +68,18 @@
         self.apply_output(output, now);
     }
 
+    /// Whether a target has rejected a claim of this host because it has seen a higher token.
+    fn is_fenced_claim(&self, call: &Call, response: &Response) -> bool {
+        let is_claim = |tracker: &Tracker| tracker.phase == Phase::Claiming(call.token);
+        matches!(response, Response::Rejected(Rejection::Fenced))
+            && self.steward.tracker(&call.target).is_some_and(is_claim)
+    }
+
     /// Returns the zone of the called target if this host claims that zone but the target now
     /// follows another steward.
     fn contested_zone(&self, call: &Call, response: &Response) -> Option<Zone> {
         let is_fenced = matches!(response, Response::Rejected(Rejection::Fenced));
-        let mut trackers = self.steward.trackers().filter(|_| is_fenced);
-        let tracker = trackers.find(|one| one.entry.name == call.target)?;
+        let tracker = self.steward.tracker(&call.target).filter(|_| is_fenced)?;
         let current = [Phase::Held(call.token), Phase::Claiming(call.token)];
         let zone = &tracker.entry.zone;
         (current.contains(&tracker.phase) && self.membership.has_claim(zone)).then(|| zone.clone())
--- a/crates/fleet/src/lease/tests.rs
+++ b/crates/fleet/src/lease/tests.rs
@@ -353,6 +353,6 @@
 #[test]
 fn issued_tokens_exceed_observed_ones() {
     let mut issuer = Issuer::new(1);
-    issuer.observe(Token(1 << 50));
+    issuer.observe(Token(1 << 50), Duration::ZERO);
     assert!(issuer.next(SystemTime::UNIX_EPOCH) > Token(1 << 50));
 }
--- a/crates/fleet/src/lease/tests/token.rs
+++ b/crates/fleet/src/lease/tests/token.rs
@@ -19,7 +19,7 @@
     let mut issuers = [Issuer::new(2_683), Issuer::new(1_461)];
     if let Some(observed_at_ms) = observed_at_ms {
         let observed = Issuer::new(224).next(at(observed_at_ms));
-        issuers.iter_mut().for_each(|issuer| issuer.observe(observed));
+        issuers.iter_mut().for_each(|issuer| issuer.observe(observed, Duration::ZERO));
     }
     let mut issue = |process: usize| -> BTreeSet<Token> {
         (0..20).map(|_| issuers[process].next(at(wall_ms[process]))).collect()
@@ -42,7 +42,7 @@
     let (mut predecessor, mut successor) = (Issuer::new(224), Issuer::new(2_683));
     let claim = predecessor.next(at(12_000));
     let used: Vec<Token> = (0..5).map(|_| predecessor.next(at(12_000))).collect();
-    successor.observe(claim);
+    successor.observe(claim, Duration::ZERO);
     let issued: Vec<Token> = (0..5).map(|_| successor.next(at(10_000))).collect();
     assert!(issued.iter().all(|token| !used.contains(token)), "{issued:?} of {used:?}");
 }
--- a/crates/fleet/src/lease/token.rs
+++ b/crates/fleet/src/lease/token.rs
@@ -1,7 +1,7 @@
 //! Fencing tokens.
 
 use std::collections::BTreeSet;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
@@ -94,11 +94,19 @@
         self.last
     }
 
-    /// Keeps later tokens above one that another host uses. Tokens beyond the largest possible one are
-    /// ignored, since none could be issued above them.
-    pub fn observe(&mut self, other: Token) {
-        if other <= MAX_OBSERVED {
-            self.last = self.last.max(other);
+    /// Highest token that this process has issued or observed.
+    #[must_use]
+    pub fn highest(&self) -> Token {
+        self.last
+    }
+
+    /// Keeps later tokens above those that another process may issue within `margin` of the given one.
+    /// Tokens beyond the largest possible one are ignored, since none could be issued above them.
+    pub fn observe(&mut self, other: Token, margin: Duration) {
+        let margin = u64::try_from(margin.as_millis()).unwrap_or(u64::MAX);
+        let bound = Token(other.0.saturating_add(margin.saturating_mul(1 << SUFFIX_BITS)));
+        if bound <= MAX_OBSERVED {
+            self.last = self.last.max(bound);
         }
     }
 
--- a/crates/fleet/src/member/message.rs
+++ b/crates/fleet/src/member/message.rs
@@ -51,6 +51,8 @@
     pub config_version: u64,
     /// Whether it knows any target.
     pub knows_targets: bool,
+    /// Highest fencing token that it has issued or observed.
+    pub highest_token: Token,
     /// Suffix of its fencing tokens.
     pub token_suffix: Suffix,
 }
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -65,6 +65,12 @@
         self.trackers.values()
     }
 
+    /// The state of a target to which this host gives orders, if it does.
+    #[must_use]
+    pub fn tracker(&self, target: &Target) -> Option<&Tracker> {
+        self.trackers.get(target)
+    }
+
     /// Whether this host gives orders to a target.
     #[must_use]
     pub fn has_target(&self, target: &Target) -> bool {
--- a/crates/fleet/src/steward/tests/extreme_values.rs
+++ b/crates/fleet/src/steward/tests/extreme_values.rs
@@ -94,7 +94,7 @@
 /// New tokens rise, whatever token another host reports.
 fn issues_rising_tokens(observed: u64) {
     let mut issuer = Issuer::new(1);
-    issuer.observe(Token(observed));
+    issuer.observe(Token(observed), Duration::ZERO);
     let first = issuer.next(SystemTime::UNIX_EPOCH);
     let second = issuer.next(SystemTime::UNIX_EPOCH);
     assert!(first < second, "{first} {second}");
