fix(member): one of two equal claims on a zone stands

What operators could see: two hosts that claim a zone under one token both stay its steward and take its targets from each other by turns, for as long as both live. Cause: of equal tokens each host preferred its own claim, since it looked at its own last. Change: the host's name decides between equal tokens, so all hosts see the same steward. Evidence: `one_of_two_equal_claims_stands::against_a_later_name` failed.

--- a/crates/fleet/src/member/membership.rs
+++ b/crates/fleet/src/member/membership.rs
@@ -246,7 +246,9 @@
         let claims =
             all.flat_map(|(identity, claims)| claims.iter().map(move |claim| (identity, claim)));
         let of_zone = claims.filter(|(_, claim)| claim.zone == *zone);
-        let highest = of_zone.max_by_key(|(identity, claim)| (identity.zone == *zone, claim.token));
+        // The name decides between equal tokens, so that all hosts see the same steward.
+        let highest = of_zone
+            .max_by_key(|(identity, claim)| (identity.zone == *zone, claim.token, &identity.host));
         highest.map(|(identity, claim)| (&identity.host, claim))
     }
 
--- a/crates/fleet/src/member/tests.rs
+++ b/crates/fleet/src/member/tests.rs
@@ -164,3 +164,19 @@
     membership.update_zones([zone("b")].into_iter(), now);
     assert!(membership.is_isolated(now));
 }
+
+/// Guards against two hosts that claim a zone with equal tokens and both stay its steward.
+fn one_of_two_equal_claims_stands(rival: &str, expected: bool) {
+    let now = Instant::now();
+    let mut membership = membership(&[(rival, "a")], now);
+    let claim = Claim { zone: zone("a"), token: Token(5) };
+    membership.claims.push(claim.clone());
+    let heartbeat = Heartbeat { claims: vec![claim], ..Heartbeat::default() };
+    membership.record_heartbeat(&Host::try_from(rival).unwrap(), heartbeat);
+    assert_eq!(membership.should_resign(&zone("a")), expected);
+}
+
+cases! { one_of_two_equal_claims_stands:
+    against_an_earlier_name("ma", false);
+    against_a_later_name("mz", true);
+}
