fix(peer): a late batch of an ended process counts as a restart

A host that restarts draws another random incarnation. Incarnations have no order, and a receiver took whichever came last for the newer process. The first batch of a session that the ended process had begun, held up by a cut until its successor was heard, therefore counted as a restart: the receiver dropped the tasks of the live process, gave up its own jobs at it, and queued the tasks of the dead one (by reading: they could start although their callers had come again elsewhere). Callers saw 504 for jobs that were well.

The processes of one host don't overlap.

--- a/crates/fleet/src/control/tests/mod.rs
+++ b/crates/fleet/src/control/tests/mod.rs
@@ -6,6 +6,7 @@
 mod jobs;
 mod missing_entries;
 mod partitions;
+mod restarts;
 mod safety;
 mod simulation;
 mod startup;
--- a/crates/fleet/src/control/tests/startup.rs
+++ b/crates/fleet/src/control/tests/startup.rs
@@ -14,7 +14,7 @@
 };
 use crate::lease::{Term, Token};
 use crate::member::tests::identity;
-use crate::member::{Claim, Heartbeat};
+use crate::member::{Claim, Heartbeat, Identity};
 use crate::peer::{Batch, Message};
 use crate::routing::Load;
 use crate::steward;
@@ -37,16 +37,21 @@
 
 /// Delivers a heartbeat of a steward in another availability zone.
 pub(super) fn deliver_steward_heartbeat(state: &mut State) {
+    deliver_steward_session(state, 1, 1);
+}
+
+/// Delivers the first batch of a session of the steward: a heartbeat.
+pub(super) fn deliver_steward_session(state: &mut State, incarnation: u64, session: u64) {
     let claims = vec![Claim { zone: Zone::try_from("b").unwrap(), token: Token(2) }];
     let load = Load { free_slots: 8, slots: 10, ..Load::default() };
     let heartbeat = Message::Heartbeat(Heartbeat { claims, load, ..Heartbeat::default() });
-    let from = identity("steward", "b", 250);
-    let batch = Batch { from, session: 1, sequence: 1, messages: vec![heartbeat] };
+    let from = Identity { incarnation, ..identity("steward", "b", 250) };
+    let batch = Batch { from, session, sequence: 1, messages: vec![heartbeat] };
     state.handle(Event::Request(RequestId(1), Request::Deliver(batch)));
 }
 
 /// Submits a job of two tasks of 50 ms; returns the actions of the host.
-fn submit(state: &mut State) -> Vec<Action> {
+pub(super) fn submit(state: &mut State) -> Vec<Action> {
     let resources = Resources { cpu_millis: 14_000, memory_mb: 64, accelerators: 0 };
     let requirements = Requirements { resources, estimate_ms: 50, ..Requirements::default() };
     let plan =
--- a/crates/fleet/src/peer/tests.rs
+++ b/crates/fleet/src/peer/tests.rs
@@ -36,4 +36,14 @@
         &[PROCESS, NEW_SESSION, SESSION_LOST],
     );
     new_incarnation_as_a_reset(&[(1, 4, 1), (2, 1, 1)], &[PROCESS, NEW_SESSION]);
+    // Guards against a late batch that brings the jobs of an ended process back, and drops those of
+    // its successor.
+    no_late_session_of_a_replaced_incarnation(
+        &[(1, 1, 1), (2, 1, 1), (1, 2, 1), (2, 1, 2)],
+        &[PROCESS, NEW_SESSION, SESSION_LOST, PROCESS],
+    );
+    no_late_session_of_any_replaced_incarnation(
+        &[(1, 1, 1), (2, 1, 1), (3, 1, 1), (1, 2, 1), (2, 2, 1), (3, 1, 2)],
+        &[PROCESS, NEW_SESSION, NEW_SESSION, SESSION_LOST, SESSION_LOST, PROCESS],
+    );
 }
