fix(submission): a repeated handover says "not run" for jobs that ran

A stopping entry sends its records in numbered chunks. After a call without an answer it chooses a successor again, mostly the same one, and splits its records anew. The numbers start again at 0 while records that have expired meanwhile have shifted the bounds of the chunks. The successor took equal numbers for equal chunks: it ignored the new chunk 0, and the records that had moved from the old chunk 1 into it were lost, though every number had arrived. It then answered "not_run" for them, and a caller that believes this runs the job a second time. Several hundred retained records and one lost call at a planned stop are enough.

A chunk now names the sequence numbers that it covers, in place of its number and their count. The successor is complete when the chunks that it has cover all issued numbers, whatever the splits and senders that they come from. It also keeps the highest floor, since what has expired before a repeated handover is in none of its chunks.

The tests of the handover and of the stages of a stop build chunks with ranges; what they expect is unchanged.

--- a/crates/entry/src/control/members.rs
+++ b/crates/entry/src/control/members.rs
@@ -79,7 +79,7 @@
     /// Handles the response of a peer.
     pub(super) fn handle_response(
         &mut self,
-        chunk: Option<ChunkId>,
+        chunk: Option<&ChunkId>,
         response: Response,
         now: Instant,
         out: &mut Vec<Action>,
@@ -111,7 +111,7 @@
     pub(super) fn handle_failed_call(
         &mut self,
         peer: Incarnation,
-        chunk: Option<ChunkId>,
+        chunk: Option<&ChunkId>,
         reason: Unreachable,
         now: Instant,
         out: &mut Vec<Action>,
--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -164,10 +164,10 @@
             }
             Event::PeerCall(request_id, call) => self.handle_call(request_id, call, now, out),
             Event::PeerResponded { peer, chunk, response } => match response {
-                Ok(response) => self.handle_response(chunk, response, now, out),
+                Ok(response) => self.handle_response(chunk.as_ref(), response, now, out),
                 Err(reason) => {
                     if let Some(peer) = peer {
-                        self.handle_failed_call(peer, chunk, reason, now, out);
+                        self.handle_failed_call(peer, chunk.as_ref(), reason, now, out);
                     }
                 }
             },
--- a/crates/entry/src/drain/stage.rs
+++ b/crates/entry/src/drain/stage.rs
@@ -133,11 +133,11 @@
 
     /// Records that the successor has stored a chunk. Acknowledgements of other chunks than the
     /// first are ignored.
-    pub fn acknowledge(&mut self, id: ChunkId) {
+    pub fn acknowledge(&mut self, id: &ChunkId) {
         let Self::HandingOver { chunks, sent_at, .. } = self else {
             return;
         };
-        if chunks.front().is_some_and(|chunk| chunk.id() == id) {
+        if chunks.front().is_some_and(|chunk| chunk.id() == *id) {
             chunks.pop_front();
             *sent_at = None;
         }
--- a/crates/entry/src/drain/tests.rs
+++ b/crates/entry/src/drain/tests.rs
@@ -13,11 +13,10 @@
 fn chunks() -> Vec<Chunk> {
     let chunk = |number| Chunk {
         from: Incarnation(1),
-        number,
-        count: 2,
+        range: number..number + 1,
         age_ms: 0,
         floor: 0,
-        next: 0,
+        next: 2,
         finished: Vec::new(),
     };
     (0..2).map(chunk).collect()
@@ -43,7 +42,7 @@
         if let Some(chunk) = stage.next_chunk(has_successor, now)
             && acknowledges
         {
-            stage.acknowledge(chunk.id());
+            stage.acknowledge(&chunk.id());
         }
         if let Some(exit) = stage.exit() {
             assert_eq!((exit, u64::from(tenth) / 10), (wanted, after));
--- a/crates/entry/src/submission/inheritance.rs
+++ b/crates/entry/src/submission/inheritance.rs
@@ -2,6 +2,7 @@
 //! which answers for it from then on.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 use coltsfootshunt_core::answer::{Answer, Refusal, Uncertainty};
@@ -27,11 +28,9 @@
 pub struct Chunk {
     /// Incarnation that issued the identifiers.
     pub from: Incarnation,
-    /// Index of this chunk, from zero.
-    pub number: usize,
-    /// Total number of chunks.
-    #[serde(rename = "parts")]
-    pub count: usize,
+    /// Sequence numbers that this chunk covers: it has all their records. The chunks of one split
+    /// cover all that were issued. A repeated handover may split the records elsewhere.
+    pub range: Range<u64>,
     /// Time since the incarnation ended, in milliseconds.
     pub age_ms: u64,
     /// Sequence numbers below this one that have no record have expired.
@@ -43,17 +42,17 @@
 }
 
 /// Identifies a chunk.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ChunkId {
     from: Incarnation,
-    number: usize,
+    range: Range<u64>,
 }
 
 impl Chunk {
     /// Identifier of this chunk.
     #[must_use]
     pub fn id(&self) -> ChunkId {
-        ChunkId { from: self.from, number: self.number }
+        ChunkId { from: self.from, range: self.range.clone() }
     }
 }
 
@@ -86,18 +85,20 @@
             groups.push(vec![finished]);
         }
     }
-    let count = groups.len();
+    let mut ends: Vec<u64> =
+        groups.iter().skip(1).filter_map(|group| Some(group.first()?.sequence)).collect();
+    ends.push(bounds.next);
+    let mut start = 0;
     let age = now.saturating_duration_since(bounds.ended_at);
-    let chunk = |(number, finished)| Chunk {
+    let chunk = |(finished, end)| Chunk {
         from: bounds.from,
-        number,
-        count,
+        range: std::mem::replace(&mut start, end)..end,
         age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         floor: bounds.floor,
         next: bounds.next,
         finished,
     };
-    groups.into_iter().enumerate().map(chunk).collect()
+    groups.into_iter().zip(ends).map(chunk).collect()
 }
 
 /// Records of a stopped incarnation at its successor.
@@ -107,8 +108,8 @@
     pub ended_at: Instant,
     floor: u64,
     next: u64,
-    /// For each chunk, whether it has yet to arrive.
-    missing: Vec<bool>,
+    /// Sequence numbers that no chunk has covered yet, in order.
+    missing: Vec<Range<u64>>,
     /// Answers by sequence number; `None` if the answer was dropped.
     finished: BTreeMap<u64, Option<Answer>>,
 }
@@ -122,26 +123,34 @@
             ended_at: now.checked_sub(age).unwrap_or(now),
             floor: chunk.floor,
             next: chunk.next,
-            missing: vec![true; chunk.count],
+            missing: Vec::from_iter((chunk.next > 0).then_some(0..chunk.next)),
             finished: BTreeMap::new(),
         }
     }
 
-    /// Stores the records of a chunk; a repeated chunk has no effect. Answers beyond `available`
+    /// Stores the records of a chunk that no earlier chunk has covered. Answers beyond `available`
     /// bytes are dropped, and only the fact that the submission finished is kept. Returns the bytes
     /// of the answers that were stored.
     pub fn add(&mut self, chunk: Chunk, available: usize) -> usize {
-        match self.missing.get_mut(chunk.number) {
-            Some(missing) if *missing => *missing = false,
-            _ => return 0,
-        }
+        // The records that expired before a repeated handover are in none of its chunks.
+        self.floor = self.floor.max(chunk.floor);
+        let missing = std::mem::take(&mut self.missing);
+        let is_missing = |sequence| missing.iter().any(|range| range.contains(&sequence));
         let mut added = 0;
         for Finished { sequence, answer } in chunk.finished {
+            if !is_missing(sequence) {
+                continue;
+            }
             let size = answer.as_ref().map_or(0, Answer::output_bytes);
             let kept = answer.filter(|_| added + size <= available);
             added += if kept.is_some() { size } else { 0 };
             self.finished.insert(sequence, kept);
         }
+        let Range { start, end } = chunk.range;
+        let uncovered = missing
+            .iter()
+            .flat_map(|range| [range.start..range.end.min(start), range.start.max(end)..range.end]);
+        self.missing = uncovered.filter(|range| !range.is_empty()).collect();
         added
     }
 
@@ -151,7 +160,7 @@
         self.finished.values().flatten().map(Answer::output_bytes).sum()
     }
 
-    /// Chunks for a further successor. Empty unless all chunks have arrived here: a successor must
+    /// Chunks for a further successor. Empty unless all records have arrived here: a successor must
     /// not take an unknown submission for one that did not run.
     #[must_use]
     pub fn chunks(&self, from: Incarnation, now: Instant) -> Vec<Chunk> {
@@ -165,10 +174,10 @@
         split(finished, bounds, now)
     }
 
-    /// Whether every chunk has arrived.
+    /// Whether the chunks that have arrived cover all records.
     #[must_use]
     pub fn is_complete(&self) -> bool {
-        !self.missing.iter().any(|missing| *missing)
+        self.missing.is_empty()
     }
 
     /// Number of finished submissions.
@@ -184,7 +193,7 @@
     }
 
     /// Answer to a submission of the former owner. A submission without a record is said not to
-    /// have run only if every chunk has arrived.
+    /// have run only if all records have arrived.
     #[must_use]
     pub fn answer(&self, sequence: u64) -> Answer {
         match self.finished.get(&sequence) {
--- a/crates/entry/src/submission/tests.rs
+++ b/crates/entry/src/submission/tests.rs
@@ -199,8 +199,8 @@
     let chunks = owner.chunks(now);
     assert!(chunks.len() > 2, "the records need several chunks");
     let mut successor = registry(Limits::default());
-    for chunk in chunks {
-        if Some(chunk.number) != skip {
+    for (number, chunk) in chunks.into_iter().enumerate() {
+        if Some(number) != skip {
             successor.inherit(chunk.clone(), now);
             successor.inherit(chunk, now);
         }
@@ -215,3 +215,35 @@
     record_in_the_missing_chunk(Some(1), 600, "unknown");
     never_used_but_a_chunk_is_missing(Some(1), 1_250, "unknown");
 }
+
+/// Guards against "not run" for a job that ran: the owner repeats a handover after a lost call, and
+/// the records that have expired in between shift the bounds of its chunks. The first chunk of the
+/// first attempt arrives, and all of the second.
+fn successor_answers_after_a_repeated_handover(expired: usize, sequence: u64, wanted: &str) {
+    let start = Instant::now();
+    let later = start + Duration::from_secs(200);
+    let mut owner = registry(Limits::default());
+    for (count, at) in [(expired, start), (1_200 - expired, later)] {
+        for id in owner.issue(count, at).expect("below the limit") {
+            owner.open(id.sequence, Open::new(job(1), DIGEST, false, at));
+            owner.close(id.sequence, complete(), at);
+        }
+    }
+    let mut successor = registry(Limits::default());
+    let first_attempt = start + Duration::from_secs(299);
+    let chunks = owner.chunks(first_attempt);
+    successor.inherit(chunks[0].clone(), first_attempt);
+    let second_attempt = start + Duration::from_secs(301);
+    owner.prune(second_attempt);
+    for chunk in owner.chunks(second_attempt) {
+        successor.inherit(chunk, second_attempt);
+    }
+    let inheritance = successor.inheritance(Incarnation(1)).expect("at least one chunk arrived");
+    assert_eq!(inheritance.answer(sequence).outcome().to_string(), wanted);
+}
+
+cases! { successor_answers_after_a_repeated_handover:
+    record_between_the_shifted_chunks(100, 550, "complete");
+    record_after_them(100, 1_150, "complete");
+    record_that_expired_before_it_arrived(700, 600, "unknown");
+}
