fix(member): slots lent to a replaced process are never taken back

An entry that ends and starts again at its address within 3.4 s is not missed: its successor's heartbeat replaces it in the membership. That path only removed the peer. The lender wrote off no loan of it, its successor reports none under its own incarnation, and no recall can be sent to a process that is gone, so the slots stayed lent until the lender itself ended. Operators saw a fleet that lost capacity with each quick restart.

On the old code `lender_gets_the_slots_of_a_replaced_borrower_back` failed with left: 4, right: 0.

The membership now returns replaced peers with those that have failed, so the next heartbeat round writes off their loans and logs them.

--- a/crates/entry/src/control/tests/members.rs
+++ b/crates/entry/src/control/tests/members.rs
@@ -202,3 +202,21 @@
     let owner = simulation.entries[0].incarnation;
     assert!(matches!(snapshot.route(owner), Route::Peer(_)), "the owner is known again");
 }
+
+/// Guards against slots that stay lent for ever: the borrower's process is replaced by another one
+/// at its address before the lender misses it.
+#[test]
+fn lender_gets_the_slots_of_a_replaced_borrower_back() {
+    let mut simulation = Simulation::new(2);
+    let lent = |simulation: &Simulation| {
+        let state = simulation.entries[0].state.as_ref().expect("the entry is running");
+        state.pool.own_lent()
+    };
+    simulation.submit(1, "plain", 40, 30_000).expect("the entry is ready");
+    while lent(&simulation) == 0 {
+        simulation.deliver(0, false);
+    }
+    simulation.kill(1);
+    simulation.deliver_all();
+    assert_eq!(lent(&simulation), 0);
+}
--- a/crates/entry/src/member/membership.rs
+++ b/crates/entry/src/member/membership.rs
@@ -52,6 +52,9 @@
     /// Addresses of peers that failed without announcing their shutdown, and when they were last
     /// heard.
     missing: BTreeMap<SocketAddr, Instant>,
+    /// Peers that were replaced by a later incarnation since the last call of
+    /// [`Self::remove_failed`].
+    replaced: Vec<Peer>,
     /// Members that were last listed to each peer.
     listed: BTreeMap<Incarnation, Vec<Status>>,
     round: u64,
@@ -68,6 +71,7 @@
             peers: BTreeMap::new(),
             contacts,
             missing: BTreeMap::new(),
+            replaced: Vec::new(),
             listed: BTreeMap::new(),
             round: 0,
             change_count: 0,
@@ -125,14 +129,16 @@
         self.missing.values().any(|last_heard| now.duration_since(*last_heard) <= PEER_TIMEOUT)
     }
 
-    /// Removes and returns the peers that have failed.
+    /// Removes and returns the peers that have failed. Those that were replaced by a later
+    /// incarnation at their address are removed before, and returned too.
     pub fn remove_failed(&mut self, now: Instant) -> Vec<Peer> {
         let has_failed = |peer: &Peer| {
             let timeout = if peer.is_direct { PEER_TIMEOUT } else { INDIRECT_PEER_TIMEOUT };
             peer.is_refusing || now.duration_since(peer.last_heard) > timeout
         };
         self.missing.retain(|_, last_heard| now.duration_since(*last_heard) <= PEER_TIMEOUT);
-        let failed: Vec<_> = self.peers.values().filter(|peer| has_failed(peer)).cloned().collect();
+        let mut failed: Vec<_> =
+            self.peers.values().filter(|peer| has_failed(peer)).cloned().collect();
         for peer in &failed {
             self.remove(peer.status.incarnation);
             // The peer may only be unreachable, so its address is contacted again.
@@ -141,6 +147,7 @@
                 self.missing.insert(peer.status.address, peer.last_heard);
             }
         }
+        failed.append(&mut self.replaced);
         failed
     }
 
@@ -309,8 +316,9 @@
         let predecessor = self.peers.values().find(|peer| {
             peer.status.address == status.address && peer.status.incarnation != status.incarnation
         });
-        if let Some(incarnation) = predecessor.map(|peer| peer.status.incarnation) {
-            self.remove(incarnation);
+        if let Some(predecessor) = predecessor.cloned() {
+            self.remove(predecessor.status.incarnation);
+            self.replaced.push(predecessor);
         }
     }
 
