fix(drain): a late response of the first successor acknowledges a chunk of the second

A stopping entry that chooses another successor, since the first one stops too, sends it all records again. A chunk was acknowledged by whatever peer responded to a call with it. A late response of the first successor therefore took the chunk off the list before the second one had it: each had a part of the records, the stop ended in good order, and callers got "unknown" for jobs that were complete.

On the old code `late_response_of_the_first_successor_acknowledges_nothing` failed with left: Some(500), right: None for the "unknown" answers to 601 complete jobs.

A chunk counts as handed over only by a response of the current successor.

--- a/crates/entry/src/control/state.rs
+++ b/crates/entry/src/control/state.rs
@@ -164,7 +164,11 @@
             }
             Event::PeerCall(request_id, call) => self.handle_call(request_id, call, now, out),
             Event::PeerResponded { peer, chunk, response } => match response {
-                Ok(response) => self.handle_response(chunk.as_ref(), response, now, out),
+                Ok(response) => {
+                    // A chunk counts as handed over only at the successor that gets all others.
+                    let chunk = chunk.filter(|_| peer == self.current_successor);
+                    self.handle_response(chunk.as_ref(), response, now, out);
+                }
                 Err(reason) => {
                     if let Some(peer) = peer {
                         self.handle_failed_call(peer, chunk.as_ref(), reason, now, out);
--- a/crates/entry/src/control/tests/members.rs
+++ b/crates/entry/src/control/tests/members.rs
@@ -5,9 +5,11 @@
 use coltsfootshunt_core::answer::{Answer, Refusal};
 use coltsfootshunt_testkit::cases;
 
-use super::simulation::{AttemptResult, Simulation};
+use super::fixture::address_of;
+use super::simulation::{AttemptResult, InFlightCall, Simulation};
 use crate::control::Route;
 use crate::drain::Exit;
+use crate::peer::Call;
 
 /// Delivers all calls and completes all attempts for 20 seconds.
 fn run_to_completion(simulation: &mut Simulation) {
@@ -220,3 +222,47 @@
     simulation.deliver_all();
     assert_eq!(lent(&simulation), 0);
 }
+
+/// Delivers all calls but those of entry 0's handover, and completes its attempts, until a call of
+/// the handover to `successor` is in flight.
+fn run_until_handover_to(simulation: &mut Simulation, successor: usize) {
+    let is_handover = |call: &InFlightCall| call.from == 0 && matches!(call.call, Call::Inherit(_));
+    for _ in 0..400 {
+        while let Some(index) = simulation.running.iter().position(|running| running.entry == 0) {
+            simulation.end(index, AttemptResult::Output);
+        }
+        while let Some(index) = simulation.calls.iter().position(|call| !is_handover(call)) {
+            simulation.deliver(index, false);
+        }
+        if simulation.calls.iter().any(|call| call.to == address_of(successor)) {
+            return;
+        }
+        simulation.advance_time(Duration::from_millis(50));
+    }
+    panic!("the handover to entry {successor} does not begin");
+}
+
+/// Guards against records that no successor has: a late response of the first successor counted as
+/// one of the second, and a chunk never reached that one.
+#[test]
+fn late_response_of_the_first_successor_acknowledges_nothing() {
+    let mut simulation = Simulation::new(3);
+    simulation.submit(1, "once", 1, 30_000).expect("the entry is ready");
+    for _ in 0..600 {
+        simulation.submit(0, "once", 1, 30_000).expect("the entry is ready");
+    }
+    simulation.stop(0);
+    run_until_handover_to(&mut simulation, 1);
+    // The first successor stops too, and the handover begins again with another one.
+    simulation.stop(1);
+    run_until_handover_to(&mut simulation, 2);
+    simulation.deliver(0, false);
+    // All other calls of the handover in flight are lost.
+    simulation.calls.clear();
+    run_to_completion(&mut simulation);
+    assert_eq!(simulation.entries[0].exit, Some(Exit::Clean));
+    for index in 0..simulation.submissions.len() {
+        simulation.resubmit(index, 2);
+    }
+    assert_eq!(simulation.outcomes.get("unknown"), None, "{:?}", simulation.outcomes);
+}
--- a/crates/entry/src/control/tests/simulation.rs
+++ b/crates/entry/src/control/tests/simulation.rs
@@ -47,9 +47,9 @@
 /// A call in flight between entries.
 pub struct InFlightCall {
     pub(super) from: usize,
-    to: SocketAddr,
+    pub(super) to: SocketAddr,
     peer: Option<Incarnation>,
-    call: Call,
+    pub(super) call: Call,
 }
 
 /// A simulated entry.
