fix(member): late word of a replaced process brings it back

The incarnation of an entry is random and has no order. A heartbeat of an ended process that arrives after its successor's replaced the live process by the dead one until the next heartbeat, and a delegate's list that still names the ended process added it for up to 10 s as another member of the zone. By reading: the zone's targets are divided among one member too many, and requests for the live owner's submissions get "unknown" meanwhile.

On the old code `after_its_own_late_heartbeat` and `after_an_outdated_list` failed: "assertion failed: membership.get(Incarnation(2)).is_none() && membership.get(Incarnation(3)).is_some()".

Of two processes at one address the one that was replaced has ended. The membership remembers those and ignores what they or others say of them.

--- a/crates/entry/src/member/membership.rs
+++ b/crates/entry/src/member/membership.rs
@@ -1,6 +1,6 @@
 //! Members known to this entry.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -26,6 +26,9 @@
 const MAX_CONTACT_ROUNDS: u32 = 1_200;
 /// Number of rounds after which a heartbeat lists the other members even if none changed.
 const FULL_LIST_INTERVAL_ROUNDS: u64 = 6;
+/// Number of replaced incarnations that are remembered. More restarts than that don't happen while
+/// a peer still reports one of them.
+const MAX_ENDED: usize = 256;
 
 /// Identity of this entry.
 #[derive(Clone, Debug)]
@@ -55,6 +58,9 @@
     /// Peers that were replaced by a later incarnation since the last call of
     /// [`Self::remove_failed`].
     replaced: Vec<Peer>,
+    /// Incarnations that were replaced, oldest first. Incarnations have no order, so late word of
+    /// one of them would otherwise count as a new member.
+    ended: VecDeque<Incarnation>,
     /// Members that were last listed to each peer.
     listed: BTreeMap<Incarnation, Vec<Status>>,
     round: u64,
@@ -72,6 +78,7 @@
             contacts,
             missing: BTreeMap::new(),
             replaced: Vec::new(),
+            ended: VecDeque::new(),
             listed: BTreeMap::new(),
             round: 0,
             change_count: 0,
@@ -105,8 +112,12 @@
         self.contacts.remove(&self.identity.address);
     }
 
-    /// Records a peer's heartbeat and the members that it reports.
+    /// Records a peer's heartbeat and the members that it reports. Ignores that of an incarnation
+    /// that was replaced.
     pub fn record_heartbeat(&mut self, heartbeat: &Heartbeat, now: Instant) {
+        if self.ended.contains(&heartbeat.status.incarnation) {
+            return;
+        }
         self.update(heartbeat.status.clone(), now, true);
         match &heartbeat.others {
             Some(others) => self.apply_list(others, &heartbeat.status, now),
@@ -294,7 +305,8 @@
     /// Adds or updates the peer with this status. `is_direct` says that it comes from the peer
     /// itself.
     fn update(&mut self, status: Status, now: Instant, is_direct: bool) {
-        if status.incarnation == self.identity.incarnation {
+        let is_me = status.incarnation == self.identity.incarnation;
+        if is_me || self.ended.contains(&status.incarnation) {
             return;
         }
         if is_direct {
@@ -318,6 +330,10 @@
         });
         if let Some(predecessor) = predecessor.cloned() {
             self.remove(predecessor.status.incarnation);
+            self.ended.push_back(predecessor.status.incarnation);
+            if self.ended.len() > MAX_ENDED {
+                self.ended.pop_front();
+            }
             self.replaced.push(predecessor);
         }
     }
--- a/crates/entry/src/member/tests.rs
+++ b/crates/entry/src/member/tests.rs
@@ -157,6 +157,24 @@
     assert!(membership.get(Incarnation(2)).is_none() && membership.get(Incarnation(3)).is_some());
 }
 
+/// Guards against a member that has ended and counts as alive again: late word of a replaced
+/// incarnation, its own or a delegate's, brought it back.
+fn replaced_incarnation_stays_gone(late: &Heartbeat) {
+    let now = Instant::now();
+    let mut membership = membership(1, "here");
+    membership.record_heartbeat(&heartbeat(2, "here", None), now);
+    let mut restarted = heartbeat(3, "here", None);
+    restarted.status.address = address(2);
+    membership.record_heartbeat(&restarted, now);
+    membership.record_heartbeat(late, now);
+    assert!(membership.get(Incarnation(2)).is_none() && membership.get(Incarnation(3)).is_some());
+}
+
+cases! { replaced_incarnation_stays_gone:
+    after_its_own_late_heartbeat(&heartbeat(2, "here", None));
+    after_an_outdated_list(&heartbeat(4, "here", Some(vec![status(2, "here")])));
+}
+
 /// The entries of a zone share its targets; if it has none, all entries do.
 fn stewards_of(zone_name: &str, wanted: &[u64]) {
     let now = Instant::now();
