fix(target): a loan takes the place of an own target after 2^32 allocations

The identifiers of allocations were counted in 32 bits and wrapped around. Each loan adds an allocation while own targets keep theirs as long as the process runs, so an entry that borrows a thousand times a second gives the identifier of an own target again after 50 days: the target's slots are gone and the counts of slots are off. No operator has reported it.

On the old code `allocations_keep_their_identifiers_after_many_loans` failed with left: 2, right: 3 allocations.

The count has 64 bits and is not reused.

--- a/crates/entry/src/target/pool.rs
+++ b/crates/entry/src/target/pool.rs
@@ -14,9 +14,10 @@
 /// At most one in this many own targets is ejected at once. With two targets, one may be ejected.
 const MIN_TARGETS_PER_EJECTION: usize = 3;
 
-/// Identifier of one allocation in the pool.
+/// Identifier of one allocation in the pool, never used again. Own targets keep theirs as long as
+/// the process runs, while each loan adds new ones.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct AllocationId(u32);
+pub struct AllocationId(u64);
 
 /// A slot that was taken for a task.
 #[derive(Clone, Debug)]
@@ -60,7 +61,7 @@
     // The key under which an allocation is in `free`.
     keys: HashMap<AllocationId, SortKey>,
     rates: Rates,
-    next_id: u32,
+    pub(super) next_id: u64,
     own_free: u32,
     own_usable: u32,
     own_lent: u32,
@@ -272,7 +273,7 @@
 
     pub(super) fn add(&mut self, allocation: Allocation) {
         let id = AllocationId(self.next_id);
-        self.next_id = self.next_id.wrapping_add(1);
+        self.next_id += 1;
         self.by_target.insert((allocation.config.name.clone(), allocation.lender), id);
         self.own_targets += usize::from(allocation.lender.is_none());
         if let Some(lender) = allocation.lender {
--- a/crates/entry/src/target/tests.rs
+++ b/crates/entry/src/target/tests.rs
@@ -209,3 +209,17 @@
     );
     assert_eq!(pool.take(&NO_NEEDS, Ownership::Any).expect("a slot is free").config.name, name(0));
 }
+
+/// Guards against a loan that takes the place of an own target in a pool that has had 2^32
+/// allocations: its identifier was in use.
+#[test]
+fn allocations_keep_their_identifiers_after_many_loans() {
+    let mut pool = pool(1);
+    pool.next_id = u32::MAX.into();
+    let expires_at = Instant::now() + Duration::from_secs(1);
+    for number in 1..3 {
+        pool.borrow(LENDER, config(number, 2, 0), 2, expires_at);
+    }
+    assert_eq!(pool.iter().count(), 3);
+    assert!(pool.iter().any(|allocation| allocation.config.name == name(0)));
+}
