fix(control): a task sent between two sessions runs twice

When a batch can't be delivered, the sending task begins the next session at once, and the control thread learns of the loss from an event. What it sent to the peer before it handled that event became part of the next session: the receiver took it as wanted. The control thread then gave up all jobs at the peer, those tasks included, and told their callers 504, without a word to the peer, whose next message from it did not begin a session. The task ran on while the caller came again elsewhere. The window is the time that an event waits at the control thread of a busy host, at a cut that is already over.

The control thread ends the session when it handles the loss. Whatever was sent in between is dropped, or voided by the first batch of the session that follows.

--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -176,6 +176,8 @@
         let Some(host) = peer.map(|peer| peer.identity.host.clone()) else {
             return;
         };
+        // Messages sent since the loss are part of the next session, and void as well.
+        self.actions.push(super::Action::Disconnect(address));
         self.drop_lost_peer(
             &host,
             refused,
--- a/crates/fleet/src/control/tests/partitions.rs
+++ b/crates/fleet/src/control/tests/partitions.rs
@@ -176,3 +176,31 @@
         assert_eq!(sim.violations, Vec::<String>::new(), "seed {seed}");
     }
 }
+
+/// Guards against a task that runs twice: its owner sends it before it handles the loss of the
+/// session with the steward, so that it is part of the next session. The owner then gives the job
+/// up, and the caller retries elsewhere.
+#[test]
+fn runs_once_when_sent_between_two_sessions() {
+    for seed in SEEDS {
+        let mut sim = converged(seed);
+        let steward = sim.stewards("a")[0];
+        let owner = 2;
+        let up_again_ms = sim.now_ms() + 1_300;
+        for target in sim.targets.values_mut().filter(|one| one.entry.zone.to_string() == "b") {
+            target.crash(up_again_ms);
+        }
+        sim.run_for(800);
+        sim.session_loss_delay_ms = 20;
+        sim.set_partition_one_way(owner, steward, Some(Partition::Refusing));
+        // The next message of the owner detects the partition, which then ends.
+        sim.submit_at(owner, 9_000, 100, 100);
+        sim.run_for(2);
+        sim.set_partition_one_way(owner, steward, None);
+        let id = sim.submit_at(owner, 9_000, 100, 5_000);
+        sim.direct_callers_to(3);
+        sim.run_for(6_000);
+        assert!(sim.outcomes(&id).len() > 1, "seed {seed}: no retry");
+        assert_eq!(sim.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -179,6 +179,8 @@
     partitions: BTreeMap<(usize, usize), Partition>,
     /// Whether a batch in flight arrives when a silent partition ends, as on the platform.
     pub(super) delivers_after_partition: bool,
+    /// Time until the control state of a host handles the loss of a session, as on a busy host.
+    pub(super) session_loss_delay_ms: u64,
     /// Batches that partitions delay, with sender and receiver.
     delayed_batches: Vec<(usize, usize, Batch)>,
     /// Partitions from a host to a running target.
@@ -213,6 +215,7 @@
             slow_percent: 100,
             partitions: BTreeMap::new(),
             delivers_after_partition: false,
+            session_loss_delay_ms: 0,
             delayed_batches: Vec::new(),
             target_partitions: BTreeMap::new(),
             hidden_targets: BTreeSet::new(),
--- a/crates/fleet/src/control/tests/simulation/network.rs
+++ b/crates/fleet/src/control/tests/simulation/network.rs
@@ -61,7 +61,8 @@
             channel.start_session();
             channel.sending_since = None;
             let event = Event::SessionLost { address: to, refused };
-            return self.schedule(0, SimEvent::Host(host, incarnation, event));
+            let delay = self.session_loss_delay_ms;
+            return self.schedule(delay, SimEvent::Host(host, incarnation, event));
         }
         if is_frozen || partition.is_some() {
             return self.schedule(20, SimEvent::Deliver { host, incarnation, to });
