fix(peer): tasks that a cut holds up in the first batch of a session run twice

A batch that continues a session is void if its sender was silent for 0.8 s, since the sender has given up what is in it. The first batch of a session says nothing of its age and was always processed. It could hold tasks: those sent between the loss of a session and the event that reports it, or, by reading, those for a steward that was just heard for the first time. If a cut held such a batch up, its owner answered 504, the caller came again elsewhere, and the steward started the task when the cut ended.

A session is now opened by a batch without messages; messages follow once the receiver has acknowledged it. They are told apart from those of an earlier session by the session's number, from those that a cut held up by the silence before them, and a process that has restarted does not take what was sent to the one before. The cost is one more round trip for each new session. On the old outbox `no_messages_before_the_session_is_open` failed with left: [(1, 1, 1)], right: [(1, 1, 0), (1, 2, 1)].

--- a/crates/fleet/src/control/tests/partitions.rs
+++ b/crates/fleet/src/control/tests/partitions.rs
@@ -179,9 +179,9 @@
 
 /// Guards against a task that runs twice: its owner sends it before it handles the loss of the
 /// session with the steward, so that it is part of the next session. The owner then gives the job
-/// up, and the caller retries elsewhere.
-#[test]
-fn runs_once_when_sent_between_two_sessions() {
+/// up, and the caller retries elsewhere. `next` is the partition for 2 s after the one that ended
+/// the session.
+fn runs_once_when_sent_between_two_sessions(next: Option<Partition>) {
     for seed in SEEDS {
         let mut sim = converged(seed);
         let steward = sim.stewards("a")[0];
@@ -196,11 +196,19 @@
         // The next message of the owner detects the partition, which then ends.
         sim.submit_at(owner, 9_000, 100, 100);
         sim.run_for(2);
-        sim.set_partition_one_way(owner, steward, None);
+        sim.delivers_after_partition = true;
+        sim.set_partition_one_way(owner, steward, next);
         let id = sim.submit_at(owner, 9_000, 100, 5_000);
         sim.direct_callers_to(3);
-        sim.run_for(6_000);
+        sim.run_for(2_000);
+        sim.set_partition_one_way(owner, steward, None);
+        sim.run_for(4_000);
         assert!(sim.outcomes(&id).len() > 1, "seed {seed}: no retry");
         assert_eq!(sim.violations, Vec::<String>::new(), "seed {seed}");
     }
 }
+
+cases! { runs_once_when_sent_between_two_sessions:
+    and_received_at_once(None);
+    and_received_after_a_partition(Some(Partition::Silent));
+}
--- a/crates/fleet/src/control/tests/simulation/network.rs
+++ b/crates/fleet/src/control/tests/simulation/network.rs
@@ -48,13 +48,14 @@
             channel.sending_since = None;
             return;
         }
+        let is_opening = channel.sequence == 0;
         let is_first = channel.sending_since.is_none();
         let since = *channel.sending_since.get_or_insert(now_ms);
         if is_first && partition == Some(Partition::Silent) && self.delivers_after_partition {
             // The batch is in flight; the sender gives it up later without a reset.
             let (session, sequence) = (channel.session, channel.sequence + 1);
-            let batch =
-                Batch { from: from.clone(), session, sequence, messages: channel.batch.clone() };
+            let messages = if is_opening { Vec::new() } else { channel.batch.clone() };
+            let batch = Batch { from: from.clone(), session, sequence, messages };
             self.delayed_batches.push((host, other, batch));
         }
         if refused || now_ms >= since + DELIVERY_TIMEOUT_MS {
@@ -69,7 +70,7 @@
         }
         channel.sequence += 1;
         channel.sending_since = Some(now_ms);
-        let messages = std::mem::take(&mut channel.batch);
+        let messages = if is_opening { Vec::new() } else { std::mem::take(&mut channel.batch) };
         let batch = Batch { from, session: channel.session, sequence: channel.sequence, messages };
         let request_id = self.new_request_id();
         let other_incarnation = self.hosts[other].incarnation;
--- a/crates/fleet/src/peer/message.rs
+++ b/crates/fleet/src/peer/message.rs
@@ -64,7 +64,8 @@
     pub from: Identity,
     /// Number of the session. It increases with each session of the sender's process to this receiver.
     pub session: u64,
-    /// Number of the batch in its session, from 1.
+    /// Number of the batch in its session, from 1. The first one opens the session and has no
+    /// messages.
     #[serde(rename = "number")]
     pub sequence: u64,
     /// The messages, in order.
--- a/crates/fleet/src/peer/mod.rs
+++ b/crates/fleet/src/peer/mod.rs
@@ -1,7 +1,8 @@
 //! Messages between hosts, delivered in order and at most once. Both sides notice if some may be lost.
 //!
 //! A host sends its messages to a peer in the numbered batches of a session and repeats each batch until
-//! it is acknowledged. If a batch isn't acknowledged within a timeout, the session ends. The sender gets
+//! it is acknowledged. The first batch only opens the session: the process that is to receive the
+//! messages has then acknowledged it, and messages of an earlier session or process are told apart. If a batch isn't acknowledged within a timeout, the session ends. The sender gets
 //! an event, the receiver notices it by the first batch of the next session, and each side drops the state
 //! that it holds for the other.
 
--- a/crates/fleet/src/peer/outbox.rs
+++ b/crates/fleet/src/peer/outbox.rs
@@ -13,8 +13,8 @@
 use crate::control::{self, Event};
 use crate::member::Identity;
 
-/// Time after which an undelivered batch ends its session. It is shorter than the time after which a
-/// silent host counts as lost.
+/// Time after which an undelivered batch ends its session, with the opening of the session if that
+/// comes before it. It is shorter than the time after which a silent host counts as lost.
 const DELIVERY_TIMEOUT: Duration = Duration::from_millis(700);
 /// Delay before a batch is sent again.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
@@ -105,7 +105,6 @@
             if self.batch.messages.is_empty() {
                 continue;
             }
-            self.batch.sequence += 1;
             if let Err(error) = self.deliver().await {
                 self.begin_session();
                 // The queued messages are lost too. The event below reports the loss to their senders.
@@ -127,9 +126,22 @@
         self.batch.messages.clear();
     }
 
-    /// Delivers the current batch, repeating it until it is acknowledged or the timeout has passed.
-    async fn deliver(&self) -> Result<(), Unreachable> {
+    /// Delivers the messages of the current batch. Opens the session first, so that messages which a
+    /// network partition delays arrive within a session whose sender was silent, and are void.
+    async fn deliver(&mut self) -> Result<(), Unreachable> {
         let deadline = Instant::now() + DELIVERY_TIMEOUT;
+        if self.batch.sequence == 0 {
+            let messages = std::mem::take(&mut self.batch.messages);
+            self.deliver_next(deadline).await?;
+            self.batch.messages = messages;
+        }
+        self.deliver_next(deadline).await
+    }
+
+    /// Delivers the next batch of the session, repeating it until it is acknowledged or the deadline
+    /// has passed.
+    async fn deliver_next(&mut self, deadline: Instant) -> Result<(), Unreachable> {
+        self.batch.sequence += 1;
         loop {
             match self.transport.deliver(self.to, &self.batch).await {
                 Ok(Ack::Accepted) => return Ok(()),
--- a/crates/fleet/src/peer/tests.rs
+++ b/crates/fleet/src/peer/tests.rs
@@ -1,7 +1,20 @@
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use coltsfootshunt_core::clock::System;
 use coltsfootshunt_testkit::cases;
+use tokio::runtime::Handle as Runtime;
+use tokio::sync::watch;
 
-use super::{Ack, Batch, Inbox, Receipt};
+use super::{Ack, Batch, Inbox, Message, Outbox, Receipt, Transport, Unreachable};
+use crate::control::{self, Dependencies, Executor, Settings};
+use crate::lease::{Call, Client, Response, Term};
 use crate::member::tests::identity;
+use crate::report::Silent;
+use crate::steward;
 
 fn batch(incarnation: u64, session: u64, sequence: u64) -> Batch {
     let from = crate::member::Identity { incarnation, ..identity("x", "a", 250) };
@@ -47,3 +60,89 @@
         &[PROCESS, NEW_SESSION, NEW_SESSION, SESSION_LOST, SESSION_LOST, PROCESS],
     );
 }
+
+/// Transport that records the session, the sequence number and the number of messages of each
+/// batch. Responds with the given acknowledgements, then accepts everything.
+#[derive(Default)]
+struct Recorder {
+    acks: Mutex<VecDeque<Ack>>,
+    batches: Mutex<Vec<(u64, u64, usize)>>,
+}
+
+#[async_trait]
+impl Transport for Recorder {
+    async fn deliver(&self, _to: SocketAddr, batch: &Batch) -> Result<Ack, Unreachable> {
+        let entry = (batch.session, batch.sequence, batch.messages.len());
+        self.batches.lock().unwrap().push(entry);
+        Ok(self.acks.lock().unwrap().pop_front().unwrap_or(Ack::Accepted))
+    }
+}
+
+struct NoTargets;
+
+#[async_trait]
+impl Client for NoTargets {
+    async fn call(&self, _call: Call) -> Response {
+        Response::NotSent
+    }
+}
+
+/// Starts the control thread of a host that knows no other.
+fn control() -> control::Handle {
+    let term = Term { max: Duration::from_secs(1), resend_after: Duration::from_millis(1_300) };
+    let settings = Settings {
+        identity: identity("me", "a", 250),
+        seeds: Vec::new(),
+        steward: steward::Settings { term, remote_factor: 1.5 },
+        stop_timeout: Duration::from_secs(5),
+    };
+    let runtime = Runtime::current();
+    let executor = move |control: control::Handle| Executor {
+        outbox: outbox(Arc::default(), control.clone()),
+        runtime,
+        target_client: Arc::new(NoTargets),
+        control,
+        log: Arc::new(Silent),
+        exit: watch::channel(false).0,
+    };
+    let dependencies =
+        Dependencies { settings, clock: Arc::new(System), executor: Box::new(executor) };
+    control::spawn(dependencies).unwrap().0
+}
+
+fn outbox(recorder: Arc<Recorder>, control: control::Handle) -> Outbox {
+    Outbox::new(identity("me", "a", 250), recorder, Runtime::current(), control)
+}
+
+/// Sends messages one after the other, each once the one before has led to two batches, and checks
+/// the batches.
+fn sends(messages: usize, acks: &[Ack], expected: &[(u64, u64, usize)]) {
+    let recorder =
+        Arc::new(Recorder { acks: Mutex::new(acks.to_vec().into()), ..Recorder::default() });
+    let sending = async {
+        let mut outbox = outbox(Arc::clone(&recorder), control());
+        for number in 1..=messages {
+            outbox.send("10.0.0.2:80".parse().unwrap(), Message::ConfigRequest);
+            for _ in 0..1_000 {
+                if recorder.batches.lock().unwrap().len() >= 2 * number {
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(sending);
+    assert_eq!(*recorder.batches.lock().unwrap(), expected);
+}
+
+// Guards against tasks that a network partition delays in the first batch of a session, where
+// nothing shows that their sender has given them up.
+cases! { sends:
+    no_messages_before_the_session_is_open(1, &[], &[(1, 1, 0), (1, 2, 1)]);
+    no_messages_before_the_next_session_is_open(
+        2,
+        &[Ack::Accepted, Ack::SessionLost],
+        &[(1, 1, 0), (1, 2, 1), (2, 1, 0), (2, 2, 1)],
+    );
+}
