--- a/crates/fleet/src/control/tests/safety.rs
+++ b/crates/fleet/src/control/tests/safety.rs
@@ -271,6 +271,7 @@
     under_all_faults(LOSSY, &[0, 1, 2, 3, 4, 5, 5]);
     under_all_faults_and_all_partitions(LOSSY, &[0, 1, 2, 3, 4, 5, 5, 6, 7, 8]);
     under_partitions_that_delay_batches(RELIABLE, &[12]);
+    under_frozen_hosts_and_partitions_that_delay_batches(RELIABLE, &[1, 12]);
     under_targets_that_refuse_connections(RELIABLE, &[9]);
     under_targets_unreachable_for_one_host(RELIABLE, &[10]);
     under_all_faults_and_unreachable_targets(LOSSY, &[0, 1, 2, 3, 4, 5, 5, 9, 10, 10]);
