fix(lease): a restart that the list shows first is taken from the target's report

Callers saw tasks run again that had ended, and a run might outlive the moment at which its caller may resend it: a target that had restarted while its steward had no claim on it was given leases by the clock of its earlier incarnation. The target shortens those to its maximum, whatever the last word of the owners is. Its ends, which are numbered anew, were ignored, so that done runs counted as lost.

Cause: without a claim, the directory's new start time was adopted at once. The report of the next claim then showed no change, and the clock and the number of the last end of the earlier incarnation stayed.

The start time is now taken from reports alone, as the method's description says; the claim's report shows the change and resets all of it.

--- a/crates/fleet/src/lease/tests/proof.rs
+++ b/crates/fleet/src/lease/tests/proof.rs
@@ -7,8 +7,9 @@
 use super::{
     CLOCK, LEASE, claimed_tracker, ends, free_cpu, report, start, start_and_confirm, task,
 };
+use crate::directory::{Entry, tests::entry};
 use crate::job::End;
-use crate::lease::{Change, Evidence, Order, Rejection, Response};
+use crate::lease::{self, Change, Ended, Evidence, Order, Rejection, Report, Response, Token};
 
 /// A missing response proves nothing about a target that may still run: its attempts are lost only
 /// once the lease has expired.
@@ -89,3 +90,35 @@
     after_a_refused_connection(Response::NotSent);
     after_a_rejection_by_another_target(Response::Rejected(Rejection::OtherIncarnation));
 }
+
+/// Guards against leases by the clock of a target's earlier incarnation, which are too long: the
+/// directory showed the new start time while the target was not claimed.
+#[test]
+fn a_restart_between_two_claims_is_noticed() {
+    let begin = Instant::now();
+    let mut tracker = claimed_tracker(begin);
+    start_and_confirm(&mut tracker, 0, begin);
+    let renewal = tracker.next_renewal(begin).unwrap();
+    tracker.handle_response(&renewal, report(90_000, &[], &[(7, 0, lease::End::Done)]), begin);
+    let renewal = tracker.next_renewal(begin + Duration::from_secs(9)).unwrap();
+    let now = begin + Duration::from_secs(20);
+    let changes = tracker.handle_response(&renewal, Response::NoResponse, now);
+    assert!(matches!(changes.last(), Some(Change::Lost { .. })));
+    tracker.update(&Entry { started_at_ms: 2, ..entry("t", "a") });
+    let claim = tracker.claim(Token(6), now);
+    let restarted = |clock_ms, ended| {
+        let report = Report { clock_ms, started_at_ms: Some(2), ended, ..Report::default() };
+        Response::Report(report)
+    };
+    tracker.handle_response(&claim, restarted(30, Vec::new()), now);
+    let call = start(&mut tracker, 1, now);
+    let Order::Start { lease_until_ms, .. } = call.order else {
+        panic!("expected a start");
+    };
+    assert!(lease_until_ms <= 30 + 1_000, "the lease ends at {lease_until_ms} ms on its clock");
+    tracker.handle_response(&call, Response::Accepted { clock_ms: 31 }, now);
+    let ended = Ended { sequence: 1, task: task(1), run: 1, end: lease::End::Done };
+    let renewal = tracker.next_renewal(now).unwrap();
+    let changes = tracker.handle_response(&renewal, restarted(40, vec![ended]), now);
+    assert_eq!(ends(&changes), [(1, End::Done)]);
+}
--- a/crates/fleet/src/lease/tracker.rs
+++ b/crates/fleet/src/lease/tracker.rs
@@ -142,13 +142,11 @@
     /// confirmed it in a report.
     pub fn update(&mut self, entry: &Entry) {
         let started_at_ms = self.entry.started_at_ms;
-        self.entry = entry.clone();
-        if entry.started_at_ms == 0 {
-            // This entry lacks the start time; the target's reports contain it.
-            self.entry.started_at_ms = started_at_ms;
-        } else if entry.started_at_ms != started_at_ms && matches!(self.phase, Phase::Held(_)) {
+        self.entry = Entry { started_at_ms, ..entry.clone() };
+        // An entry that lacks the start time says nothing; the target's reports contain it.
+        let has_new_start = entry.started_at_ms != 0 && entry.started_at_ms != started_at_ms;
+        if has_new_start && matches!(self.phase, Phase::Held(_)) {
             // The state of the earlier incarnation is void; a claim shows what runs now.
-            self.entry.started_at_ms = started_at_ms;
             self.is_uncertain = true;
         }
     }
