fix(lease,steward): a task starts only under leases that end before its caller may resend it

Callers could get two runs of a task at the same time. A task that waited at a steward for an owner that had not been heard for more than 0.18 s was started on a target whose lease the steward had just extended for other owners' tasks. If the owner had given the job up right after its last word, and the steward lost the target before it could stop the run, the run went on while the repeat ran elsewhere.

Cause: a lease is bounded by the last word of the owners whose attempts are at the target when it is granted, and a target shortens none. A run ends at the latest 1.0 s / 0.98 + 0.1 s = 1.12 s after the last grant, and the repeat may come 1.3 s after the owner's last word. The same held for what a former steward had granted, right after a takeover.

A tracker now remembers the latest expiry that its target's lease may have, on the target's clock; a claim counts the longest lease that another host may have granted. A task starts only where that expiry lies before its caller's repeat, and otherwise waits for its owner's next word, for another target, for its return as late, or for its removal with its owner. Such tasks hold no target and don't end a pass over the queue. Leases are at most 0.85 s now, so that tasks of owners that were heard within 0.3 s, the interval of heartbeats and its delay, start under any lease of this host.

--- a/crates/fleet/src/control/tests/evidence.rs
+++ b/crates/fleet/src/control/tests/evidence.rs
@@ -5,6 +5,7 @@
 
 use coltsfootshunt_core::clock::Clock;
 use coltsfootshunt_core::name::{Host, Kind};
+use coltsfootshunt_testkit::cases;
 
 use super::simulation::ManualClock;
 use super::target::{MAX_LEASE_MS, Target, Work};
@@ -135,3 +136,44 @@
     };
     assert_eq!(lease_until_ms, None, "the steward has no task of its own there");
 }
+
+/// Guards against a task that runs twice: it started right after a takeover, under the lease that
+/// the former steward had extended, and outlived the moment at which its caller may resend it. Its
+/// owner was last heard `silent_ms` before the takeover.
+fn starts_after_takeover(silent_ms: u64, starts: bool) {
+    const TAKEOVER_MS: u64 = 1_000;
+    let start_time = Instant::now();
+    let at = |ms: u64| start_time + Duration::from_millis(ms);
+    let mut target = Target::new(entry("t", "a"), 0);
+    let id = |index| Task { job: Id::try_from("0000000000000001").unwrap(), step: 0, index };
+    // The former steward's task ends at once, but its lease does not.
+    let order = Order::Start { task: id(0), run: 1, spec: "work".into(), lease_until_ms: 2_000 };
+    let short = Work { resources: ROOM, run_ms: 1, fails: false };
+    target.execute(Token(5), &order, TAKEOVER_MS - 1, |_| short);
+    let mut tracker = Tracker::new(entry("t", "a"), TERM, start_time);
+    let claim = tracker.claim(Token(6), at(TAKEOVER_MS));
+    let response = execute(&mut target, &claim, TAKEOVER_MS);
+    tracker.handle_response(&claim, response, at(TAKEOVER_MS));
+    let heard_ms = TAKEOVER_MS - silent_ms;
+    let max_silence = tracker.max_silence(at(TAKEOVER_MS));
+    let can_start = max_silence.is_some_and(|max| Duration::from_millis(silent_ms) <= max);
+    if can_start {
+        let owner = Host::try_from("owner").unwrap();
+        let kind = Kind::try_from("cut").unwrap();
+        let mut attempt = Attempt::new(owner, kind, 1, ROOM, at(TAKEOVER_MS));
+        attempt.owner_heard_at = at(heard_ms);
+        let start = tracker.start(&id(1), "work".into(), attempt, at(TAKEOVER_MS));
+        execute(&mut target, &start, TAKEOVER_MS);
+        assert!(target.running.contains_key(&id(1)));
+        target.advance(heard_ms + TERM.resend_after.as_millis() as u64);
+        assert!(target.running.is_empty(), "the task runs when its caller may resend it");
+    }
+    assert_eq!(can_start, starts);
+}
+
+cases! { starts_after_takeover:
+    for_an_owner_heard_after_it(0, true);
+    for_an_owner_heard_just_before(100, true);
+    not_for_an_owner_heard_earlier(300, false);
+    not_for_a_silent_owner(800, false);
+}
--- a/crates/fleet/src/control/tests/partitions.rs
+++ b/crates/fleet/src/control/tests/partitions.rs
@@ -176,3 +176,46 @@
         assert_eq!(sim.violations, Vec::<String>::new(), "seed {seed}");
     }
 }
+
+/// Guards against a task that runs twice: it waits at a steward that no longer hears its owner, and
+/// starts on a target whose lease the steward has just extended for its own tasks. The owner has
+/// responded to its caller, and the steward loses the target before it drops the owner.
+fn runs_once_when_started_for_a_silent_owner(silent_ms: u64) {
+    for seed in SEEDS {
+        let mut sim = converged(seed);
+        let steward = sim.stewards("a")[0];
+        let other_steward = sim.stewards("b")[0];
+        let owner = if other_steward == 2 { 3 } else { 2 };
+        let up_again_ms = sim.now_ms() + 1_300;
+        for target in sim.targets.values_mut().filter(|one| one.entry.zone.to_string() == "b") {
+            target.crash(up_again_ms);
+        }
+        sim.run_for(800);
+        // The steward's own tasks take all of its targets; one of them ends while the owner is silent.
+        let first = sim.submit_at(steward, 14_000, 800, 50 + silent_ms);
+        let rest: Vec<Id> = (0..5).map(|_| sim.submit_at(steward, 14_000, 800, 5_000)).collect();
+        let waiting = sim.submit_at(owner, 9_000, 800, 5_000);
+        sim.run_for(40);
+        let count_starts =
+            |sim: &Simulation, id: &Id| sim.starts.keys().filter(|task| task.job == *id).count();
+        let running = rest.iter().chain([&first]).map(|id| count_starts(&sim, id)).sum::<usize>();
+        assert_eq!((running, count_starts(&sim, &waiting)), (6, 0), "seed {seed}");
+        sim.set_partition_one_way(owner, steward, Some(Partition::Refusing));
+        sim.set_partition_one_way(steward, owner, Some(Partition::Silent));
+        // The next message of the owner detects the partition.
+        sim.submit_at(owner, 9_000, 100, 100);
+        sim.direct_callers_to(other_steward);
+        sim.run_for(silent_ms + 50);
+        sim.partition_from_targets(steward);
+        sim.run_for(4_000);
+        assert!(sim.outcomes(&waiting).len() > 1, "seed {seed}: no retry");
+        assert!(count_starts(&sim, &waiting) > 0, "seed {seed}: the retry did not start");
+        assert_eq!(sim.violations, Vec::<String>::new(), "seed {seed}, {silent_ms} ms");
+    }
+}
+
+cases! { runs_once_when_started_for_a_silent_owner:
+    after_300_ms(300);
+    after_400_ms(400);
+    after_500_ms(500);
+}
--- a/crates/fleet/src/lease/tracker.rs
+++ b/crates/fleet/src/lease/tracker.rs
@@ -34,6 +34,9 @@
 /// the job. It covers the clock drift over the longest lease, the time to stop a task and the delay of
 /// a message from the owner to the steward.
 const RESEND_MARGIN: Duration = Duration::from_millis(150);
+/// Silence of an owner up to which its tasks may start under any lease that is granted: the interval
+/// of heartbeats, and their delay.
+const USUAL_SILENCE: Duration = Duration::from_millis(300);
 /// Time that a target may need to stop a task once its lease has expired.
 const STOP_MARGIN: Duration = Duration::from_millis(100);
 /// Time after which a target that has become idle gets the acknowledgement of its last ends.
@@ -99,6 +102,9 @@
     acknowledged_end: u64,
     /// When the last end was processed.
     last_end_at: Instant,
+    /// Latest expiry that the target's lease may have, in milliseconds on its clock; none if no lease
+    /// was granted in this incarnation.
+    granted_until_ms: Option<u64>,
     /// When the last order that extends the lease was sent.
     lease_sent_at: Option<Instant>,
     has_pending_renewal: bool,
@@ -128,6 +134,7 @@
             last_end: 0,
             acknowledged_end: 0,
             last_end_at: now,
+            granted_until_ms: None,
             lease_sent_at: None,
             has_pending_renewal: false,
             missed_renewals: 0,
@@ -190,6 +197,16 @@
         Some(self.entry.capacity.saturating_sub(&used))
     }
 
+    /// Returns the longest time since its owner was heard with which a task may start here. The leases
+    /// that were granted before, which can't be shortened, must expire before a caller of that owner
+    /// can resend the job. Returns none if no task may start.
+    #[must_use]
+    pub fn max_silence(&self, now: Instant) -> Option<Duration> {
+        let clock_ms = self.min_clock_ms(now)?;
+        let granted_ms = self.granted_until_ms.unwrap_or_default().saturating_sub(clock_ms);
+        self.lease_before_resend(now, now).checked_sub(Duration::from_millis(granted_ms))
+    }
+
     /// Whether the target should be claimed now.
     #[must_use]
     pub fn wants_claim(&self, now: Instant) -> bool {
@@ -206,11 +223,8 @@
     pub fn claim(&mut self, token: Token, now: Instant) -> Call {
         self.phase = Phase::Claiming(token);
         // Attempts that other hosts started must end, so the lease is extended for own ones only.
-        let lease_until_ms = self.lease_end_ms(now).filter(|_| !self.attempts.is_empty());
-        if lease_until_ms.is_some() && self.missed_renewals == 0 {
-            self.lease_sent_at = Some(now);
-        }
-        let lease_until_ms = lease_until_ms.filter(|_| self.missed_renewals == 0);
+        let extends_lease = !self.attempts.is_empty() && self.missed_renewals == 0;
+        let lease_until_ms = self.extend_lease(extends_lease, now);
         let order =
             Order::Renew { lease_until_ms, acknowledged: self.last_end, max_wait: Duration::ZERO };
         self.new_call(token, order, self.timeout.current())
@@ -240,10 +254,7 @@
         // extension either, since the former stewards of the orphans rely on their expiry.
         let has_only_orphans = self.attempts.is_empty() && !self.orphans.is_empty();
         let extends_lease = self.missed_renewals < 2 && !has_only_orphans;
-        let lease_until_ms = self.lease_end_ms(now).filter(|_| extends_lease);
-        if lease_until_ms.is_some() {
-            self.lease_sent_at = Some(now);
-        }
+        let lease_until_ms = self.extend_lease(extends_lease, now);
         let order = Order::Renew { lease_until_ms, acknowledged: self.last_end, max_wait };
         Some(self.new_call(token, order, max_wait + self.timeout.current()))
     }
@@ -258,12 +269,13 @@
         next.map_or(MAX_RENEWAL_WAIT, distance).clamp(MIN_RENEWAL_WAIT, MAX_RENEWAL_WAIT)
     }
 
-    /// Starts an attempt. The caller must have checked that its resources are available.
+    /// Starts an attempt. The caller must have checked that its resources are available and that its
+    /// owner was heard recently enough.
     pub fn start(&mut self, task: &Task, spec: Arc<str>, attempt: Attempt, now: Instant) -> Call {
         let token = self.current_token();
         let run = attempt.run;
         self.attempts.insert(task.clone(), Attempt { token, ..attempt });
-        let lease_until_ms = self.lease_end_ms(now).unwrap_or_default();
+        let lease_until_ms = self.extend_lease(true, now).unwrap_or_default();
         self.lease_sent_at = Some(now);
         let order = Order::Start { task: task.clone(), run, spec, lease_until_ms };
         self.new_call(token, order, self.timeout.current())
@@ -346,27 +358,45 @@
         self.lease_sent_at = None;
     }
 
-    /// Returns the expiry of a lease granted now, in milliseconds on the target's clock. It assumes
-    /// that the clock has lagged at the maximum rate since its last reading, so that the lease never
-    /// lasts longer than granted. Returns none if the clock is unknown or the lease would be empty.
-    fn lease_end_ms(&self, now: Instant) -> Option<u64> {
-        let (clock_ms, at) = self.clock?;
+    /// Returns the expiry of a lease granted now, in milliseconds on the target's clock, and records
+    /// that it is granted. Returns none if it is not to be extended, if the clock is unknown or if the
+    /// lease would be empty.
+    fn extend_lease(&mut self, extends_lease: bool, now: Instant) -> Option<u64> {
         let lease = self.lease_duration(now);
-        if lease.is_zero() {
+        if !extends_lease || lease.is_zero() {
             return None;
         }
-        let ahead = now.duration_since(at).mul_f64(1.0 - MAX_CLOCK_DRIFT) + lease;
-        let ahead_ms = u64::try_from(ahead.as_millis()).unwrap_or(u64::MAX);
-        Some(clock_ms.saturating_add(ahead_ms))
+        let lease_ms = u64::try_from(lease.as_millis()).unwrap_or(u64::MAX);
+        let until_ms = self.min_clock_ms(now)?.saturating_add(lease_ms);
+        self.granted_until_ms = self.granted_until_ms.max(Some(until_ms));
+        self.lease_sent_at = Some(now);
+        Some(until_ms)
+    }
+
+    /// Returns the earliest time that the target's clock may show now, in milliseconds: it may have
+    /// lagged at the maximum rate since its last reading. A lease counted from there never lasts
+    /// longer than granted.
+    fn min_clock_ms(&self, now: Instant) -> Option<u64> {
+        let (clock_ms, at) = self.clock?;
+        let ahead = now.duration_since(at).mul_f64(1.0 - MAX_CLOCK_DRIFT);
+        Some(clock_ms.saturating_add(u64::try_from(ahead.as_millis()).unwrap_or(u64::MAX)))
     }
 
-    /// Returns the duration of a lease granted now. An owner may have given its job up right after its
-    /// last contact, so the lease ends before a caller can resend that job.
+    /// Returns the duration of a lease granted now. It ends before a caller of any owner with an
+    /// attempt here can resend its job. It leaves room for a task of another owner to start under it,
+    /// unless that owner has been silent for longer than usual.
     fn lease_duration(&self, now: Instant) -> Duration {
-        let resend_at = |one: &Attempt| one.owner_heard_at + self.term.resend_after;
-        let earliest = self.attempts.values().map(resend_at).min();
-        let left = earliest.map(|at| at.saturating_duration_since(now + RESEND_MARGIN));
-        left.map_or(self.term.max, |left| left.min(self.term.max))
+        let owners = self.attempts.values().map(|one| one.owner_heard_at);
+        let earliest = owners.min().map(|heard_at| self.lease_before_resend(heard_at, now));
+        let usual = self.lease_before_resend(now, now).saturating_sub(USUAL_SILENCE);
+        earliest.unwrap_or(usual).min(usual).min(self.term.max)
+    }
+
+    /// Returns the longest lease from now on that ends before a caller of this owner can resend a
+    /// job. The owner may have given the job up right after it was last heard.
+    fn lease_before_resend(&self, owner_heard_at: Instant, now: Instant) -> Duration {
+        let resend_at = owner_heard_at + self.term.resend_after;
+        resend_at.saturating_duration_since(now + RESEND_MARGIN)
     }
 
     /// Returns the longest time from granting a lease until all attempts under it have stopped.
--- a/crates/fleet/src/lease/tracker/response.rs
+++ b/crates/fleet/src/lease/tracker/response.rs
@@ -168,6 +168,7 @@
             self.last_end = 0;
             self.acknowledged_end = 0;
             self.clock = None;
+            self.granted_until_ms = None;
             self.paused_until = now;
             for attempt in self.attempts.values_mut() {
                 if let Status::Running(clock_ms) = &mut attempt.status {
@@ -180,6 +181,12 @@
             }
         }
         self.update_clock(report.clock_ms, now);
+        if is_claim {
+            // Leases that other hosts granted are not known. The claim has ended their orders.
+            let max_ms = u64::try_from(self.term.max.as_millis()).unwrap_or(u64::MAX);
+            let until_ms = report.clock_ms.saturating_add(max_ms);
+            self.granted_until_ms = self.granted_until_ms.max(Some(until_ms));
+        }
         self.acknowledged_end = self.acknowledged_end.max(self.last_end);
         for ended in &report.ended {
             if ended.sequence <= self.last_end {
--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -67,9 +67,10 @@
         let mut started = HashSet::new();
         let mut jobs = HashSet::new();
         for (queued, placement) in starts {
-            jobs.insert((queued.task.job.clone(), queued.generation));
-            started.insert(queued.task.clone());
-            self.start(&queued, placement, membership, now, output);
+            if self.start(&queued, placement, membership, now, output) {
+                jobs.insert((queued.task.job.clone(), queued.generation));
+                started.insert(queued.task.clone());
+            }
         }
         self.queue.remove(&started);
         self.queue.mark_started(&jobs);
@@ -90,12 +91,14 @@
         let mut pass = Pass::default();
         // All tasks of a step have the same requirements, so one failure holds for the rest.
         let mut unplaced = HashSet::new();
+        let mut blocked = HashSet::new();
         for queued in self.queue.iter() {
             if unplaced.len() >= MAX_UNPLACED_STEPS {
                 break;
             }
             let step = (&queued.task.job, queued.task.step);
-            if unplaced.contains(&step) || being_stopped.contains(&queued.task) {
+            let is_unplaced = unplaced.contains(&step) || blocked.contains(&step);
+            if is_unplaced || being_stopped.contains(&queued.task) {
                 continue;
             }
             // A task whose grant is pending keeps its slot occupied in this pass.
@@ -105,6 +108,10 @@
                 }
                 (Some(_), Binding::Shared) => pass.request_grant(queued),
                 (Some(_), Binding::Requested(_)) => {}
+                // Tasks of a silent owner must not end the pass for those of others.
+                (None, _) if placer.is_owner_silent(queued) => {
+                    blocked.insert(step);
+                }
                 (None, _) => {
                     unplaced.insert(step);
                 }
@@ -119,6 +126,8 @@
         attempts.filter(|(_, attempt)| attempt.cancelled).map(|(task, _)| task).collect()
     }
 
+    /// Starts a task, unless an earlier start of this pass has extended the target's lease too far for
+    /// it. Returns whether it was started.
     fn start(
         &mut self,
         queued: &QueuedTask,
@@ -126,10 +135,14 @@
         membership: &Membership,
         now: Instant,
         output: &mut Output,
-    ) {
+    ) -> bool {
         let Placement { target, expected, fastest_run } = placement;
-        let Some(tracker) = self.trackers.get_mut(&target) else {
-            return;
+        let owner_heard_at = membership.last_heard(&queued.owner, now).unwrap_or(now);
+        let silence = now.duration_since(owner_heard_at);
+        let is_heard =
+            |tracker: &&mut Tracker| tracker.max_silence(now).is_some_and(|max| silence <= max);
+        let Some(tracker) = self.trackers.get_mut(&target).filter(is_heard) else {
+            return false;
         };
         let mut attempt = Attempt::new(
             queued.owner.clone(),
@@ -144,7 +157,7 @@
         attempt.expected = expected;
         attempt.objective = queued.objective;
         attempt.deadline = queued.deadline;
-        attempt.owner_heard_at = membership.last_heard(&queued.owner, now).unwrap_or(now);
+        attempt.owner_heard_at = owner_heard_at;
         output.records.push(Record::TaskStarted {
             task: queued.task.clone(),
             run: queued.run,
@@ -155,6 +168,7 @@
             fastest_run,
         });
         output.calls.push(tracker.start(&queued.task, queued.spec.clone(), attempt, now));
+        true
     }
 
     /// Returns tasks that should not wait here. These are short tasks for which another steward may
--- a/crates/fleet/src/steward/state/placer.rs
+++ b/crates/fleet/src/steward/state/placer.rs
@@ -42,6 +42,8 @@
     /// If the target is held for a queued long task, the expected time until it has enough free
     /// resources. Other tasks start there only if they are expected to end by then.
     held_until: Option<Duration>,
+    /// Longest silence of an owner whose tasks may start; `None` if no task may start.
+    max_silence: Option<Duration>,
     /// Tasks placed on the target during this pass.
     placed: Vec<Task>,
 }
@@ -49,6 +51,7 @@
 /// Places tasks during one pass over the queue and tracks the resources that they take.
 pub(super) struct Placer<'a> {
     targets: Vec<Availability<'a>>,
+    membership: &'a Membership,
     /// Slots on fast targets.
     pool: FastPool,
     /// Tasks that wait for a slot on a fast target.
@@ -60,7 +63,7 @@
 impl<'a> Placer<'a> {
     pub(super) fn new(
         trackers: &'a BTreeMap<Target, Tracker>,
-        membership: &Membership,
+        membership: &'a Membership,
         speeds: &Estimator,
         pool: FastPool,
         settings: Settings,
@@ -78,15 +81,17 @@
                 factor: speeds.slowness(name, now).exp(),
                 suspect: speeds.is_failing(name, now) || is_stuck(tracker, now),
                 held_until: None,
+                max_silence: tracker.max_silence(now),
                 placed: Vec::new(),
             }
         });
-        Self { targets: targets.collect(), pool, waiting: 0, settings, now }
+        Self { targets: targets.collect(), membership, pool, waiting: 0, settings, now }
     }
 
     /// Chooses a target for a task and reserves the task's resources there. Returns `None` if the
     /// task should not start now.
     pub(super) fn place(&mut self, queued: &QueuedTask) -> Option<Placement> {
+        let silence = self.silence(queued);
         let mut candidates = Vec::new();
         let mut fastest = Duration::MAX;
         for (index, availability) in self.targets.iter().enumerate() {
@@ -103,7 +108,9 @@
                 continue;
             };
             let is_held = availability.held_until.is_some_and(|until| expected > until);
-            if availability.allows_another(queued) && !is_held {
+            let is_allowed =
+                availability.allows_another(queued) && availability.allows_silence(silence);
+            if is_allowed && !is_held {
                 candidates.push(Candidate { index, expected, free, suspect: availability.suspect });
             }
         }
@@ -136,12 +143,13 @@
     /// tasks would take each part of it that becomes free.
     fn hold_for(&mut self, queued: &QueuedTask, fastest_run: Duration) {
         let resources = &queued.requirements.resources;
+        let silence = self.silence(queued);
         let ready_in = |availability: &Availability<'_>| {
             let is_fast_target =
                 !availability.suspect && is_fast(self.expected(availability, queued), fastest_run);
             let is_unheld = availability.held_until.is_none()
                 && is_eligible(&availability.tracker.entry, queued);
-            if is_fast_target && is_unheld {
+            if is_fast_target && is_unheld && availability.allows_silence(silence) {
                 availability.time_until_free(resources, self.now)
             } else {
                 None
@@ -155,6 +163,22 @@
         }
     }
 
+    /// Time since the task's owner was heard. It is zero for a shared task, whose grant will bring a
+    /// new word of its owner.
+    fn silence(&self, queued: &QueuedTask) -> Duration {
+        let heard_at = self.membership.last_heard(&queued.owner, self.now);
+        let heard_at = heard_at.filter(|_| queued.is_exclusive());
+        heard_at.map_or(Duration::ZERO, |at| self.now.duration_since(at))
+    }
+
+    /// Whether the task's owner has been silent for too long to start the task on some of the targets
+    /// that may get new tasks.
+    pub(super) fn is_owner_silent(&self, queued: &QueuedTask) -> bool {
+        let silence = self.silence(queued);
+        let mut open = self.targets.iter().filter(|availability| availability.free.is_some());
+        open.any(|availability| !availability.allows_silence(silence))
+    }
+
     fn expected(&self, availability: &Availability<'_>, queued: &QueuedTask) -> Duration {
         let rack = queued.requirements.preferred_rack.as_ref();
         let is_remote = rack.is_some_and(|rack| !availability.tracker.entry.labels.contains(rack));
@@ -211,6 +235,11 @@
         free.covers(resources).then_some(after)
     }
 
+    /// Whether a task may start whose owner was heard this long ago.
+    fn allows_silence(&self, silence: Duration) -> bool {
+        self.max_silence.is_some_and(|max| silence <= max)
+    }
+
     /// Whether one more task of the step stays within the limit for one target.
     fn allows_another(&self, queued: &QueuedTask) -> bool {
         let Some(limit) = queued.requirements.max_per_target else {
--- a/crates/fleet/src/steward/tests.rs
+++ b/crates/fleet/src/steward/tests.rs
@@ -1,4 +1,5 @@
 mod extreme_values;
+mod silent_owners;
 
 use std::time::{Duration, Instant, SystemTime};
 
