fix(peer): a batch from before a pause of its receiver is void

Callers could get two runs of a task at the same time. A host was paused while a cut held up a batch with tasks; their owner gave the batch up and answered 504, and the caller came again elsewhere. When the host resumed and the cut ended, it took the batch. After a pause all peers were noted as just heard, so that none is dropped for the host's own silence; the age of what they had sent was lost with that. Where the machine was suspended, the steady clock doesn't count the time either. Change: a host that was paused ends the sessions of its peers as it ends its own, so that they open new ones; the time at which a peer was heard stays true, and only the wait for its next word starts anew.

--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -254,6 +254,8 @@
             self.membership.alive().map(|peer| peer.identity.address).collect();
         self.actions.extend(addresses.into_iter().map(Action::Disconnect));
         self.membership.reset_after_pause(now);
+        // The silence of the peers during the pause is not known, so neither is the age of their batches.
+        self.inbox.end_sessions();
     }
 
     /// Publishes a snapshot if it has changed.
--- a/crates/fleet/src/control/tests/safety.rs
+++ b/crates/fleet/src/control/tests/safety.rs
@@ -212,6 +212,9 @@
     delayed_order(5_246_629_239_820_521_074, LOSSY, &[0, 1, 2, 3, 4, 5, 5]);
     delayed_order_2(5_246_549_182_611_661_508, LOSSY, &[0, 1, 2, 3, 4, 5, 5]);
     delayed_order_3(5_246_509_154_007_231_725, LOSSY, &[0, 1, 2, 3, 4, 5, 5]);
+    // A partition delayed a batch, and its receiver was paused meanwhile and counted its peers as just
+    // heard.
+    batch_from_before_a_pause(234_919_878_874_276_952, RELIABLE, &[1, 12]);
     all_faults_2(8_241_656_503_248_976_402, LOSSY, &[0, 1, 2, 3, 4, 5, 5]);
     // A host whose clock was behind counted on from another's token, and a target obeyed both.
     shared_token(9_153_100_551_808_855_363, RELIABLE, &[1, 12, 13]);
--- a/crates/fleet/src/member/membership.rs
+++ b/crates/fleet/src/member/membership.rs
@@ -47,6 +47,7 @@
 #[derive(Debug)]
 pub struct Membership {
     me: Identity,
+    /// Start of this process, or the end of its last pause.
     started: Instant,
     peers: BTreeMap<Host, Peer>,
     /// Zones without a live host that is not stopping, and since when.
@@ -151,10 +152,12 @@
         std::mem::take(&mut peer.is_alive)
     }
 
-    /// Peers that count as alive but have been silent for longer than [`PEER_TIMEOUT`].
+    /// Peers that count as alive but have been silent for longer than [`PEER_TIMEOUT`], not counting the
+    /// time before the start or the last pause of this process.
     pub fn timed_out(&mut self, now: Instant) -> Vec<Host> {
+        let silent_since = |peer: &Peer| peer.last_heard.max(self.started);
         let timed_out =
-            |peer: &&Peer| peer.is_alive && now.duration_since(peer.last_heard) > PEER_TIMEOUT;
+            |peer: &&Peer| peer.is_alive && now.duration_since(silent_since(peer)) > PEER_TIMEOUT;
         self.peers.values().filter(timed_out).map(|peer| peer.identity.host.clone()).collect()
     }
 
@@ -229,7 +232,6 @@
     /// live peer gets a full timeout to be heard again.
     pub fn reset_after_pause(&mut self, now: Instant) {
         for peer in self.peers.values_mut().filter(|peer| peer.is_alive) {
-            peer.last_heard = now;
             peer.heartbeat.load = crate::routing::Load::default();
         }
         self.started = now;
--- a/crates/fleet/src/peer/inbox.rs
+++ b/crates/fleet/src/peer/inbox.rs
@@ -17,6 +17,8 @@
     incarnation: u64,
     session: u64,
     sequence: u64,
+    /// Whether this host has ended the session, so that batches which continue it are void.
+    is_over: bool,
     /// Incarnations of the sender that have ended, oldest first. Incarnations have no order, so a
     /// late batch of one of them would otherwise count as a new process.
     replaced: VecDeque<u64>,
@@ -49,7 +51,7 @@
                 return Receipt::Acknowledge(Ack::SessionLost);
             }
             let is_same_process = position.incarnation == batch.from.incarnation;
-            if is_same_process && position.session == batch.session {
+            if is_same_process && position.session == batch.session && !position.is_over {
                 if position.sequence >= batch.sequence {
                     return Receipt::Acknowledge(Ack::Accepted);
                 }
@@ -58,7 +60,7 @@
                     return Receipt::Process { is_new_session: false };
                 }
             }
-            // A late batch of an earlier session, or a gap in this one.
+            // A late batch of an earlier session, a gap in this one, or it is over.
             if is_same_process && position.session >= batch.session {
                 return Receipt::Acknowledge(Ack::SessionLost);
             }
@@ -74,11 +76,17 @@
             incarnation: batch.from.incarnation,
             session: batch.session,
             sequence: batch.sequence,
+            is_over: false,
             replaced,
         };
         self.senders.insert(batch.from.host.clone(), position);
         Receipt::Process { is_new_session }
     }
+
+    /// Ends the sessions of all senders. What they have sent in them and was not received is void.
+    pub fn end_sessions(&mut self) {
+        self.senders.values_mut().for_each(|position| position.is_over = true);
+    }
 }
 
 impl Position {
--- a/crates/fleet/src/peer/tests.rs
+++ b/crates/fleet/src/peer/tests.rs
@@ -61,6 +61,19 @@
     );
 }
 
+/// Guards against a batch that was sent before a pause of this host, given up meanwhile and received
+/// afterwards.
+#[test]
+fn batches_continue_no_session_that_this_host_has_ended() {
+    let mut inbox = Inbox::default();
+    assert_eq!(inbox.receive(&batch(1, 1, 1)), PROCESS);
+    inbox.end_sessions();
+    assert_eq!(inbox.receive(&batch(1, 1, 2)), SESSION_LOST);
+    assert_eq!(inbox.receive(&batch(1, 1, 1)), SESSION_LOST);
+    assert_eq!(inbox.receive(&batch(1, 2, 1)), NEW_SESSION);
+    assert_eq!(inbox.receive(&batch(1, 2, 2)), PROCESS);
+}
+
 /// Transport that records the session, the sequence number and the number of messages of each
 /// batch. Responds with the given acknowledgements, then accepts everything.
 #[derive(Default)]
