fix(lease): only a target's report changes its known incarnation

Operators could see: after a target restarted under its name, runs that ended `done` there were `lost`, evidence `missing`, and ran again. The ends stood in no line.

Cause: `Tracker::update` took the start time from the directory while the target was released or a claim was pending. The report of the new incarnation then showed no change, so the number of the last end and the clock of the earlier incarnation stayed. Ends up to that number were passed over and acknowledged before they were listed; leases were reckoned with the earlier clock, which lets them outlast the bound by the owner's last word.

Evidence, on the old code, with three ends before the restart: `acknowledges ends that were not listed, left: 3, right: 0` (`counts_ends_of_a_new_incarnation`, both cases); the same renewal extended the lease to 3062 ms where 1101 ms is the longest.

The directory's start time still leads to a claim, but the known one changes with a report alone, which drops the state of the earlier incarnation as well.

--- a/crates/fleet/src/lease/tests.rs
+++ b/crates/fleet/src/lease/tests.rs
@@ -1,4 +1,5 @@
 mod proof;
+mod start_times;
 
 use std::time::{Duration, Instant, SystemTime};
 
--- a/crates/fleet/src/lease/tracker.rs
+++ b/crates/fleet/src/lease/tracker.rs
@@ -138,17 +138,14 @@
         }
     }
 
-    /// Applies a newer directory entry. A change of incarnation counts only once the target has
-    /// confirmed it in a report.
+    /// Applies a newer directory entry. Only the target's reports change the known incarnation, since
+    /// the state of the earlier one has to be dropped with it.
     pub fn update(&mut self, entry: &Entry) {
         let started_at_ms = self.entry.started_at_ms;
-        self.entry = entry.clone();
-        if entry.started_at_ms == 0 {
-            // This entry lacks the start time; the target's reports contain it.
-            self.entry.started_at_ms = started_at_ms;
-        } else if entry.started_at_ms != started_at_ms && matches!(self.phase, Phase::Held(_)) {
-            // The state of the earlier incarnation is void; a claim shows what runs now.
-            self.entry.started_at_ms = started_at_ms;
+        self.entry = Entry { started_at_ms, ..entry.clone() };
+        let shows_other = entry.started_at_ms != 0 && entry.started_at_ms != started_at_ms;
+        if shows_other && matches!(self.phase, Phase::Held(_)) {
+            // A claim shows what runs now.
             self.is_uncertain = true;
         }
     }
