fix(lease): a start time in the directory leads to one claim

Operators could see: `target claimed` for one target with every pass over the directory, while its entry names a start time that isn't the target's: a stale read, or an entry of another writer. Hardly anything could start there, and every claim's token was new.

Cause: `Tracker::update` compared the entry with the known start time alone. The claim's report said again which start time is right, and the next pass over the same entry called the target uncertain again.

A start time that was in the directory before a claim was sent is checked once the target responds to that claim with a report: whichever incarnation it names, the response came from that one or a later one. A checked one leads to no further claim; any other is claimed at once.

--- a/crates/fleet/src/lease/tracker.rs
+++ b/crates/fleet/src/lease/tracker.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod response;
+mod start_times;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 
 pub use attempt::{Attempt, Phase};
 use attempt::{Orphan, Status};
+use start_times::StartTimes;
 
 /// Longest time for which a renewal waits at the target for an attempt to end. It is under half of a
 /// lease, so that two renewals may fail.
@@ -112,12 +114,16 @@
     /// Whether an order may or may not have been carried out, so that the target must be claimed with
     /// a new token.
     is_uncertain: bool,
+    /// Start times in the directory, which may be stale or another writer's.
+    start_times: StartTimes,
 }
 
 impl Tracker {
     /// Creates the tracker of a target that this host has not claimed yet.
     #[must_use]
     pub fn new(entry: Entry, term: Term, now: Instant) -> Self {
+        let mut start_times = StartTimes::default();
+        start_times.list(entry.started_at_ms);
         Self {
             entry,
             phase: Phase::Free,
@@ -135,6 +141,7 @@
             paused_until: now,
             next_renewal_at: now,
             is_uncertain: false,
+            start_times,
         }
     }
 
@@ -143,9 +150,10 @@
     pub fn update(&mut self, entry: &Entry) {
         let started_at_ms = self.entry.started_at_ms;
         self.entry = Entry { started_at_ms, ..entry.clone() };
-        let shows_other = entry.started_at_ms != 0 && entry.started_at_ms != started_at_ms;
+        let is_unchecked = self.start_times.list(entry.started_at_ms);
+        let shows_other = is_unchecked && entry.started_at_ms != started_at_ms;
         if shows_other && matches!(self.phase, Phase::Held(_)) {
-            // A claim shows what runs now.
+            // A claim shows what runs now, and whether the entry is right.
             self.is_uncertain = true;
         }
     }
@@ -204,6 +212,7 @@
     /// Claims the target. If it is held already, the new token voids all earlier orders.
     pub fn claim(&mut self, token: Token, now: Instant) -> Call {
         self.phase = Phase::Claiming(token);
+        self.start_times.record_claim();
         // Attempts that other hosts started must end, so the lease is extended for own ones only.
         let lease_until_ms = self.lease_end_ms(now).filter(|_| !self.attempts.is_empty());
         if lease_until_ms.is_some() && self.missed_renewals == 0 {
--- a/crates/fleet/src/lease/tracker/response.rs
+++ b/crates/fleet/src/lease/tracker/response.rs
@@ -53,6 +53,7 @@
                 if is_claim {
                     self.phase = Phase::Held(call.token);
                     self.is_uncertain = false;
+                    self.start_times.record_claimed();
                 }
                 self.reconcile(&report, is_claim, now, changes);
                 if is_claim && self.phase == Phase::Held(call.token) {
