fix(lease): a wild sequence number hides no later end

Operators could see: once a target had listed one end under a number far too high, each later run there was `lost`, evidence `missing`, though the target had listed it as `done`; tasks ran again.

Cause: the highest number in a report was both the mark below which ends were passed over and the number to acknowledge. One row with 2^64 - 1 moved it beyond all that could follow, and the target was told to forget them. Ends listed out of order or under a number too low were passed over for the same reason.

Evidence, on the old code: `after report 0, left:, right: 1` (`processes_ends::after_one_with_the_largest_number`), `in report 0, left: [(2, Done), (0, Lost), (1, Lost)], right: [(2, Done), (0, Done), (1, Done)]` (`out_of_order`); eight of twelve cases failed.

An end is new unless the last report listed it: a target lists an end until it is acknowledged, so numbers aren't needed for that. What is acknowledged rises within bounds: at most 500 beyond the last one, since numbers rise by one and a report lists 500, and no further than one end per millisecond of the target's clock, which starts anew with the numbers. A claim starts at the lowest number listed, since other stewards may have acknowledged any number of ends. While a target lists only ends that can't be acknowledged it responds at once, so renewals are then spaced by the usual retry delay.

--- a/crates/fleet/src/lease/tests.rs
+++ b/crates/fleet/src/lease/tests.rs
@@ -1,3 +1,4 @@
+mod ends;
 mod proof;
 mod start_times;
 
--- a/crates/fleet/src/lease/tracker.rs
+++ b/crates/fleet/src/lease/tracker.rs
@@ -1,6 +1,7 @@
 //! A steward's view of one target: its lease, its clock and the attempts that may run there.
 
 mod attempt;
+mod ends;
 mod response;
 mod start_times;
 
@@ -16,6 +17,7 @@
 
 pub use attempt::{Attempt, Phase};
 use attempt::{Orphan, Status};
+use ends::Ends;
 use start_times::StartTimes;
 
 /// Longest time for which a renewal waits at the target for an attempt to end. It is under half of a
@@ -95,8 +97,7 @@
     term: Term,
     /// Last reading of the target's clock, in milliseconds, and when it arrived.
     clock: Option<(u64, Instant)>,
-    /// Sequence number of the last processed end of an attempt; 0 before the first.
-    last_end: u64,
+    ends: Ends,
     /// Sequence number up to which the target has received the acknowledgement.
     acknowledged_end: u64,
     /// When the last end was processed.
@@ -131,7 +132,7 @@
             orphans: BTreeMap::new(),
             term,
             clock: None,
-            last_end: 0,
+            ends: Ends::default(),
             acknowledged_end: 0,
             last_end_at: now,
             lease_sent_at: None,
@@ -219,8 +220,11 @@
             self.lease_sent_at = Some(now);
         }
         let lease_until_ms = lease_until_ms.filter(|_| self.missed_renewals == 0);
-        let order =
-            Order::Renew { lease_until_ms, acknowledged: self.last_end, max_wait: Duration::ZERO };
+        let order = Order::Renew {
+            lease_until_ms,
+            acknowledged: self.ends.last(),
+            max_wait: Duration::ZERO,
+        };
         self.new_call(token, order, self.timeout.current())
     }
 
@@ -229,7 +233,7 @@
         let Phase::Held(token) = self.phase else {
             return None;
         };
-        let must_acknowledge = self.last_end > self.acknowledged_end
+        let must_acknowledge = self.ends.last() > self.acknowledged_end
             && now.duration_since(self.last_end_at) > ACKNOWLEDGE_DELAY;
         let is_fresh = |(_, at): (u64, Instant)| now.duration_since(at) < MAX_CLOCK_AGE;
         let is_clock_stale = !self.clock.is_some_and(is_fresh);
@@ -252,7 +256,7 @@
         if lease_until_ms.is_some() {
             self.lease_sent_at = Some(now);
         }
-        let order = Order::Renew { lease_until_ms, acknowledged: self.last_end, max_wait };
+        let order = Order::Renew { lease_until_ms, acknowledged: self.ends.last(), max_wait };
         Some(self.new_call(token, order, max_wait + self.timeout.current()))
     }
 
--- a/crates/fleet/src/lease/tracker/response.rs
+++ b/crates/fleet/src/lease/tracker/response.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::{Attempt, Change, Orphan, Phase, Status, Tracker};
+use super::{Attempt, Change, Ends, Orphan, Phase, Status, Tracker};
 use crate::job::{End, Task};
 use crate::lease::{self, Call, Evidence, Order, Rejection, Report, Response, Token};
 
@@ -166,7 +166,7 @@
             // have carried out an order meant for the earlier one. Only a claim with a new token shows
             // what runs.
             self.entry.started_at_ms = report.started_at_ms.unwrap_or_default();
-            self.last_end = 0;
+            self.ends = Ends::default();
             self.acknowledged_end = 0;
             self.clock = None;
             self.paused_until = now;
@@ -181,12 +181,13 @@
             }
         }
         self.update_clock(report.clock_ms, now);
-        self.acknowledged_end = self.acknowledged_end.max(self.last_end);
-        for ended in &report.ended {
-            if ended.sequence <= self.last_end {
-                continue;
-            }
-            self.last_end = ended.sequence;
+        self.acknowledged_end = self.acknowledged_end.max(self.ends.last());
+        let new_ends = self.ends.record(report, is_claim);
+        if new_ends.is_empty() && !report.ended.is_empty() {
+            // A target responds at once while it lists an end, and these can't be acknowledged.
+            self.next_renewal_at = now + RENEWAL_RETRY_DELAY;
+        }
+        for ended in new_ends {
             self.last_end_at = now;
             let end = match ended.end {
                 lease::End::Done => End::Done,
