fix(lease): an unreadable row of a running attempt closes its target

Callers could see a job run twice at once, or on a target beyond its capacity; operators saw `task ended`, `lost`, `missing` for a task that ran on, and no line about the report.

Cause: the adapter passed over rows of `running` that it couldn't decode. The tracker took the rest for all that runs there, so resources in use counted as free, and an attempt of this host in such a row was over for not being listed.

While there are any, nothing starts at the target, as with orphans, and without attempts of this host the lease isn't extended, so an unnamed attempt ends by itself. No attempt is over for not being listed, except after the end of the lease that was last granted. A start that a claim can't find counts as running until a report without such rows. One line, `report unreadable`, is written when rows appear or become more.

--- a/crates/fleet/src/control/tests/target.rs
+++ b/crates/fleet/src/control/tests/target.rs
@@ -128,6 +128,7 @@
                     started_at_ms: Some(self.entry.started_at_ms),
                     running,
                     ended,
+                    ..Report::default()
                 })
             }
             Order::Start { task, run, lease_until_ms, .. } => {
--- a/crates/fleet/src/lease/message.rs
+++ b/crates/fleet/src/lease/message.rs
@@ -120,6 +120,15 @@
     pub end: End,
 }
 
+/// Rows of a report that can't be decoded.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Unreadable {
+    /// Number of rows of running attempts. Each may be any attempt, of this host or another.
+    pub running: usize,
+    /// One of the rows as the target wrote it, cut to a limited length; none if all were decoded.
+    pub sample: Option<Arc<str>>,
+}
+
 /// A target's response to a renewal.
 #[derive(Clone, Debug, Default)]
 pub struct Report {
@@ -131,6 +140,8 @@
     pub running: Vec<Running>,
     /// Ended attempts that were not acknowledged, by sequence number.
     pub ended: Vec<Ended>,
+    /// Rows that can't be decoded.
+    pub unreadable: Unreadable,
 }
 
 /// Outcome of a call.
--- a/crates/fleet/src/lease/mod.rs
+++ b/crates/fleet/src/lease/mod.rs
@@ -17,7 +17,9 @@
 mod tests;
 
 pub use evidence::Evidence;
-pub use message::{Call, Client, End, Ended, Order, Rejection, Report, Response, Running};
+pub use message::{
+    Call, Client, End, Ended, Order, Rejection, Report, Response, Running, Unreadable,
+};
 pub use timeout::Timeout;
 pub use token::{Issuer, Token};
 pub use tracker::{Attempt, Change, Phase, Term, Tracker};
--- a/crates/fleet/src/lease/tests.rs
+++ b/crates/fleet/src/lease/tests.rs
@@ -1,6 +1,7 @@
 mod ends;
 mod proof;
 mod start_times;
+mod unreadable;
 
 use std::time::{Duration, Instant, SystemTime};
 
@@ -43,7 +44,13 @@
         end: *end,
     });
     let (running, ended) = (running.collect(), ended.collect());
-    Response::Report(Report { clock_ms, started_at_ms: Some(1), running, ended })
+    Response::Report(Report {
+        clock_ms,
+        started_at_ms: Some(1),
+        running,
+        ended,
+        ..Report::default()
+    })
 }
 
 /// Tracks a target that this host has claimed.
--- a/crates/fleet/src/lease/tracker.rs
+++ b/crates/fleet/src/lease/tracker.rs
@@ -11,7 +11,7 @@
 
 use coltsfootshunt_core::name::{Host, Target};
 
-use super::{Call, Evidence, Order, Rejection, Timeout, Token};
+use super::{Call, Evidence, Order, Rejection, Timeout, Token, Unreadable};
 use crate::directory::Entry;
 use crate::job::{End, Resources, Task};
 
@@ -81,6 +81,8 @@
     Orphan(Task),
     /// The target rejected the start of a task.
     StartRejected(Task, Rejection),
+    /// A report has rows that can't be decoded, and the one before did not have as many.
+    Unreadable(Unreadable),
 }
 
 /// The state of one target at its steward.
@@ -94,6 +96,8 @@
     attempts: BTreeMap<Task, Attempt>,
     /// Attempts that other hosts started; the resources that they use are not known.
     orphans: BTreeMap<Task, Orphan>,
+    /// Rows of the last report that could not be decoded.
+    unreadable: Unreadable,
     term: Term,
     /// Last reading of the target's clock, in milliseconds, and when it arrived.
     clock: Option<(u64, Instant)>,
@@ -130,6 +134,7 @@
             phase: Phase::Free,
             attempts: BTreeMap::new(),
             orphans: BTreeMap::new(),
+            unreadable: Unreadable::default(),
             term,
             clock: None,
             ends: Ends::default(),
@@ -164,7 +169,7 @@
         self.attempts.iter()
     }
 
-    /// Whether no attempt of any host can be running at the target.
+    /// Whether the target runs no attempt that its reports can name.
     #[must_use]
     pub fn is_idle(&self) -> bool {
         self.attempts.is_empty() && self.orphans.is_empty()
@@ -184,13 +189,14 @@
     }
 
     /// Returns the free resources, or none while nothing may start: without a claim, while the state is
-    /// uncertain, with orphans at the target, if no sufficient lease can be granted, or during a pause.
+    /// uncertain, with orphans or attempts that can't be named at the target, if no sufficient lease can
+    /// be granted, or during a pause.
     #[must_use]
     pub fn available(&self, now: Instant) -> Option<Resources> {
         let is_reliable =
             matches!(self.phase, Phase::Held(_)) && !self.is_uncertain && self.missed_renewals == 0;
         let is_expiring = self.lease_duration(now) < self.term.max / 2;
-        if !is_reliable || is_expiring || !self.orphans.is_empty() || now < self.paused_until {
+        if !is_reliable || is_expiring || self.has_foreign() || now < self.paused_until {
             return None;
         }
         let used =
@@ -198,6 +204,11 @@
         Some(self.entry.capacity.saturating_sub(&used))
     }
 
+    /// Whether the target may run attempts whose resources are not known.
+    fn has_foreign(&self) -> bool {
+        !self.orphans.is_empty() || self.unreadable.running > 0
+    }
+
     /// Whether the target should be claimed now.
     #[must_use]
     pub fn wants_claim(&self, now: Instant) -> bool {
@@ -238,20 +249,21 @@
         let is_fresh = |(_, at): (u64, Instant)| now.duration_since(at) < MAX_CLOCK_AGE;
         let is_clock_stale = !self.clock.is_some_and(is_fresh);
         let is_paused = now < self.next_renewal_at;
+        let is_idle = self.is_idle() && !self.has_foreign();
         if self.has_pending_renewal
             || self.is_uncertain
             || is_paused
-            || (self.is_idle() && !must_acknowledge && !is_clock_stale)
+            || (is_idle && !must_acknowledge && !is_clock_stale)
         {
             return None;
         }
         self.has_pending_renewal = true;
-        let is_immediate = self.is_idle() || self.missed_renewals > 0;
+        let is_immediate = is_idle || self.missed_renewals > 0;
         let max_wait = if is_immediate { Duration::ZERO } else { self.renewal_wait(now) };
-        // After two missed renewals the lease is left to expire. A target with only orphans gets no
-        // extension either, since the former stewards of the orphans rely on their expiry.
-        let has_only_orphans = self.attempts.is_empty() && !self.orphans.is_empty();
-        let extends_lease = self.missed_renewals < 2 && !has_only_orphans;
+        // After two missed renewals the lease is left to expire. A target with only attempts of others
+        // gets no extension either, since their former stewards rely on their expiry.
+        let has_only_foreign = self.attempts.is_empty() && self.has_foreign();
+        let extends_lease = self.missed_renewals < 2 && !has_only_foreign;
         let lease_until_ms = self.lease_end_ms(now).filter(|_| extends_lease);
         if lease_until_ms.is_some() {
             self.lease_sent_at = Some(now);
@@ -352,6 +364,7 @@
         }
         self.phase = Phase::Free;
         self.orphans.clear();
+        self.unreadable = Unreadable::default();
         self.has_pending_renewal = false;
         self.missed_renewals = 0;
         self.is_uncertain = false;
@@ -386,6 +399,11 @@
         self.term.max.div_f64(1.0 - MAX_CLOCK_DRIFT) + STOP_MARGIN
     }
 
+    /// Whether all attempts under the last lease have stopped.
+    fn is_lease_expired(&self, now: Instant) -> bool {
+        self.lease_sent_at.is_none_or(|at| now.duration_since(at) > self.max_lease_age())
+    }
+
     fn current_token(&self) -> Token {
         match self.phase {
             Phase::Held(token) | Phase::Claiming(token) => token,
--- a/crates/fleet/src/lease/tracker/response.rs
+++ b/crates/fleet/src/lease/tracker/response.rs
@@ -73,9 +73,7 @@
     /// Handles a renewal without a report: the lease expires unless a later renewal succeeds.
     fn handle_missed_renewal(&mut self, is_claim: bool, now: Instant, changes: &mut Vec<Change>) {
         self.missed_renewals += 1;
-        let is_expired =
-            self.lease_sent_at.is_none_or(|at| now.duration_since(at) > self.max_lease_age());
-        if is_expired {
+        if self.is_lease_expired(now) {
             self.handle_expiry(Evidence::LeaseExpired, now, changes);
         } else if is_claim {
             // It is still unknown which orders were carried out: claim again at once with a new token.
@@ -212,17 +210,49 @@
                 }
             }
         }
-        self.end_unlisted(report, is_claim, changes);
+        if report.unreadable.running > self.unreadable.running {
+            changes.push(Change::Unreadable(report.unreadable.clone()));
+        }
+        self.unreadable = report.unreadable.clone();
+        if self.unreadable.running == 0 {
+            self.end_unlisted(report, is_claim, changes);
+        } else {
+            self.keep_unlisted(report, is_claim, now, changes);
+        }
+    }
+
+    /// Keeps attempts that the report doesn't list, since each may be in a row that can't be decoded.
+    /// Only the end of the lease proves that they are over.
+    fn keep_unlisted(
+        &mut self,
+        report: &Report,
+        is_claim: bool,
+        now: Instant,
+        changes: &mut Vec<Change>,
+    ) {
+        if is_claim {
+            // The new token voids a start that has not arrived, so a later report that lacks the
+            // attempt shows that it is over.
+            for attempt in self.attempts.values_mut().filter(|one| one.status == Status::Sent) {
+                attempt.status = Status::Running(report.clock_ms);
+            }
+        }
+        if self.is_lease_expired(now) {
+            let is_over = |(task, attempt): &(&Task, &Attempt)| {
+                attempt.status != Status::Sent && !is_listed(report, task, attempt)
+            };
+            let over = self.attempts.iter().filter(is_over).map(|(task, _)| task.clone());
+            for task in over.collect::<Vec<_>>() {
+                self.end_attempt(&task, End::Lost, Evidence::LeaseExpired, changes);
+            }
+        }
     }
 
     /// Ends attempts that the report should list but doesn't.
     fn end_unlisted(&mut self, report: &Report, is_claim: bool, changes: &mut Vec<Change>) {
-        let listed = |task: &Task, run: u32| {
-            report.running.iter().any(|row| row.task == *task && row.run == run)
-        };
         let mut lost = Vec::new();
         for (task, attempt) in &self.attempts {
-            if listed(task, attempt.run) {
+            if is_listed(report, task, attempt) {
                 continue;
             }
             match attempt.status {
@@ -266,3 +296,8 @@
         }
     }
 }
+
+/// Whether the report lists the attempt as running.
+fn is_listed(report: &Report, task: &Task, attempt: &Attempt) -> bool {
+    report.running.iter().any(|row| row.task == *task && row.run == attempt.run)
+}
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -149,6 +149,11 @@
             warn!(log, "{}", name; "target" => %target, "reason" => %evidence,
                 "renewed_ms_ago" => since_renewal.map(millis));
         }
+        Record::ReportUnreadable { target, unreadable } => {
+            let sample = unreadable.sample.as_deref().unwrap_or_default();
+            warn!(log, "{}", name; "target" => %target, "running" => unreadable.running,
+                "reason" => %truncate(sample));
+        }
         Record::TargetStalled { target, recalled } => {
             warn!(log, "{}", name; "target" => %target, "recalled" => recalled);
         }
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -7,7 +7,7 @@
 use coltsfootshunt_core::name::{Host, Kind, Target, Zone};
 
 use crate::job::{End, Id, Outcome, Size, Task};
-use crate::lease::{Evidence, Rejection, Token};
+use crate::lease::{Evidence, Rejection, Token, Unreadable};
 use crate::store;
 
 /// A decision of this host or a change of the state that it knows. Each is written as one log line.
@@ -188,6 +188,13 @@
         /// Time since the last request that renews its lease; `None` if there was none.
         since_renewal: Option<Duration>,
     },
+    /// A target reports rows that can't be decoded.
+    ReportUnreadable {
+        /// Name of the target.
+        target: Target,
+        /// Rows that can't be decoded.
+        unreadable: Unreadable,
+    },
     /// A target makes no progress. Its attempts are stopped, and the tasks are started elsewhere.
     TargetStalled {
         /// Name of the target.
@@ -308,6 +315,7 @@
             Self::TargetClaimed { .. } => "target claimed",
             Self::TargetFenced { .. } => "target fenced",
             Self::TargetLost { .. } => "target lost",
+            Self::ReportUnreadable { .. } => "report unreadable",
             Self::TargetStalled { .. } => "target hangs",
             Self::OrphanStopped { .. } => "orphan stopped",
             Self::StewardshipTaken { .. } => "stewardship taken",
--- a/crates/fleet/src/steward/state/change.rs
+++ b/crates/fleet/src/steward/state/change.rs
@@ -58,6 +58,9 @@
         Change::StartRejected(task, rejection) => {
             Record::StartRejected { target, task: task.clone(), rejection: *rejection }
         }
+        Change::Unreadable(unreadable) => {
+            Record::ReportUnreadable { target, unreadable: unreadable.clone() }
+        }
     });
 }
 
--- a/crates/model/src/sim_target.rs
+++ b/crates/model/src/sim_target.rs
@@ -57,6 +57,7 @@
             started_at_ms: Some(1),
             running: running.collect(),
             ended: self.ended.clone(),
+            ..Report::default()
         }
     }
 
