--- a/crates/fleet/src/lease/message.rs
+++ b/crates/fleet/src/lease/message.rs
@@ -125,6 +125,8 @@
 pub struct Unreadable {
     /// Number of rows of running attempts. Each may be any attempt, of this host or another.
     pub running: usize,
+    /// Number of rows of ended attempts.
+    pub ended: usize,
     /// One of the rows as the target wrote it, cut to a limited length; none if all were decoded.
     pub sample: Option<Arc<str>>,
 }
--- a/crates/fleet/src/lease/tests/unreadable.rs
+++ b/crates/fleet/src/lease/tests/unreadable.rs
@@ -9,13 +9,22 @@
 use crate::job::End;
 use crate::lease::{Change, Evidence, Order, Report, Response, Tracker, Unreadable};
 
-/// Returns a report with rows of running attempts that can't be decoded, besides one that can.
+/// Returns a report with rows of running attempts that can't be decoded, besides those that can.
 fn report_with(clock_ms: u64, running: &[u32], unreadable: usize) -> Response {
+    report_with_rows(clock_ms, running, (unreadable, 0))
+}
+
+/// The same, with unreadable rows of running and of ended attempts.
+fn report_with_rows(
+    clock_ms: u64,
+    running: &[u32],
+    (unreadable_running, unreadable_ended): (usize, usize),
+) -> Response {
     let Response::Report(readable) = report(clock_ms, running, &[]) else {
         unreachable!();
     };
-    let sample = (unreadable > 0).then(|| "row".into());
-    let unreadable = Unreadable { running: unreadable, sample };
+    let sample = (unreadable_running + unreadable_ended > 0).then(|| "row".into());
+    let unreadable = Unreadable { running: unreadable_running, ended: unreadable_ended, sample };
     Response::Report(Report { unreadable, ..readable })
 }
 
@@ -86,12 +95,28 @@
     let now = Instant::now();
     let mut tracker = claimed_tracker(now);
     start_and_confirm(&mut tracker, 0, now);
-    let rows = [1, 1, 1, 2, 2, 1, 0, 1];
+    let rows = [(1, 0), (1, 0), (1, 1), (2, 0), (2, 1), (1, 1), (0, 0), (0, 1)];
+    let mut now = now;
     let told = rows.map(|unreadable| {
+        now += Duration::from_millis(100);
         let renewal = tracker.next_renewal(now).unwrap();
-        let response = report_with(CLOCK + 2, &[0], unreadable);
+        let response = report_with_rows(CLOCK + 2, &[0], unreadable);
         let changes = tracker.handle_response(&renewal, response, now);
         changes.iter().any(|change| matches!(change, Change::Unreadable(_)))
     });
-    assert_eq!(told, [true, false, false, true, false, false, false, true]);
+    assert_eq!(told, [true, false, true, true, true, false, false, true]);
+}
+
+/// A target responds at once while it lists an end, so an unreadable one led to renewals without pause.
+/// The target stays open: no running attempt is in such a row.
+#[test]
+fn renewals_are_delayed_while_only_unreadable_ends_are_listed() {
+    let now = Instant::now();
+    let mut tracker = claimed_tracker(now);
+    start_and_confirm(&mut tracker, 0, now);
+    let renewal = tracker.next_renewal(now).unwrap();
+    tracker.handle_response(&renewal, report_with_rows(CLOCK + 2, &[0], (0, 1)), now);
+    assert!(tracker.next_renewal(now).is_none());
+    assert!(tracker.next_renewal(now + Duration::from_millis(100)).is_some());
+    assert_eq!(free_cpu(&tracker, now), Some(18_000));
 }
--- a/crates/fleet/src/lease/tracker/response.rs
+++ b/crates/fleet/src/lease/tracker/response.rs
@@ -181,7 +181,8 @@
         self.update_clock(report.clock_ms, now);
         self.acknowledged_end = self.acknowledged_end.max(self.ends.last());
         let new_ends = self.ends.record(report, is_claim);
-        if new_ends.is_empty() && !report.ended.is_empty() {
+        let lists_ends = !report.ended.is_empty() || report.unreadable.ended > 0;
+        if new_ends.is_empty() && lists_ends {
             // A target responds at once while it lists an end, and these can't be acknowledged.
             self.next_renewal_at = now + RENEWAL_RETRY_DELAY;
         }
@@ -210,7 +211,10 @@
                 }
             }
         }
-        if report.unreadable.running > self.unreadable.running {
+        // The next renewal may acknowledge unreadable ends with later ones, so they are told now.
+        let has_more = report.unreadable.running > self.unreadable.running
+            || report.unreadable.ended > self.unreadable.ended;
+        if has_more {
             changes.push(Change::Unreadable(report.unreadable.clone()));
         }
         self.unreadable = report.unreadable.clone();
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -152,7 +152,7 @@
         Record::ReportUnreadable { target, unreadable } => {
             let sample = unreadable.sample.as_deref().unwrap_or_default();
             warn!(log, "{}", name; "target" => %target, "running" => unreadable.running,
-                "reason" => %truncate(sample));
+                "ended" => unreadable.ended, "reason" => %truncate(sample));
         }
         Record::TargetStalled { target, recalled } => {
             warn!(log, "{}", name; "target" => %target, "recalled" => recalled);
