fix(control): a panic of the control thread is logged and fails the process

Operators saw a host on the platform end with status 0 and no line, as after a planned stop; the panic stood on standard error alone.

Cause: `host::serve` took the dropped sender of the exit signal for that signal, and nothing wrote panics to the log.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod endpoint;
 pub mod job;
 pub mod name;
+pub mod panic;
 pub mod submission;
--- a/crates/fleet/src/control/executor.rs
+++ b/crates/fleet/src/control/executor.rs
@@ -22,7 +22,8 @@
     pub control: Handle,
     /// Destination of log records.
     pub log: Arc<dyn Log>,
-    /// Set to `true` when the process must end.
+    /// Set to `true` when the process must end. Dropped without that if the control thread panics. The
+    /// last field, so that this executor no longer holds the log by then.
     pub exit: watch::Sender<bool>,
 }
 
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use metrics::{counter, histogram};
-use slog::{Drain, Logger, info, o, warn};
+use slog::{Drain, Logger, error, info, o, warn};
 
 use super::{Limiter, Record};
 use crate::job::Outcome;
@@ -186,6 +186,10 @@
             warn!(log, "{}", name; "reason" => %error)
         }
         Record::ConnectionFailed { error } => warn!(log, "{}", name; "reason" => %error),
+        Record::ThreadPanicked(panic) => {
+            error!(log, "{}", name; "thread" => %panic.thread, "reason" => %panic.message,
+                "place" => %panic.place);
+        }
         Record::ProcessStopped { open_jobs } => info!(log, "{}", name; "open_jobs" => open_jobs),
         _ => info!(log, "{}", name),
     }
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use coltsfootshunt_core::name::{Host, Kind, Target, Zone};
+use coltsfootshunt_core::panic::Panic;
 
 use crate::job::{End, Id, Outcome, Size, Task};
 use crate::lease::{Evidence, Rejection, Token, Unreadable};
@@ -287,6 +288,8 @@
         /// Error of the operating system.
         error: Arc<str>,
     },
+    /// A thread of the process panicked. The process can't go on without its control thread.
+    ThreadPanicked(Panic),
     /// A graceful shutdown began.
     Stopping,
     /// The process is about to exit.
@@ -331,6 +334,7 @@
             Self::ProcessStarted { .. } => "process began",
             Self::SettingsReloaded { .. } => "settings read",
             Self::ConnectionFailed { .. } => "connection not accepted",
+            Self::ThreadPanicked(_) => "thread panicked",
             Self::Stopping => "stop began",
             Self::ProcessStopped { .. } => "process ends",
         }
