fix(entry): a panic of the control thread is logged and has its own exit code

Operators saw an entry end with status 2, as after a second signal, and no line in its log.

Cause: `App::exit` took the dropped sender of the exit signal for a forced exit, and nothing wrote panics to the log.

Evidence, on the old code, by an entry as a process whose clock panics on the control thread: `left: (Some(2), 0), right: (Some(3), 1)`, its status and lines (`a_panic_of_the_control_thread_is_logged_and_fails_the_process`).

The program logs each panic before its thread unwinds, in the entry's log, which is standard error here, and counts it (`coltsfootshunt_panics_total`). A dropped sender is `Exit::Failed`, status 3. The test of the exit codes has the new one added.

--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -1,5 +1,8 @@
 //! Startup and shutdown of one entry process.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -76,13 +79,24 @@
         settings: Settings,
         log: LogFactory,
         metrics: PrometheusHandle,
+    ) -> Result<Self, Error> {
+        Self::start_with_clock(settings, log, metrics, Arc::new(System)).await
+    }
+
+    /// Starts an entry with this clock.
+    async fn start_with_clock(
+        settings: Settings,
+        log: LogFactory,
+        metrics: PrometheusHandle,
+        clock: Arc<dyn Clock>,
     ) -> Result<Self, Error> {
         let sockets = Sockets::bind(settings.listen).await?;
         let addresses = sockets.addresses()?;
         let identity = identity(&settings, addresses);
         let transport: Arc<dyn Transport> = Arc::new(Rpc::default());
         let (exit_sender, exit) = watch::channel(None);
-        let control = spawn_control(&settings, &identity, log(&identity), &transport, exit_sender)?;
+        let resources = Resources { clock, log: log(&identity), exit: exit_sender };
+        let control = spawn_control(&settings, &identity, resources, &transport)?;
         let peer_server = peer::serve(sockets.peers, control.clone())
             .map_err(|cause| Error::Listen { address: addresses.peers, cause })?;
         let registration = Registration {
@@ -115,7 +129,8 @@
         let mut exit = self.exit.clone();
         let exit = match exit.wait_for(Option::is_some).await {
             Ok(exit) => exit.unwrap_or(Exit::Forced),
-            Err(_) => Exit::Forced,
+            // The control thread owns the sender.
+            Err(_) => Exit::Failed,
         };
         let servers = std::mem::take(&mut *self.servers.lock().await);
         let flush = async {
@@ -128,14 +143,19 @@
     }
 }
 
+/// What the control thread shares with the process.
+struct Resources {
+    clock: Arc<dyn Clock>,
+    log: Arc<dyn Log>,
+    exit: watch::Sender<Option<Exit>>,
+}
+
 fn spawn_control(
     settings: &Settings,
     identity: &Identity,
-    log: Arc<dyn Log>,
+    Resources { clock, log, exit }: Resources,
     transport: &Arc<dyn Transport>,
-    exit: watch::Sender<Option<Exit>>,
 ) -> Result<Handle, Error> {
-    let clock: Arc<dyn Clock> = Arc::new(System);
     let target_client = Arc::new(target::Http::new(Arc::clone(&clock)));
     let transport = Arc::clone(transport);
     let runtime = tokio::runtime::Handle::current();
--- a/crates/entry/src/control/executor.rs
+++ b/crates/entry/src/control/executor.rs
@@ -27,7 +27,8 @@
     pub control: Handle,
     /// Destination of log records.
     pub log: Arc<dyn Log>,
-    /// Set to the outcome of the process when it must end.
+    /// Set to the outcome of the process when it must end. Dropped without that if the control thread
+    /// panics. The last field, so that this executor no longer holds the log by then.
     pub exit: watch::Sender<Option<Exit>>,
 }
 
--- a/crates/entry/src/control/record.rs
+++ b/crates/entry/src/control/record.rs
@@ -3,6 +3,7 @@
 use coltsfootshunt_core::answer::{Fault, Outcome, Refusal};
 use coltsfootshunt_core::config::Revision;
 use coltsfootshunt_core::name::{Host, Target};
+use coltsfootshunt_core::panic::Panic;
 use coltsfootshunt_core::submission::{Id, Incarnation};
 
 use crate::drain::Exit;
@@ -93,6 +94,8 @@
     },
     /// Task starts resumed after a pause, because a peer responded or the wait timed out.
     StartsResumed,
+    /// A thread of the process panicked. The process can't go on without its control thread.
+    ThreadPanicked(Panic),
     /// A planned stop began.
     StopStarted,
     /// The handover of records to a successor began.
--- a/crates/entry/src/drain/message.rs
+++ b/crates/entry/src/drain/message.rs
@@ -21,6 +21,9 @@
     /// A second signal arrived.
     #[display("at a second signal")]
     Forced,
+    /// The control thread panicked.
+    #[display("by a panic of its control thread")]
+    Failed,
 }
 
 impl Exit {
@@ -31,6 +34,7 @@
             Self::Clean => 0,
             Self::Overdue => 1,
             Self::Forced => 2,
+            Self::Failed => 3,
         }
     }
 }
--- a/crates/entry/src/drain/tests.rs
+++ b/crates/entry/src/drain/tests.rs
@@ -69,5 +69,6 @@
     stage.request_stop(LIMITS, now);
     stage.request_stop(LIMITS, now);
     assert_eq!(stage.exit(), Some(Exit::Forced));
-    assert_eq!([Exit::Clean, Exit::Overdue, Exit::Forced].map(Exit::code), [0, 1, 2]);
+    let exits = [Exit::Clean, Exit::Overdue, Exit::Forced, Exit::Failed];
+    assert_eq!(exits.map(Exit::code), [0, 1, 2, 3]);
 }
--- a/crates/entry/src/log/json.rs
+++ b/crates/entry/src/log/json.rs
@@ -1,10 +1,13 @@
 //! Writes log records as JSON lines, and counts them in metrics.
 
+use std::sync::Arc;
+
 use coltsfootshunt_core::answer::Refusal;
+use coltsfootshunt_core::panic;
 use derive_more::Display;
 use metrics::counter;
 use serde::{Deserialize, Serialize};
-use slog::{Drain, Logger, debug, info, o, warn};
+use slog::{Drain, Logger, debug, error, info, o, warn};
 
 use crate::control::Record;
 use crate::member::Identity;
@@ -19,6 +22,17 @@
     fn record(&self, record: &Record);
 }
 
+/// Logs each later panic of a thread of this process. The log is not kept alive for that: its last lines
+/// are written when it is dropped.
+pub fn observe_panics(log: &Arc<dyn Log>) {
+    let log = Arc::downgrade(log);
+    panic::observe(move |panic| {
+        if let Some(log) = log.upgrade() {
+            log.record(&Record::ThreadPanicked(panic));
+        }
+    });
+}
+
 /// Updates the metrics and writes no log lines.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Silent;
@@ -125,6 +139,10 @@
             Record::StartsResumed => {
                 info!(log, "view is fresh after a pause");
             }
+            Record::ThreadPanicked(panic) => {
+                error!(log, "thread panicked"; "thread" => %panic.thread,
+                    "reason" => %panic.message, "place" => %panic.place);
+            }
             Record::StopStarted => {
                 info!(log, "planned stop began");
             }
@@ -156,6 +174,7 @@
         Record::TargetEjected { .. } => counter!("coltsfootshunt_ejections_total").increment(1),
         Record::PeerFailed { .. } => counter!("coltsfootshunt_peer_failures_total").increment(1),
         Record::ProcessPaused { .. } => counter!("coltsfootshunt_pauses_total").increment(1),
+        Record::ThreadPanicked(_) => counter!("coltsfootshunt_panics_total").increment(1),
         _ => {}
     }
 }
--- a/crates/entry/src/log/mod.rs
+++ b/crates/entry/src/log/mod.rs
@@ -2,4 +2,4 @@
 
 mod json;
 
-pub use json::{Json, Level, Log, Silent};
+pub use json::{Json, Level, Log, Silent, observe_panics};
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -7,7 +7,7 @@
 use clap::{Arg, Command, value_parser};
 use coltsfootshunt_entry::app::App;
 use coltsfootshunt_entry::drain::Exit;
-use coltsfootshunt_entry::log::Json;
+use coltsfootshunt_entry::log::{Json, Log, observe_panics};
 use coltsfootshunt_entry::settings::Settings;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use miette::{IntoDiagnostic, Result};
@@ -76,7 +76,11 @@
 async fn run(settings: Settings) -> Result<Exit> {
     let metrics = PrometheusBuilder::new().install_recorder().into_diagnostic()?;
     let level = settings.log;
-    let log = Box::new(move |identity: &_| Arc::new(Json::new(level, identity)) as Arc<_>);
+    let log = Box::new(move |identity: &_| {
+        let log: Arc<dyn Log> = Arc::new(Json::new(level, identity));
+        observe_panics(&log);
+        log
+    });
     let app = App::start(settings, log, metrics).await.into_diagnostic()?;
     println!("{}", announcement(&app));
     let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
