--- a/crates/fleet/src/lease/tracker.rs
+++ b/crates/fleet/src/lease/tracker.rs
@@ -1,7 +1,9 @@
 //! A steward's view of one target: its lease, its clock and the attempts that may run there.
 
 mod attempt;
+mod ends;
 mod response;
+mod start_times;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -9,12 +11,14 @@
 
 use coltsfootshunt_core::name::{Host, Target};
 
-use super::{Call, Evidence, Order, Rejection, Timeout, Token};
+use super::{Call, Evidence, Order, Rejection, Timeout, Token, Unreadable};
 use crate::directory::Entry;
 use crate::job::{End, Resources, Task};
 
 pub use attempt::{Attempt, Phase};
 use attempt::{Orphan, Status};
+use ends::Ends;
+use start_times::StartTimes;
 
 /// Longest time for which a renewal waits at the target for an attempt to end. It is under half of a
 /// lease, so that two renewals may fail.
@@ -83,6 +87,8 @@
     Orphan(Task),
     /// The target rejected the start of a task.
     StartRejected(Task, Rejection),
+    /// A report has rows that can't be decoded, and the one before did not have as many.
+    Unreadable(Unreadable),
 }
 
 /// The state of one target at its steward.
@@ -96,11 +102,12 @@
     attempts: BTreeMap<Task, Attempt>,
     /// Attempts that other hosts started; the resources that they use are not known.
     orphans: BTreeMap<Task, Orphan>,
+    /// Rows of the last report that could not be decoded.
+    unreadable: Unreadable,
     term: Term,
     /// Last reading of the target's clock, in milliseconds, and when it arrived.
     clock: Option<(u64, Instant)>,
-    /// Sequence number of the last processed end of an attempt; 0 before the first.
-    last_end: u64,
+    ends: Ends,
     /// Sequence number up to which the target has received the acknowledgement.
     acknowledged_end: u64,
     /// When the last end was processed.
@@ -121,20 +128,25 @@
     /// Whether an order may or may not have been carried out, so that the target must be claimed with
     /// a new token.
     is_uncertain: bool,
+    /// Start times in the directory, which may be stale or another writer's.
+    start_times: StartTimes,
 }
 
 impl Tracker {
     /// Creates the tracker of a target that this host has not claimed yet.
     #[must_use]
     pub fn new(entry: Entry, term: Term, now: Instant) -> Self {
+        let mut start_times = StartTimes::default();
+        start_times.list(entry.started_at_ms);
         Self {
             entry,
             phase: Phase::Free,
             attempts: BTreeMap::new(),
             orphans: BTreeMap::new(),
+            unreadable: Unreadable::default(),
             term,
             clock: None,
-            last_end: 0,
+            ends: Ends::default(),
             acknowledged_end: 0,
             last_end_at: now,
             granted_until_ms: None,
@@ -145,18 +157,19 @@
             paused_until: now,
             next_renewal_at: now,
             is_uncertain: false,
+            start_times,
         }
     }
 
-    /// Applies a newer directory entry. A change of incarnation counts only once the target has
-    /// confirmed it in a report.
+    /// Applies a newer directory entry. Only the target's reports change the known incarnation, since
+    /// the state of the earlier one has to be dropped with it.
     pub fn update(&mut self, entry: &Entry) {
         let started_at_ms = self.entry.started_at_ms;
         self.entry = Entry { started_at_ms, ..entry.clone() };
-        // An entry that lacks the start time says nothing; the target's reports contain it.
-        let has_new_start = entry.started_at_ms != 0 && entry.started_at_ms != started_at_ms;
-        if has_new_start && matches!(self.phase, Phase::Held(_)) {
-            // The state of the earlier incarnation is void; a claim shows what runs now.
+        let is_unchecked = self.start_times.list(entry.started_at_ms);
+        let shows_other = is_unchecked && entry.started_at_ms != started_at_ms;
+        if shows_other && matches!(self.phase, Phase::Held(_)) {
+            // A claim shows what runs now, and whether the entry is right.
             self.is_uncertain = true;
         }
     }
@@ -166,7 +179,7 @@
         self.attempts.iter()
     }
 
-    /// Whether no attempt of any host can be running at the target.
+    /// Whether the target runs no attempt that its reports can name.
     #[must_use]
     pub fn is_idle(&self) -> bool {
         self.attempts.is_empty() && self.orphans.is_empty()
@@ -186,13 +199,14 @@
     }
 
     /// Returns the free resources, or none while nothing may start: without a claim, while the state is
-    /// uncertain, with orphans at the target, if no sufficient lease can be granted, or during a pause.
+    /// uncertain, with orphans or attempts that can't be named at the target, if no sufficient lease can
+    /// be granted, or during a pause.
     #[must_use]
     pub fn available(&self, now: Instant) -> Option<Resources> {
         let is_reliable =
             matches!(self.phase, Phase::Held(_)) && !self.is_uncertain && self.missed_renewals == 0;
         let is_expiring = self.lease_duration(now) < self.term.max / 2;
-        if !is_reliable || is_expiring || !self.orphans.is_empty() || now < self.paused_until {
+        if !is_reliable || is_expiring || self.has_foreign() || now < self.paused_until {
             return None;
         }
         let used =
@@ -210,6 +224,11 @@
         self.lease_before_resend(now, now).checked_sub(Duration::from_millis(granted_ms))
     }
 
+    /// Whether the target may run attempts whose resources are not known.
+    fn has_foreign(&self) -> bool {
+        !self.orphans.is_empty() || self.unreadable.running > 0
+    }
+
     /// Whether the target should be claimed now.
     #[must_use]
     pub fn wants_claim(&self, now: Instant) -> bool {
@@ -225,11 +244,15 @@
     /// Claims the target. If it is held already, the new token voids all earlier orders.
     pub fn claim(&mut self, token: Token, now: Instant) -> Call {
         self.phase = Phase::Claiming(token);
+        self.start_times.record_claim();
         // Attempts that other hosts started must end, so the lease is extended for own ones only.
         let extends_lease = !self.attempts.is_empty() && self.missed_renewals == 0;
         let lease_until_ms = self.extend_lease(extends_lease, now);
-        let order =
-            Order::Renew { lease_until_ms, acknowledged: self.last_end, max_wait: Duration::ZERO };
+        let order = Order::Renew {
+            lease_until_ms,
+            acknowledged: self.ends.last(),
+            max_wait: Duration::ZERO,
+        };
         self.new_call(token, order, self.timeout.current())
     }
 
@@ -238,27 +261,28 @@
         let Phase::Held(token) = self.phase else {
             return None;
         };
-        let must_acknowledge = self.last_end > self.acknowledged_end
+        let must_acknowledge = self.ends.last() > self.acknowledged_end
             && now.duration_since(self.last_end_at) > ACKNOWLEDGE_DELAY;
         let is_fresh = |(_, at): (u64, Instant)| now.duration_since(at) < MAX_CLOCK_AGE;
         let is_clock_stale = !self.clock.is_some_and(is_fresh);
         let is_paused = now < self.next_renewal_at;
+        let is_idle = self.is_idle() && !self.has_foreign();
         if self.has_pending_renewal
             || self.is_uncertain
             || is_paused
-            || (self.is_idle() && !must_acknowledge && !is_clock_stale)
+            || (is_idle && !must_acknowledge && !is_clock_stale)
         {
             return None;
         }
         self.has_pending_renewal = true;
-        let is_immediate = self.is_idle() || self.missed_renewals > 0;
+        let is_immediate = is_idle || self.missed_renewals > 0;
         let max_wait = if is_immediate { Duration::ZERO } else { self.renewal_wait(now) };
-        // After two missed renewals the lease is left to expire. A target with only orphans gets no
-        // extension either, since the former stewards of the orphans rely on their expiry.
-        let has_only_orphans = self.attempts.is_empty() && !self.orphans.is_empty();
-        let extends_lease = self.missed_renewals < 2 && !has_only_orphans;
+        // After two missed renewals the lease is left to expire. A target with only attempts of others
+        // gets no extension either, since their former stewards rely on their expiry.
+        let has_only_foreign = self.attempts.is_empty() && self.has_foreign();
+        let extends_lease = self.missed_renewals < 2 && !has_only_foreign;
         let lease_until_ms = self.extend_lease(extends_lease, now);
-        let order = Order::Renew { lease_until_ms, acknowledged: self.last_end, max_wait };
+        let order = Order::Renew { lease_until_ms, acknowledged: self.ends.last(), max_wait };
         Some(self.new_call(token, order, max_wait + self.timeout.current()))
     }
 
@@ -364,6 +388,7 @@
         }
         self.phase = Phase::Free;
         self.orphans.clear();
+        self.unreadable = Unreadable::default();
         self.has_pending_renewal = false;
         self.missed_renewals = 0;
         self.is_uncertain = false;
@@ -416,6 +441,11 @@
         self.term.max.div_f64(1.0 - MAX_CLOCK_DRIFT) + STOP_MARGIN
     }
 
+    /// Whether all attempts under the last lease have stopped.
+    fn is_lease_expired(&self, now: Instant) -> bool {
+        self.lease_sent_at.is_none_or(|at| now.duration_since(at) > self.max_lease_age())
+    }
+
     fn current_token(&self) -> Token {
         match self.phase {
             Phase::Held(token) | Phase::Claiming(token) => token,
--- a/crates/fleet/src/lease/tracker/response.rs
+++ b/crates/fleet/src/lease/tracker/response.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::{Attempt, Change, Orphan, Phase, Status, Tracker};
+use super::{Attempt, Change, Ends, Orphan, Phase, Status, Tracker};
 use crate::job::{End, Task};
 use crate::lease::{self, Call, Evidence, Order, Rejection, Report, Response, Token};
 
@@ -53,6 +53,7 @@
                 if is_claim {
                     self.phase = Phase::Held(call.token);
                     self.is_uncertain = false;
+                    self.start_times.record_claimed();
                 }
                 self.reconcile(&report, is_claim, now, changes);
                 if is_claim && self.phase == Phase::Held(call.token) {
@@ -72,9 +73,7 @@
     /// Handles a renewal without a report: the lease expires unless a later renewal succeeds.
     fn handle_missed_renewal(&mut self, is_claim: bool, now: Instant, changes: &mut Vec<Change>) {
         self.missed_renewals += 1;
-        let is_expired =
-            self.lease_sent_at.is_none_or(|at| now.duration_since(at) > self.max_lease_age());
-        if is_expired {
+        if self.is_lease_expired(now) {
             self.handle_expiry(Evidence::LeaseExpired, now, changes);
         } else if is_claim {
             // It is still unknown which orders were carried out: claim again at once with a new token.
@@ -165,7 +164,7 @@
             // have carried out an order meant for the earlier one. Only a claim with a new token shows
             // what runs.
             self.entry.started_at_ms = report.started_at_ms.unwrap_or_default();
-            self.last_end = 0;
+            self.ends = Ends::default();
             self.acknowledged_end = 0;
             self.clock = None;
             self.granted_until_ms = None;
@@ -187,12 +186,14 @@
             let until_ms = report.clock_ms.saturating_add(max_ms);
             self.granted_until_ms = self.granted_until_ms.max(Some(until_ms));
         }
-        self.acknowledged_end = self.acknowledged_end.max(self.last_end);
-        for ended in &report.ended {
-            if ended.sequence <= self.last_end {
-                continue;
-            }
-            self.last_end = ended.sequence;
+        self.acknowledged_end = self.acknowledged_end.max(self.ends.last());
+        let new_ends = self.ends.record(report, is_claim);
+        let lists_ends = !report.ended.is_empty() || report.unreadable.ended > 0;
+        if new_ends.is_empty() && lists_ends {
+            // A target responds at once while it lists an end, and these can't be acknowledged.
+            self.next_renewal_at = now + RENEWAL_RETRY_DELAY;
+        }
+        for ended in new_ends {
             self.last_end_at = now;
             let end = match ended.end {
                 lease::End::Done => End::Done,
@@ -222,17 +223,52 @@
                 }
             }
         }
-        self.end_unlisted(report, is_claim, changes);
+        // The next renewal may acknowledge unreadable ends with later ones, so they are told now.
+        let has_more = report.unreadable.running > self.unreadable.running
+            || report.unreadable.ended > self.unreadable.ended;
+        if has_more {
+            changes.push(Change::Unreadable(report.unreadable.clone()));
+        }
+        self.unreadable = report.unreadable.clone();
+        if self.unreadable.running == 0 {
+            self.end_unlisted(report, is_claim, changes);
+        } else {
+            self.keep_unlisted(report, is_claim, now, changes);
+        }
+    }
+
+    /// Keeps attempts that the report doesn't list, since each may be in a row that can't be decoded.
+    /// Only the end of the lease proves that they are over.
+    fn keep_unlisted(
+        &mut self,
+        report: &Report,
+        is_claim: bool,
+        now: Instant,
+        changes: &mut Vec<Change>,
+    ) {
+        if is_claim {
+            // The new token voids a start that has not arrived, so a later report that lacks the
+            // attempt shows that it is over.
+            for attempt in self.attempts.values_mut().filter(|one| one.status == Status::Sent) {
+                attempt.status = Status::Running(report.clock_ms);
+            }
+        }
+        if self.is_lease_expired(now) {
+            let is_over = |(task, attempt): &(&Task, &Attempt)| {
+                attempt.status != Status::Sent && !is_listed(report, task, attempt)
+            };
+            let over = self.attempts.iter().filter(is_over).map(|(task, _)| task.clone());
+            for task in over.collect::<Vec<_>>() {
+                self.end_attempt(&task, End::Lost, Evidence::LeaseExpired, changes);
+            }
+        }
     }
 
     /// Ends attempts that the report should list but doesn't.
     fn end_unlisted(&mut self, report: &Report, is_claim: bool, changes: &mut Vec<Change>) {
-        let listed = |task: &Task, run: u32| {
-            report.running.iter().any(|row| row.task == *task && row.run == run)
-        };
         let mut lost = Vec::new();
         for (task, attempt) in &self.attempts {
-            if listed(task, attempt.run) {
+            if is_listed(report, task, attempt) {
                 continue;
             }
             match attempt.status {
@@ -276,3 +312,8 @@
         }
     }
 }
+
+/// Whether the report lists the attempt as running.
+fn is_listed(report: &Report, task: &Task, attempt: &Attempt) -> bool {
+    report.running.iter().any(|row| row.task == *task && row.run == attempt.run)
+}
--- a/crates/fleet/src/steward/tests/silent_owners.rs
+++ b/crates/fleet/src/steward/tests/silent_owners.rs
@@ -74,7 +74,8 @@
             ended.push(Ended { sequence: self.bench.ended, task, run, end });
         }
         let clock_ms = self.clock_ms();
-        let report = Report { clock_ms, started_at_ms: Some(1), running, ended };
+        let report =
+            Report { clock_ms, started_at_ms: Some(1), running, ended, ..Report::default() };
         for call in std::mem::take(&mut self.pending) {
             self.bench.handle_response(&call, Response::Report(report.clone()));
         }
