test(control): a target that is down receives no order

The simulation drew a call as lost and carried out later before it looked whether the target was up, and tagged it with the incarnation that starts next: an order sent to a target that is down was carried out by its next incarnation. Calls that reach a target that is up are delayed as before. 68 tests of `safety` pass with 150 cases each.

--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -458,8 +458,12 @@
                     if is_late {
                         let after = self.rng.random_range(2_000..12_000);
                         let call = call.clone();
+                        // A target that is down receives nothing, nor does its next incarnation.
+                        let now_ms = self.now_ms();
+                        let receiver = self.targets.get(&call.target);
+                        let receiver = receiver.filter(|target| !target.is_down(now_ms));
                         let started_at_ms =
-                            self.targets.get(&call.target).map(|one| one.entry.started_at_ms);
+                            Some(receiver.map_or(u64::MAX, |target| target.entry.started_at_ms));
                         self.schedule(
                             after,
                             SimEvent::Call {
