test(control): a fenced steward takes its successor for a process with its token (fails)

What operators could see: a former steward, cut off from its peers, writes `token shared` for its successor's attempts, changes its suffix and claims all its targets again at once, without a fenced call. Cause: a renewal that waits is fenced when it arrives only, by the stand-in of a target (`renew`), so its report may come after the claim of a successor and list the successor's attempts. Such a report counts as proof of a shared token.

--- a/crates/fleet/src/control/tests/safety.rs
+++ b/crates/fleet/src/control/tests/safety.rs
@@ -116,7 +116,17 @@
 /// capacity, no task runs twice at once, no two processes use one fencing token at a target, and no
 /// refused job has started.
 fn run_and_check(seed: u64, workload: Workload, fault_rates: FaultRates, faults: &[u8]) {
-    let mut sim = converged(seed);
+    run_and_check_in(converged(seed), seed, workload, fault_rates, faults);
+}
+
+/// Runs the work in a simulation that has converged.
+fn run_and_check_in(
+    mut sim: Simulation,
+    seed: u64,
+    workload: Workload,
+    fault_rates: FaultRates,
+    faults: &[u8],
+) {
     sim.fault_rates = fault_rates;
     sim.slow_percent = workload.slow_percent;
     for _ in 0..120 {
@@ -135,6 +145,8 @@
         assert!(sim.grants > 0, "seed {seed}: no task was shared between stewards");
     }
     assert_eq!(sim.violations, Vec::<String>::new(), "seed {seed}");
+    // The incarnations of the simulation differ in their low bits.
+    assert_eq!(sim.shared_tokens, 0, "seed {seed}: no token was shared");
     for (id, outcomes) in sim.all_outcomes() {
         let refused = |one: &Option<Outcome>| matches!(one, Some(Outcome::Refused { .. }));
         let started = sim.starts.keys().any(|task| task.job == *id);
@@ -182,6 +194,18 @@
     with_hanging_runs(1_603_505_714_170_103_243, SHORT_WORK, HANGING);
 }
 
+/// Guards against a former steward that takes its successor's attempts for those of a process with its
+/// own token: a target answers its waiting renewal after the successor's claim.
+fn successor_is_taken_for_another_process(seed: u64, workload: Workload, faults: &[u8]) {
+    let mut sim = converged(seed);
+    sim.answers_fenced_renewals = true;
+    run_and_check_in(sim, seed, workload, RELIABLE, faults);
+}
+
+cases! { successor_is_taken_for_another_process:
+    one(5_626_701_382_759_968_811, LONG_WORK, &[12]);
+}
+
 // Seeds that once violated an invariant, with the cause.
 cases! { regressions:
     // A host that had lost a peer told it only a second later, after the caller's retry.
--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -169,6 +169,11 @@
     pub(super) grants: u32,
     /// Number of times that a target fenced a steward.
     pub(super) fenced_calls: u32,
+    /// Number of times that a host found another process's attempt under its own token.
+    pub(super) shared_tokens: u32,
+    /// Whether a target answers a waiting renewal although it has seen a higher token meanwhile, like the
+    /// stand-in of the platform.
+    pub(super) answers_fenced_renewals: bool,
     tokens: Ledger,
     pub(super) violations: Vec<String>,
     /// Whether a task has run twice or a target was over its capacity; the first time is reported.
@@ -208,6 +213,8 @@
             starts: BTreeMap::new(),
             grants: 0,
             fenced_calls: 0,
+            shared_tokens: 0,
+            answers_fenced_renewals: false,
             tokens: Ledger::default(),
             violations: Vec::new(),
             has_unsafe_run: false,
@@ -493,7 +500,8 @@
                 self.record_zone_claim(host, &Claim { zone, token });
             }
             Action::Record(record) => {
-                self.fenced_calls += u32::from(matches!(record, Record::TargetFenced { .. }))
+                self.fenced_calls += u32::from(matches!(record, Record::TargetFenced { .. }));
+                self.shared_tokens += u32::from(matches!(record, Record::TokenShared { .. }));
             }
             Action::Respond(..) | Action::Publish(_) => {}
         }
--- a/crates/fleet/src/control/tests/simulation/network.rs
+++ b/crates/fleet/src/control/tests/simulation/network.rs
@@ -200,8 +200,9 @@
         let Some(target) = self.targets.get_mut(&call.target) else {
             return;
         };
+        let token = if self.answers_fenced_renewals { target.fencing_token } else { call.token };
         let response =
-            target.execute(call.token, &poll, now_ms, |_| unreachable!("a renewal starts no task"));
+            target.execute(token, &poll, now_ms, |_| unreachable!("a renewal starts no task"));
         self.schedule(
             1,
             SimEvent::Host(host, incarnation, Event::TargetResponded(Box::new(call), response)),
--- a/crates/fleet/src/control/tests/target.rs
+++ b/crates/fleet/src/control/tests/target.rs
@@ -22,7 +22,7 @@
 pub(super) struct Target {
     pub(super) entry: Entry,
     starts_at_ms: u64,
-    fencing_token: Token,
+    pub(super) fencing_token: Token,
     lease_until_ms: u64,
     pub(super) running: BTreeMap<Task, Execution>,
     highest_runs: BTreeMap<Task, u32>,
