test(control): tokens of hosts that never heard each other run away; own heartbeat (fail)

`own_heartbeat_changes_no_suffix`: a host that hears its own heartbeat through another address gives its suffix up and claims all targets again, each time.

--- a/crates/fleet/src/control/tests/simulation/tokens.rs
+++ b/crates/fleet/src/control/tests/simulation/tokens.rs
@@ -1,7 +1,9 @@
 //! Use of fencing tokens: each belongs to one process, and to one of its claims.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::UNIX_EPOCH;
 
+use coltsfootshunt_core::clock::Clock;
 use coltsfootshunt_core::name::{Target, Zone};
 
 use super::Simulation;
@@ -120,6 +122,15 @@
         self.violations.extend(violation.map(|one| format!("{now_ms} ms: {one}")));
     }
 
+    /// Returns how far the highest token of any host is ahead of the true time, in milliseconds.
+    pub(in crate::control::tests) fn max_token_lead_ms(&self) -> u64 {
+        let wall_time = self.time.wall_time().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let wall_ms = u64::try_from(wall_time.as_millis()).unwrap_or(u64::MAX);
+        let states = self.hosts.iter().filter_map(|host| host.state.as_ref());
+        let highest = states.map(|state| state.issuer.highest().0 >> 12).max();
+        highest.unwrap_or_default().saturating_sub(wall_ms)
+    }
+
     /// Returns the hosts that hold all targets of a zone.
     pub(in crate::control::tests) fn holders(&self, zone: &str) -> Vec<usize> {
         let of_zone: Vec<&Target> = self
--- a/crates/fleet/src/control/tests/tokens.rs
+++ b/crates/fleet/src/control/tests/tokens.rs
@@ -1,9 +1,17 @@
 //! Fencing tokens of hosts whose times of day differ.
 
+use std::sync::Arc;
+
 use coltsfootshunt_testkit::cases;
 
 use super::jobs::converged;
-use super::simulation::{Partition, Simulation, ZONES};
+use super::simulation::{ManualClock, Partition, Simulation, ZONES};
+use super::startup::host_without_peers;
+use crate::control::{Action, Event, Request};
+use crate::job::RequestId;
+use crate::member::Heartbeat;
+use crate::peer::{Batch, Message};
+use crate::report::Record;
 
 /// Seeds of each test case.
 const SEEDS: std::ops::Range<u64> = 1..5;
@@ -14,6 +22,9 @@
 /// Longest time until a host of a zone, whose last steward was killed, holds all targets of the zone.
 const MAX_SUCCESSION_MS: u64 = 2_500;
 
+/// Largest lead of tokens over the true time while hosts take targets from each other.
+const MAX_TOKEN_LEAD_MS: u64 = 20_000;
+
 /// Submits a job every 100 ms for some time.
 fn work_for(sim: &mut Simulation, for_ms: u64) {
     for _ in 0..for_ms / JOB_INTERVAL_MS {
@@ -248,3 +259,34 @@
     of_two_successors(0, |sim| kill_steward_during_cut(sim, "a"));
     of_two_successors_of_a_host_that_was_ahead(5_000, |sim| kill_steward_during_cut(sim, "a"));
 }
+
+/// Guards against tokens that run away from the clocks: hosts that have never heard each other claim the
+/// same targets, and each fenced claim raises the tokens by a second.
+#[test]
+fn tokens_of_strangers_stay_near_the_clocks() {
+    let mut sim = Simulation::new(1);
+    for (one, other) in pairs() {
+        sim.set_partition_one_way(one, other, Some(Partition::Refusing));
+        sim.set_partition_one_way(other, one, Some(Partition::Refusing));
+    }
+    work_for(&mut sim, 60_000);
+    assert_eq!(sim.violations, Vec::<String>::new());
+    let (lead_ms, fenced_calls) = (sim.max_token_lead_ms(), sim.fenced_calls);
+    assert!(lead_ms < MAX_TOKEN_LEAD_MS, "{lead_ms} ms ahead after {fenced_calls} fenced calls");
+}
+
+/// Guards against a host that takes itself for another process: a heartbeat to one of its other
+/// addresses bears its own suffix.
+#[test]
+fn own_heartbeat_changes_no_suffix() {
+    let clock = Arc::new(ManualClock::new());
+    let mut state = host_without_peers(&clock);
+    let token_suffix = state.issuer.suffix();
+    let heartbeat = Message::Heartbeat(Heartbeat { token_suffix, ..Heartbeat::default() });
+    let from = state.membership.me().clone();
+    let batch = Batch { from, session: 1, sequence: 1, messages: vec![heartbeat] };
+    state.handle(Event::Request(RequestId(1), Request::Deliver(batch)));
+    let is_change = |one: &Action| matches!(one, Action::Record(Record::TokenSuffixChanged { .. }));
+    assert!(!state.advance().iter().any(is_change));
+    assert_eq!(state.issuer.suffix(), token_suffix);
+}
