--- a/crates/fleet/src/lease/tests/token.rs
+++ b/crates/fleet/src/lease/tests/token.rs
@@ -96,3 +96,23 @@
     let changes = tracker.handle_response(&claim, report(CLOCK, &[], &[]), now);
     assert!(matches!(changes[..], [Change::Claimed(Token(6))]));
 }
+
+/// Guards against tokens that JSON parsers round, so that those of two processes become equal.
+#[test]
+fn token_after_the_highest_observed_one_is_exact() {
+    let mut issuer = Issuer::new(1);
+    issuer.observe(Token((1 << 53) - 1), Duration::ZERO);
+    let token = issuer.next(at(10_000));
+    assert!(token < Token(1 << 53), "{token} is not below 2^53 = {}", 1_u64 << 53);
+}
+
+/// Guards against a return to a suffix that was left because another process uses it.
+#[test]
+fn suffix_that_was_left_is_not_taken_again() {
+    let mut issuer = Issuer::new(0x1_0777);
+    let mut left = BTreeSet::from([issuer.suffix()]);
+    for change in 1..=3 {
+        issuer.change_suffix(&BTreeSet::new());
+        assert!(left.insert(issuer.suffix()), "change {change}: {} again", issuer.suffix());
+    }
+}
