test(steward): a former steward claims its last targets again (fails)

`change_of_suffix_claims_no_target_of_a_resigned_zone`: "left: Claiming(Token(4097)), right: Held(Token(1))". A change of suffix claims targets of zones that this host has resigned, with a token above its successor's.

--- a/crates/fleet/src/steward/tests.rs
+++ b/crates/fleet/src/steward/tests.rs
@@ -475,3 +475,19 @@
     let names: Vec<String> = output.calls.iter().map(|call| call.target.to_string()).collect();
     assert!(names.iter().all(|name| name == "t1"), "{names:?}");
 }
+
+/// Guards against a former steward that takes a target back from its successor: it keeps the target
+/// only until its last attempts there have ended.
+#[test]
+fn change_of_suffix_claims_no_target_of_a_resigned_zone() {
+    let mut bench = Bench::new(1);
+    bench.enqueue(1, 1, "owner");
+    bench.dispatch();
+    bench.membership.claims.clear();
+    bench.steward.sync(&bench.directory, &bench.membership, bench.now);
+    assert_eq!(bench.steward.busy_unclaimed(&bench.membership).len(), 1);
+    let before = bench.steward.trackers().next().unwrap().phase;
+    bench.steward.void_tokens();
+    bench.maintain();
+    assert_eq!(bench.steward.trackers().next().unwrap().phase, before);
+}
