--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -156,6 +156,8 @@
     partitions: BTreeMap<(usize, usize), Partition>,
     /// Whether a batch in flight arrives when a silent partition ends, as on the platform.
     pub(super) delivers_after_partition: bool,
+    /// Time until the control state of a host handles the loss of a session, as on a busy host.
+    pub(super) session_loss_delay_ms: u64,
     /// Batches that partitions delay, with sender and receiver.
     delayed_batches: Vec<(usize, usize, Batch)>,
     /// Partitions from a host to a running target.
@@ -206,6 +208,7 @@
             slow_percent: 100,
             partitions: BTreeMap::new(),
             delivers_after_partition: false,
+            session_loss_delay_ms: 0,
             delayed_batches: Vec::new(),
             target_partitions: BTreeMap::new(),
             hidden_targets: BTreeSet::new(),
@@ -462,8 +465,12 @@
                     if is_late {
                         let after = self.rng.random_range(2_000..12_000);
                         let call = call.clone();
+                        // A target that is down receives nothing, nor does its next incarnation.
+                        let now_ms = self.now_ms();
+                        let receiver = self.targets.get(&call.target);
+                        let receiver = receiver.filter(|target| !target.is_down(now_ms));
                         let started_at_ms =
-                            self.targets.get(&call.target).map(|one| one.entry.started_at_ms);
+                            Some(receiver.map_or(u64::MAX, |target| target.entry.started_at_ms));
                         self.schedule(
                             after,
                             SimEvent::Call {
--- a/crates/fleet/src/lease/tests.rs
+++ b/crates/fleet/src/lease/tests.rs
@@ -1,5 +1,8 @@
+mod ends;
 mod proof;
+mod start_times;
 mod token;
+mod unreadable;
 
 use std::time::{Duration, Instant, SystemTime};
 
@@ -42,7 +45,13 @@
         end: *end,
     });
     let (running, ended) = (running.collect(), ended.collect());
-    Response::Report(Report { clock_ms, started_at_ms: Some(1), running, ended })
+    Response::Report(Report {
+        clock_ms,
+        started_at_ms: Some(1),
+        running,
+        ended,
+        ..Report::default()
+    })
 }
 
 /// Tracks a target that this host has claimed.
--- a/crates/fleet/src/lease/tracker.rs
+++ b/crates/fleet/src/lease/tracker.rs
@@ -1,7 +1,9 @@
 //! A steward's view of one target: its lease, its clock and the attempts that may run there.
 
 mod attempt;
+mod ends;
 mod response;
+mod start_times;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -9,12 +11,14 @@
 
 use coltsfootshunt_core::name::{Host, Target};
 
-use super::{Call, Evidence, Order, Rejection, Timeout, Token};
+use super::{Call, Evidence, Order, Rejection, Timeout, Token, Unreadable};
 use crate::directory::Entry;
 use crate::job::{End, Resources, Task};
 
 pub use attempt::{Attempt, Phase};
 use attempt::{Orphan, Status};
+use ends::Ends;
+use start_times::StartTimes;
 
 /// Longest time for which a renewal waits at the target for an attempt to end. It is under half of a
 /// lease, so that two renewals may fail.
@@ -34,6 +38,9 @@
 /// the job. It covers the clock drift over the longest lease, the time to stop a task and the delay of
 /// a message from the owner to the steward.
 const RESEND_MARGIN: Duration = Duration::from_millis(150);
+/// Silence of an owner up to which its tasks may start under any lease that is granted: the interval
+/// of heartbeats, and their delay.
+const USUAL_SILENCE: Duration = Duration::from_millis(300);
 /// Time that a target may need to stop a task once its lease has expired.
 const STOP_MARGIN: Duration = Duration::from_millis(100);
 /// Time after which a target that has become idle gets the acknowledgement of its last ends.
@@ -80,6 +87,8 @@
     Orphan(Task),
     /// The target rejected the start of a task.
     StartRejected(Task, Rejection),
+    /// A report has rows that can't be decoded, and the one before did not have as many.
+    Unreadable(Unreadable),
 }
 
 /// The state of one target at its steward.
@@ -93,15 +102,19 @@
     attempts: BTreeMap<Task, Attempt>,
     /// Attempts that other hosts started; the resources that they use are not known.
     orphans: BTreeMap<Task, Orphan>,
+    /// Rows of the last report that could not be decoded.
+    unreadable: Unreadable,
     term: Term,
     /// Last reading of the target's clock, in milliseconds, and when it arrived.
     clock: Option<(u64, Instant)>,
-    /// Sequence number of the last processed end of an attempt; 0 before the first.
-    last_end: u64,
+    ends: Ends,
     /// Sequence number up to which the target has received the acknowledgement.
     acknowledged_end: u64,
     /// When the last end was processed.
     last_end_at: Instant,
+    /// Latest expiry that the target's lease may have, in milliseconds on its clock; none if no lease
+    /// was granted in this incarnation.
+    granted_until_ms: Option<u64>,
     /// When the last order that extends the lease was sent.
     lease_sent_at: Option<Instant>,
     has_pending_renewal: bool,
@@ -115,22 +128,28 @@
     /// Whether an order may or may not have been carried out, so that the target must be claimed with
     /// a new token.
     is_uncertain: bool,
+    /// Start times in the directory, which may be stale or another writer's.
+    start_times: StartTimes,
 }
 
 impl Tracker {
     /// Creates the tracker of a target that this host has not claimed yet.
     #[must_use]
     pub fn new(entry: Entry, term: Term, now: Instant) -> Self {
+        let mut start_times = StartTimes::default();
+        start_times.list(entry.started_at_ms);
         Self {
             entry,
             phase: Phase::Free,
             attempts: BTreeMap::new(),
             orphans: BTreeMap::new(),
+            unreadable: Unreadable::default(),
             term,
             clock: None,
-            last_end: 0,
+            ends: Ends::default(),
             acknowledged_end: 0,
             last_end_at: now,
+            granted_until_ms: None,
             lease_sent_at: None,
             has_pending_renewal: false,
             missed_renewals: 0,
@@ -138,20 +157,19 @@
             paused_until: now,
             next_renewal_at: now,
             is_uncertain: false,
+            start_times,
         }
     }
 
-    /// Applies a newer directory entry. A change of incarnation counts only once the target has
-    /// confirmed it in a report.
+    /// Applies a newer directory entry. Only the target's reports change the known incarnation, since
+    /// the state of the earlier one has to be dropped with it.
     pub fn update(&mut self, entry: &Entry) {
         let started_at_ms = self.entry.started_at_ms;
-        self.entry = entry.clone();
-        if entry.started_at_ms == 0 {
-            // This entry lacks the start time; the target's reports contain it.
-            self.entry.started_at_ms = started_at_ms;
-        } else if entry.started_at_ms != started_at_ms && matches!(self.phase, Phase::Held(_)) {
-            // The state of the earlier incarnation is void; a claim shows what runs now.
-            self.entry.started_at_ms = started_at_ms;
+        self.entry = Entry { started_at_ms, ..entry.clone() };
+        let is_unchecked = self.start_times.list(entry.started_at_ms);
+        let shows_other = is_unchecked && entry.started_at_ms != started_at_ms;
+        if shows_other && matches!(self.phase, Phase::Held(_)) {
+            // A claim shows what runs now, and whether the entry is right.
             self.is_uncertain = true;
         }
     }
@@ -161,7 +179,7 @@
         self.attempts.iter()
     }
 
-    /// Whether no attempt of any host can be running at the target.
+    /// Whether the target runs no attempt that its reports can name.
     #[must_use]
     pub fn is_idle(&self) -> bool {
         self.attempts.is_empty() && self.orphans.is_empty()
@@ -181,13 +199,14 @@
     }
 
     /// Returns the free resources, or none while nothing may start: without a claim, while the state is
-    /// uncertain, with orphans at the target, if no sufficient lease can be granted, or during a pause.
+    /// uncertain, with orphans or attempts that can't be named at the target, if no sufficient lease can
+    /// be granted, or during a pause.
     #[must_use]
     pub fn available(&self, now: Instant) -> Option<Resources> {
         let is_reliable =
             matches!(self.phase, Phase::Held(_)) && !self.is_uncertain && self.missed_renewals == 0;
         let is_expiring = self.lease_duration(now) < self.term.max / 2;
-        if !is_reliable || is_expiring || !self.orphans.is_empty() || now < self.paused_until {
+        if !is_reliable || is_expiring || self.has_foreign() || now < self.paused_until {
             return None;
         }
         let used =
@@ -195,6 +214,21 @@
         Some(self.entry.capacity.saturating_sub(&used))
     }
 
+    /// Returns the longest time since its owner was heard with which a task may start here. The leases
+    /// that were granted before, which can't be shortened, must expire before a caller of that owner
+    /// can resend the job. Returns none if no task may start.
+    #[must_use]
+    pub fn max_silence(&self, now: Instant) -> Option<Duration> {
+        let clock_ms = self.min_clock_ms(now)?;
+        let granted_ms = self.granted_until_ms.unwrap_or_default().saturating_sub(clock_ms);
+        self.lease_before_resend(now, now).checked_sub(Duration::from_millis(granted_ms))
+    }
+
+    /// Whether the target may run attempts whose resources are not known.
+    fn has_foreign(&self) -> bool {
+        !self.orphans.is_empty() || self.unreadable.running > 0
+    }
+
     /// Whether the target should be claimed now.
     #[must_use]
     pub fn wants_claim(&self, now: Instant) -> bool {
@@ -210,14 +244,15 @@
     /// Claims the target. If it is held already, the new token voids all earlier orders.
     pub fn claim(&mut self, token: Token, now: Instant) -> Call {
         self.phase = Phase::Claiming(token);
+        self.start_times.record_claim();
         // Attempts that other hosts started must end, so the lease is extended for own ones only.
-        let lease_until_ms = self.lease_end_ms(now).filter(|_| !self.attempts.is_empty());
-        if lease_until_ms.is_some() && self.missed_renewals == 0 {
-            self.lease_sent_at = Some(now);
-        }
-        let lease_until_ms = lease_until_ms.filter(|_| self.missed_renewals == 0);
-        let order =
-            Order::Renew { lease_until_ms, acknowledged: self.last_end, max_wait: Duration::ZERO };
+        let extends_lease = !self.attempts.is_empty() && self.missed_renewals == 0;
+        let lease_until_ms = self.extend_lease(extends_lease, now);
+        let order = Order::Renew {
+            lease_until_ms,
+            acknowledged: self.ends.last(),
+            max_wait: Duration::ZERO,
+        };
         self.new_call(token, order, self.timeout.current())
     }
 
@@ -226,30 +261,28 @@
         let Phase::Held(token) = self.phase else {
             return None;
         };
-        let must_acknowledge = self.last_end > self.acknowledged_end
+        let must_acknowledge = self.ends.last() > self.acknowledged_end
             && now.duration_since(self.last_end_at) > ACKNOWLEDGE_DELAY;
         let is_fresh = |(_, at): (u64, Instant)| now.duration_since(at) < MAX_CLOCK_AGE;
         let is_clock_stale = !self.clock.is_some_and(is_fresh);
         let is_paused = now < self.next_renewal_at;
+        let is_idle = self.is_idle() && !self.has_foreign();
         if self.has_pending_renewal
             || self.is_uncertain
             || is_paused
-            || (self.is_idle() && !must_acknowledge && !is_clock_stale)
+            || (is_idle && !must_acknowledge && !is_clock_stale)
         {
             return None;
         }
         self.has_pending_renewal = true;
-        let is_immediate = self.is_idle() || self.missed_renewals > 0;
+        let is_immediate = is_idle || self.missed_renewals > 0;
         let max_wait = if is_immediate { Duration::ZERO } else { self.renewal_wait(now) };
-        // After two missed renewals the lease is left to expire. A target with only orphans gets no
-        // extension either, since the former stewards of the orphans rely on their expiry.
-        let has_only_orphans = self.attempts.is_empty() && !self.orphans.is_empty();
-        let extends_lease = self.missed_renewals < 2 && !has_only_orphans;
-        let lease_until_ms = self.lease_end_ms(now).filter(|_| extends_lease);
-        if lease_until_ms.is_some() {
-            self.lease_sent_at = Some(now);
-        }
-        let order = Order::Renew { lease_until_ms, acknowledged: self.last_end, max_wait };
+        // After two missed renewals the lease is left to expire. A target with only attempts of others
+        // gets no extension either, since their former stewards rely on their expiry.
+        let has_only_foreign = self.attempts.is_empty() && self.has_foreign();
+        let extends_lease = self.missed_renewals < 2 && !has_only_foreign;
+        let lease_until_ms = self.extend_lease(extends_lease, now);
+        let order = Order::Renew { lease_until_ms, acknowledged: self.ends.last(), max_wait };
         Some(self.new_call(token, order, max_wait + self.timeout.current()))
     }
 
@@ -263,12 +296,13 @@
         next.map_or(MAX_RENEWAL_WAIT, distance).clamp(MIN_RENEWAL_WAIT, MAX_RENEWAL_WAIT)
     }
 
-    /// Starts an attempt. The caller must have checked that its resources are available.
+    /// Starts an attempt. The caller must have checked that its resources are available and that its
+    /// owner was heard recently enough.
     pub fn start(&mut self, task: &Task, spec: Arc<str>, attempt: Attempt, now: Instant) -> Call {
         let token = self.current_token();
         let run = attempt.run;
         self.attempts.insert(task.clone(), Attempt { token, ..attempt });
-        let lease_until_ms = self.lease_end_ms(now).unwrap_or_default();
+        let lease_until_ms = self.extend_lease(true, now).unwrap_or_default();
         self.lease_sent_at = Some(now);
         let order = Order::Start { task: task.clone(), run, spec, lease_until_ms };
         self.new_call(token, order, self.timeout.current())
@@ -354,33 +388,52 @@
         }
         self.phase = Phase::Free;
         self.orphans.clear();
+        self.unreadable = Unreadable::default();
         self.has_pending_renewal = false;
         self.missed_renewals = 0;
         self.is_uncertain = false;
         self.lease_sent_at = None;
     }
 
-    /// Returns the expiry of a lease granted now, in milliseconds on the target's clock. It assumes
-    /// that the clock has lagged at the maximum rate since its last reading, so that the lease never
-    /// lasts longer than granted. Returns none if the clock is unknown or the lease would be empty.
-    fn lease_end_ms(&self, now: Instant) -> Option<u64> {
-        let (clock_ms, at) = self.clock?;
+    /// Returns the expiry of a lease granted now, in milliseconds on the target's clock, and records
+    /// that it is granted. Returns none if it is not to be extended, if the clock is unknown or if the
+    /// lease would be empty.
+    fn extend_lease(&mut self, extends_lease: bool, now: Instant) -> Option<u64> {
         let lease = self.lease_duration(now);
-        if lease.is_zero() {
+        if !extends_lease || lease.is_zero() {
             return None;
         }
-        let ahead = now.duration_since(at).mul_f64(1.0 - MAX_CLOCK_DRIFT) + lease;
-        let ahead_ms = u64::try_from(ahead.as_millis()).unwrap_or(u64::MAX);
-        Some(clock_ms.saturating_add(ahead_ms))
+        let lease_ms = u64::try_from(lease.as_millis()).unwrap_or(u64::MAX);
+        let until_ms = self.min_clock_ms(now)?.saturating_add(lease_ms);
+        self.granted_until_ms = self.granted_until_ms.max(Some(until_ms));
+        self.lease_sent_at = Some(now);
+        Some(until_ms)
+    }
+
+    /// Returns the earliest time that the target's clock may show now, in milliseconds: it may have
+    /// lagged at the maximum rate since its last reading. A lease counted from there never lasts
+    /// longer than granted.
+    fn min_clock_ms(&self, now: Instant) -> Option<u64> {
+        let (clock_ms, at) = self.clock?;
+        let ahead = now.duration_since(at).mul_f64(1.0 - MAX_CLOCK_DRIFT);
+        Some(clock_ms.saturating_add(u64::try_from(ahead.as_millis()).unwrap_or(u64::MAX)))
     }
 
-    /// Returns the duration of a lease granted now. An owner may have given its job up right after its
-    /// last contact, so the lease ends before a caller can resend that job.
+    /// Returns the duration of a lease granted now. It ends before a caller of any owner with an
+    /// attempt here can resend its job. It leaves room for a task of another owner to start under it,
+    /// unless that owner has been silent for longer than usual.
     fn lease_duration(&self, now: Instant) -> Duration {
-        let resend_at = |one: &Attempt| one.owner_heard_at + self.term.resend_after;
-        let earliest = self.attempts.values().map(resend_at).min();
-        let left = earliest.map(|at| at.saturating_duration_since(now + RESEND_MARGIN));
-        left.map_or(self.term.max, |left| left.min(self.term.max))
+        let owners = self.attempts.values().map(|one| one.owner_heard_at);
+        let earliest = owners.min().map(|heard_at| self.lease_before_resend(heard_at, now));
+        let usual = self.lease_before_resend(now, now).saturating_sub(USUAL_SILENCE);
+        earliest.unwrap_or(usual).min(usual).min(self.term.max)
+    }
+
+    /// Returns the longest lease from now on that ends before a caller of this owner can resend a
+    /// job. The owner may have given the job up right after it was last heard.
+    fn lease_before_resend(&self, owner_heard_at: Instant, now: Instant) -> Duration {
+        let resend_at = owner_heard_at + self.term.resend_after;
+        resend_at.saturating_duration_since(now + RESEND_MARGIN)
     }
 
     /// Returns the longest time from granting a lease until all attempts under it have stopped.
@@ -388,6 +441,11 @@
         self.term.max.div_f64(1.0 - MAX_CLOCK_DRIFT) + STOP_MARGIN
     }
 
+    /// Whether all attempts under the last lease have stopped.
+    fn is_lease_expired(&self, now: Instant) -> bool {
+        self.lease_sent_at.is_none_or(|at| now.duration_since(at) > self.max_lease_age())
+    }
+
     fn current_token(&self) -> Token {
         match self.phase {
             Phase::Held(token) | Phase::Claiming(token) => token,
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use metrics::{counter, histogram};
-use slog::{Drain, Logger, info, o, warn};
+use slog::{Drain, Logger, error, info, o, warn};
 
 use super::{Limiter, Record};
 use crate::job::Outcome;
@@ -156,6 +156,11 @@
             warn!(log, "{}", name; "target" => %target, "reason" => %evidence,
                 "renewed_ms_ago" => since_renewal.map(millis));
         }
+        Record::ReportUnreadable { target, unreadable } => {
+            let sample = unreadable.sample.as_deref().unwrap_or_default();
+            warn!(log, "{}", name; "target" => %target, "running" => unreadable.running,
+                "ended" => unreadable.ended, "reason" => %truncate(sample));
+        }
         Record::TargetStalled { target, recalled } => {
             warn!(log, "{}", name; "target" => %target, "recalled" => recalled);
         }
@@ -188,6 +193,10 @@
             warn!(log, "{}", name; "reason" => %error)
         }
         Record::ConnectionFailed { error } => warn!(log, "{}", name; "reason" => %error),
+        Record::ThreadPanicked(panic) => {
+            error!(log, "{}", name; "thread" => %panic.thread, "reason" => %panic.message,
+                "place" => %panic.place);
+        }
         Record::ProcessStopped { open_jobs } => info!(log, "{}", name; "open_jobs" => open_jobs),
         _ => info!(log, "{}", name),
     }
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use coltsfootshunt_core::name::{Host, Kind, Target, Zone};
+use coltsfootshunt_core::panic::Panic;
 
 use crate::job::{End, Id, Outcome, Size, Task};
-use crate::lease::{Evidence, Rejection, Suffix, Token};
+use crate::lease::{Evidence, Rejection, Suffix, Token, Unreadable};
 use crate::store;
 
 /// A decision of this host or a change of the state that it knows. Each is written as one log line.
@@ -188,6 +189,13 @@
         /// Time since the last request that renews its lease; `None` if there was none.
         since_renewal: Option<Duration>,
     },
+    /// A target reports rows that can't be decoded.
+    ReportUnreadable {
+        /// Name of the target.
+        target: Target,
+        /// Rows that can't be decoded.
+        unreadable: Unreadable,
+    },
     /// A target makes no progress. Its attempts are stopped, and the tasks are started elsewhere.
     TargetStalled {
         /// Name of the target.
@@ -299,6 +307,8 @@
         /// Error of the operating system.
         error: Arc<str>,
     },
+    /// A thread of the process panicked. The process can't go on without its control thread.
+    ThreadPanicked(Panic),
     /// A graceful shutdown began.
     Stopping,
     /// The process is about to exit.
@@ -327,6 +337,7 @@
             Self::TargetClaimed { .. } => "target claimed",
             Self::TargetFenced { .. } => "target fenced",
             Self::TargetLost { .. } => "target lost",
+            Self::ReportUnreadable { .. } => "report unreadable",
             Self::TargetStalled { .. } => "target hangs",
             Self::TokenShared { .. } => "token shared",
             Self::TokenSuffixChanged { .. } => "token suffix changed",
@@ -344,6 +355,7 @@
             Self::ProcessStarted { .. } => "process began",
             Self::SettingsReloaded { .. } => "settings read",
             Self::ConnectionFailed { .. } => "connection not accepted",
+            Self::ThreadPanicked(_) => "thread panicked",
             Self::Stopping => "stop began",
             Self::ProcessStopped { .. } => "process ends",
         }
