fix(lease): tokens stay below 2^53, and a suffix that was left is not taken again

What operators could see: after a peer reported the highest token that was accepted, the next ones went beyond 2^53, where JSON parsers round; tokens of two processes become equal. A process that changed its suffix more than once could come back to one that another process uses. Cause: the largest accepted token left no room to count on; the search for a suffix began anew at each change.

--- a/crates/fleet/src/lease/token.rs
+++ b/crates/fleet/src/lease/token.rs
@@ -10,11 +10,11 @@
 /// Number of low bits of a token that name the process that issued it. Together with 41 bits of Unix
 /// milliseconds they stay below 2^53, up to which all JSON parsers keep integers exact.
 const SUFFIX_BITS: u32 = 12;
-/// Maximum number of suffixes tried to find one that no other process uses.
-const MAX_ATTEMPTS: u64 = 64;
+/// Maximum number of suffixes that are looked at to find one that no other process uses.
+const MAX_CANDIDATES: u64 = 64;
 
-/// Largest token accepted from another host: the largest integer that JSON keeps exact.
-const MAX_OBSERVED: Token = Token((1 << 53) - 1);
+/// Largest token accepted from another host. It leaves room to count on below 2^53.
+const MAX_OBSERVED: Token = Token((1 << 53) - (1 << 40));
 
 /// A fencing token. A target rejects orders with a lower token than the highest it has seen.
 #[derive(
@@ -54,6 +54,8 @@
 pub struct Issuer {
     incarnation: u64,
     suffix: Suffix,
+    /// Number of suffixes that were looked at so far; one that was left is not taken again.
+    candidates: u64,
     last: Token,
 }
 
@@ -61,7 +63,8 @@
     /// Creates the issuer of one incarnation of a host.
     #[must_use]
     pub fn new(incarnation: u64) -> Self {
-        Self { incarnation, suffix: Suffix::from(incarnation), last: Token::default() }
+        let suffix = Suffix::from(incarnation);
+        Self { incarnation, suffix, candidates: 0, last: Token::default() }
     }
 
     /// Suffix of the tokens that are issued now.
@@ -74,10 +77,15 @@
     pub fn change_suffix(&mut self, others: &BTreeSet<Suffix>) {
         // The hash contains the incarnation, so that two processes that leave the same suffix choose
         // different ones.
-        let hash = |attempt| xxh3_64_with_seed(&self.incarnation.to_le_bytes(), attempt);
-        let mut candidates = (0..MAX_ATTEMPTS).map(|attempt| Suffix::from(hash(attempt)));
-        let unused = candidates.find(|one| *one != self.suffix && !others.contains(one));
-        self.suffix = unused.unwrap_or(self.suffix);
+        let before = self.suffix;
+        for _ in 0..MAX_CANDIDATES {
+            let hash = xxh3_64_with_seed(&self.incarnation.to_le_bytes(), self.candidates);
+            self.candidates += 1;
+            self.suffix = Suffix::from(hash);
+            if self.suffix != before && !others.contains(&self.suffix) {
+                return;
+            }
+        }
     }
 
     /// Issues a token above all that this process has issued or observed.
@@ -101,12 +109,12 @@
     }
 
     /// Keeps later tokens above those that another process may issue within `margin` of the given one.
-    /// Tokens beyond the largest possible one are ignored, since none could be issued above them.
+    /// Larger ones than [`MAX_OBSERVED`] are ignored, so that a wild one does not use up all tokens.
     pub fn observe(&mut self, other: Token, margin: Duration) {
         let margin = u64::try_from(margin.as_millis()).unwrap_or(u64::MAX);
         let bound = Token(other.0.saturating_add(margin.saturating_mul(1 << SUFFIX_BITS)));
-        if bound <= MAX_OBSERVED {
-            self.last = self.last.max(bound);
+        if other <= MAX_OBSERVED {
+            self.last = self.last.max(bound.min(MAX_OBSERVED));
         }
     }
 
