fix(control): a change of the token suffix leaves resigned zones and the host's own heartbeats alone

What operators could see: a former steward that changed its suffix claimed the targets of a zone that it had resigned, which fenced its successor; a host with another address of its own among the seeds changed its suffix every 250 ms and claimed all its targets each time; during an upgrade the new hosts could not read the old ones' heartbeats. Cause: all targets were voided, not those of claimed zones; a heartbeat of the host itself was taken for a peer's; the new fields of the heartbeat were required. Change: only targets of claimed zones are voided; own heartbeats are ignored; the fields have defaults, and a missing suffix is unknown. New tests for rules that none guarded: `change_of_suffix_claims_targets_again`, `first_token_exceeds_what_the_predecessor_did_not_report`, `strangers_with_equal_suffixes_part`.

--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -108,6 +108,10 @@
     }
 
     fn handle_heartbeat(&mut self, from: &Identity, heartbeat: Heartbeat, now: Instant) {
+        // A seed may be another address of this host.
+        if from.host == self.membership.me().host {
+            return;
+        }
         let is_outdated = heartbeat.config_version > self.config.version();
         let is_missing_targets = self.directory.is_empty() && heartbeat.knows_targets;
         let was_requested = self
@@ -120,22 +124,24 @@
         self.issuer.observe(heartbeat.highest_token, Duration::ZERO);
         // Of a steward and a host without claims, the latter takes another suffix.
         let keeps_suffix = heartbeat.claims.is_empty() && !self.membership.claims.is_empty();
-        let shares_suffix = heartbeat.token_suffix == self.issuer.suffix();
+        let shares_suffix = heartbeat.token_suffix == Some(self.issuer.suffix());
         self.membership.record_heartbeat(&from.host, heartbeat);
         if shares_suffix && !keeps_suffix {
             self.change_token_suffix(Some(&from.host));
         }
     }
 
-    /// Issues tokens with another suffix, because another process uses the same: a peer, or one that only
-    /// a target has heard. Targets are claimed again, since their tokens may be that process's too.
+    /// Issues tokens with another suffix, because another process uses the same one: a peer, or `None` if
+    /// only a target's report shows it. Targets are claimed again, since their tokens may be that
+    /// process's too.
     pub(super) fn change_token_suffix(&mut self, peer: Option<&Host>) {
         let before = self.issuer.suffix();
-        let others = self.membership.peers().map(|peer| peer.heartbeat.token_suffix).collect();
+        let others = self.membership.peers().filter_map(|peer| peer.heartbeat.token_suffix);
+        let others = others.collect();
         self.issuer.change_suffix(&others);
         let after = self.issuer.suffix();
         self.record(Record::TokenSuffixChanged { peer: peer.cloned(), before, after });
-        self.steward.void_tokens();
+        self.steward.void_tokens(&self.membership);
         self.last_heartbeat = None;
     }
 
@@ -336,7 +342,7 @@
             config_version: self.config.version(),
             knows_targets: !self.directory.is_empty(),
             highest_token: self.issuer.highest(),
-            token_suffix: self.issuer.suffix(),
+            token_suffix: Some(self.issuer.suffix()),
         }
     }
 }
--- a/crates/fleet/src/control/tests/simulation/tokens.rs
+++ b/crates/fleet/src/control/tests/simulation/tokens.rs
@@ -7,7 +7,7 @@
 use coltsfootshunt_core::name::{Target, Zone};
 
 use super::Simulation;
-use crate::lease::{Call, Order, Phase, Rejection, Response, Token};
+use crate::lease::{Call, Order, Phase, Rejection, Response, Suffix, Token};
 use crate::member::Claim;
 
 /// One run of a host's process.
@@ -122,6 +122,11 @@
         self.violations.extend(violation.map(|one| format!("{now_ms} ms: {one}")));
     }
 
+    /// Returns the token suffix of a host that is up.
+    pub(in crate::control::tests) fn token_suffix(&self, host: usize) -> Option<Suffix> {
+        Some(self.hosts[host].state.as_ref()?.issuer.suffix())
+    }
+
     /// Returns how far the highest token of any host is ahead of the true time, in milliseconds.
     pub(in crate::control::tests) fn max_token_lead_ms(&self) -> u64 {
         let wall_time = self.time.wall_time().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/fleet/src/control/tests/tokens.rs
+++ b/crates/fleet/src/control/tests/tokens.rs
@@ -8,10 +8,14 @@
 use super::simulation::{ManualClock, Partition, Simulation, ZONES};
 use super::startup::host_without_peers;
 use crate::control::{Action, Event, Request};
+use crate::directory::tests::entry;
 use crate::job::RequestId;
+use crate::lease::Token;
 use crate::member::Heartbeat;
+use crate::member::tests::identity;
 use crate::peer::{Batch, Message};
 use crate::report::Record;
+use crate::store::{Listing, Update};
 
 /// Seeds of each test case.
 const SEEDS: std::ops::Range<u64> = 1..5;
@@ -261,7 +265,7 @@
 }
 
 /// Guards against tokens that run away from the clocks: hosts that have never heard each other claim the
-/// same targets, and each fenced claim raises the tokens by a second.
+/// same targets, and each fenced claim raises the tokens.
 #[test]
 fn tokens_of_strangers_stay_near_the_clocks() {
     let mut sim = Simulation::new(1);
@@ -282,7 +286,8 @@
     let clock = Arc::new(ManualClock::new());
     let mut state = host_without_peers(&clock);
     let token_suffix = state.issuer.suffix();
-    let heartbeat = Message::Heartbeat(Heartbeat { token_suffix, ..Heartbeat::default() });
+    let heartbeat =
+        Message::Heartbeat(Heartbeat { token_suffix: Some(token_suffix), ..Heartbeat::default() });
     let from = state.membership.me().clone();
     let batch = Batch { from, session: 1, sequence: 1, messages: vec![heartbeat] };
     state.handle(Event::Request(RequestId(1), Request::Deliver(batch)));
@@ -290,3 +295,40 @@
     assert!(!state.advance().iter().any(is_change));
     assert_eq!(state.issuer.suffix(), token_suffix);
 }
+
+/// Guards against two strangers that go on to share tokens: hosts that have never heard each other have
+/// equal suffixes, and only the targets of the zone that both serve show that.
+#[test]
+fn strangers_with_equal_suffixes_part() {
+    let identify = |host: usize, run: u64| (run << 16) + ((host as u64) << 12) + 7;
+    let mut sim = Simulation::with_incarnations(1, identify);
+    for (one, other) in pairs() {
+        sim.set_partition_one_way(one, other, Some(Partition::Refusing));
+        sim.set_partition_one_way(other, one, Some(Partition::Refusing));
+    }
+    work_for(&mut sim, 20_000);
+    for (one, other) in ZONE_HOSTS {
+        assert_ne!(sim.token_suffix(one), sim.token_suffix(other), "h{one} and h{other}");
+    }
+}
+
+/// Guards against a successor whose first tokens are below those that its predecessor has issued since
+/// its last heartbeat.
+#[test]
+fn first_token_exceeds_what_the_predecessor_did_not_report() {
+    let clock = Arc::new(ManualClock::new());
+    let mut state = host_without_peers(&clock);
+    let highest_token = Token(1 << 52);
+    let heartbeat = Message::Heartbeat(Heartbeat { highest_token, ..Heartbeat::default() });
+    let from = identity("predecessor", "a", 100);
+    let batch = Batch { from, session: 1, sequence: 1, messages: vec![heartbeat] };
+    state.handle(Event::Request(RequestId(1), Request::Deliver(batch)));
+    state.handle(Event::Store(Update::Targets(Listing::from(vec![entry("t", "a")]))));
+    clock.set(500);
+    let claim = state.advance().into_iter().find_map(|action| match action {
+        Action::Record(Record::StewardshipTaken { token, .. }) => Some(token),
+        _ => None,
+    });
+    let unreported = Token(highest_token.0 + (200 << 12));
+    assert!(claim.is_some_and(|token| token > unreported), "{claim:?}, {unreported}");
+}
--- a/crates/fleet/src/member/message.rs
+++ b/crates/fleet/src/member/message.rs
@@ -51,8 +51,10 @@
     pub config_version: u64,
     /// Whether it knows any target.
     pub knows_targets: bool,
-    /// Highest fencing token that it has issued or observed.
+    /// Token above which it issues its next one; earlier versions don't send it.
+    #[serde(default)]
     pub highest_token: Token,
-    /// Suffix of its fencing tokens.
-    pub token_suffix: Suffix,
+    /// Suffix of its fencing tokens; none from earlier versions.
+    #[serde(default)]
+    pub token_suffix: Option<Suffix>,
 }
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -164,9 +164,12 @@
         }
     }
 
-    /// Claims all targets again, because another process may use the tokens of this one.
-    pub fn void_tokens(&mut self) {
-        self.trackers.values_mut().for_each(Tracker::void_token);
+    /// Claims the targets of claimed zones again, because another process may use the tokens of this one.
+    /// The targets of other zones get no new tasks and are left to their new steward.
+    pub fn void_tokens(&mut self, membership: &Membership) {
+        let trackers = self.trackers.values_mut();
+        let claimed = trackers.filter(|tracker| membership.has_claim(&tracker.entry.zone));
+        claimed.for_each(Tracker::void_token);
     }
 
     /// Releases all targets and empties the queue after this process was paused, since other
--- a/crates/fleet/src/steward/tests.rs
+++ b/crates/fleet/src/steward/tests.rs
@@ -9,7 +9,7 @@
 use super::{Output, Settings, Steward};
 use crate::directory::{self, tests::entry};
 use crate::job::{Assignment, End, Grant, Id, Item, Requirements, Reservation, Resources};
-use crate::lease::{self, Call, Ended, Issuer, Order, Report, Response, Term, Token};
+use crate::lease::{self, Call, Ended, Issuer, Order, Phase, Report, Response, Term, Token};
 use crate::member::tests::identity;
 use crate::member::{Claim, Heartbeat, Membership};
 use crate::routing::Load;
@@ -488,7 +488,18 @@
     bench.steward.sync(&bench.directory, &bench.membership, bench.now);
     assert_eq!(bench.steward.busy_unclaimed(&bench.membership).len(), 1);
     let before = bench.steward.trackers().next().unwrap().phase;
-    bench.steward.void_tokens();
+    bench.steward.void_tokens(&bench.membership);
     bench.maintain();
     assert_eq!(bench.steward.trackers().next().unwrap().phase, before);
 }
+
+/// Guards against targets that are still held under tokens which another process may use.
+#[test]
+fn change_of_suffix_claims_targets_again() {
+    let mut bench = Bench::new(1);
+    let before = bench.steward.trackers().next().unwrap().phase;
+    bench.steward.void_tokens(&bench.membership);
+    bench.maintain();
+    let after = bench.steward.trackers().next().unwrap().phase;
+    assert!(matches!((before, after), (Phase::Held(held), Phase::Claiming(new)) if new > held));
+}
