fix(lease): a successor is not taken for a process with the same token, and tokens stay near the clocks

What operators could see: `token shared` where no token was shared, with a needless change of the suffix and claims on all targets; hosts that had never heard each other drove their tokens minutes ahead of the time within a minute. Cause: a renewal that waits at a target may be answered after another host's claim and then lists that host's work. Each fenced claim raised the tokens by a second, also in a contest of two stewards, in which each step made the next one necessary. Change: attempts in the answer to a renewal that waited are only suspected; nothing starts or stops there until one that does not wait, and is fenced if there is a successor, has shown them too. Only a host that has not yet held the target looks for the higher token, in steps that double from a millisecond; one that has held it waits 50 ms between fenced claims.

--- a/crates/fleet/src/control/targets.rs
+++ b/crates/fleet/src/control/targets.rs
@@ -7,15 +7,11 @@
 
 use super::{Action, State};
 use crate::job::{Assignment, Completion, End, Grant, Item, Reservation, Task};
-use crate::lease::{Call, Phase, Rejection, Response, Tracker};
+use crate::lease::{Call, Phase, Rejection, Response};
 use crate::peer::Message;
 use crate::report::Record;
 use crate::steward::Output;
 
-/// Step by which tokens rise after a target has rejected a claim. The target doesn't tell the highest
-/// token that it has seen, which may be that of a former steward whose clock was seconds ahead.
-const FENCED_CLAIM_STEP: Duration = Duration::from_secs(1);
-
 impl State {
     /// Enqueues tasks from an owner, or returns them if this host is no steward.
     pub(super) fn enqueue_tasks(&mut self, from: &Host, assignment: Assignment, now: Instant) {
@@ -50,8 +46,8 @@
     /// Handles the result of a call. If the target follows another steward, this host may give up
     /// its claim on the zone.
     pub(super) fn target_responded(&mut self, call: &Call, response: Response, now: Instant) {
-        if self.is_fenced_claim(call, &response) {
-            self.issuer.observe(call.token, FENCED_CLAIM_STEP);
+        if let Some(step) = self.fenced_claim_step(call, &response) {
+            self.issuer.observe(call.token, step);
         }
         let contested_zone = self.contested_zone(call, &response);
         let mut output = Output::default();
@@ -68,11 +64,13 @@
         self.apply_output(output, now);
     }
 
-    /// Whether a target has rejected a claim of this host because it has seen a higher token.
-    fn is_fenced_claim(&self, call: &Call, response: &Response) -> bool {
-        let is_claim = |tracker: &Tracker| tracker.phase == Phase::Claiming(call.token);
-        matches!(response, Response::Rejected(Rejection::Fenced))
-            && self.steward.tracker(&call.target).is_some_and(is_claim)
+    /// Returns the step by which tokens rise if a target has rejected a claim of this host because it has
+    /// seen a higher token.
+    fn fenced_claim_step(&self, call: &Call, response: &Response) -> Option<Duration> {
+        let tracker = self.steward.tracker(&call.target)?;
+        let is_fenced = matches!(response, Response::Rejected(Rejection::Fenced));
+        let is_claim = tracker.phase == Phase::Claiming(call.token);
+        (is_fenced && is_claim).then(|| tracker.fenced_claim_step())
     }
 
     /// Returns the zone of the called target if this host claims that zone but the target now
--- a/crates/fleet/src/lease/tests/token.rs
+++ b/crates/fleet/src/lease/tests/token.rs
@@ -7,7 +7,7 @@
 
 use super::{CLOCK, TERM, TOKEN, claimed_tracker, free_cpu, report, start_and_confirm, task};
 use crate::directory::tests::entry;
-use crate::lease::{Change, Issuer, Suffix, Token, Tracker};
+use crate::lease::{Change, Issuer, Order, Suffix, Token, Tracker};
 
 fn at(wall_ms: u64) -> SystemTime {
     SystemTime::UNIX_EPOCH + Duration::from_millis(wall_ms)
@@ -48,7 +48,8 @@
 }
 
 /// Guards against a second process under the same token: once the target lists its attempt, nothing is
-/// started or stopped there before a claim with a higher token.
+/// started or stopped there before a claim with a higher token. The first renewal has waited at the
+/// target, so that another host may have claimed it meanwhile; the second one does not wait.
 #[test]
 fn token_of_another_process_is_given_up() {
     let now = Instant::now();
@@ -56,13 +57,19 @@
     start_and_confirm(&mut tracker, 0, now);
     let renewal = tracker.next_renewal(now).unwrap();
     let changes = tracker.handle_response(&renewal, report(CLOCK + 5, &[0, 1], &[]), now);
+    assert!(changes.is_empty(), "{changes:?}");
+    assert!(tracker.due_stops(now).is_empty(), "the other process may hold the target");
+    assert_eq!(free_cpu(&tracker, now), None);
+    let renewal = tracker.next_renewal(now).unwrap();
+    assert!(matches!(renewal.order, Order::Renew { max_wait: Duration::ZERO, .. }));
+    let changes = tracker.handle_response(&renewal, report(CLOCK + 6, &[0, 1], &[]), now);
     let is_reported =
         |change: &Change| matches!(change, Change::SharedToken(TOKEN, one) if *one == task(1));
     assert!(changes.iter().any(is_reported), "{changes:?}");
     assert!(tracker.due_stops(now).is_empty(), "the other process may hold the target");
     assert!(tracker.wants_claim(now));
     let claim = tracker.claim(Token(6), now);
-    tracker.handle_response(&claim, report(CLOCK + 6, &[0, 1], &[]), now);
+    tracker.handle_response(&claim, report(CLOCK + 7, &[0, 1], &[]), now);
     assert_eq!(tracker.due_stops(now).len(), 1, "the fence voids the other process's orders");
     assert_eq!(free_cpu(&tracker, now), None);
 }
--- a/crates/fleet/src/lease/tracker.rs
+++ b/crates/fleet/src/lease/tracker.rs
@@ -43,6 +43,10 @@
 const USUAL_SILENCE: Duration = Duration::from_millis(300);
 /// Time that a target may need to stop a task once its lease has expired.
 const STOP_MARGIN: Duration = Duration::from_millis(100);
+/// First step by which tokens rise after a rejected claim.
+const MIN_CLAIM_STEP: Duration = Duration::from_millis(1);
+/// Number of times that the step doubles: up to 18 hours.
+const MAX_CLAIM_DOUBLINGS: u32 = 26;
 /// Time after which a target that has become idle gets the acknowledgement of its last ends.
 const ACKNOWLEDGE_DELAY: Duration = Duration::from_millis(250);
 
@@ -128,6 +132,13 @@
     /// Whether an order may or may not have been carried out, so that the target must be claimed with
     /// a new token.
     is_uncertain: bool,
+    /// Whether a renewal that waited at the target lists attempts that this host did not start. Another
+    /// host may have claimed the target meanwhile, which only a renewal that does not wait shows.
+    is_foreign_suspected: bool,
+    /// Whether the target has accepted a claim of this host.
+    was_held: bool,
+    /// Consecutive claims that the target has rejected for a higher token.
+    fenced_claims: u32,
     /// Start times in the directory, which may be stale or another writer's.
     start_times: StartTimes,
 }
@@ -157,6 +168,9 @@
             paused_until: now,
             next_renewal_at: now,
             is_uncertain: false,
+            is_foreign_suspected: false,
+            was_held: false,
+            fenced_claims: 0,
             start_times,
         }
     }
@@ -226,7 +240,7 @@
 
     /// Whether the target may run attempts whose resources are not known.
     fn has_foreign(&self) -> bool {
-        !self.orphans.is_empty() || self.unreadable.running > 0
+        !self.orphans.is_empty() || self.unreadable.running > 0 || self.is_foreign_suspected
     }
 
     /// Whether the target should be claimed now.
@@ -275,7 +289,7 @@
             return None;
         }
         self.has_pending_renewal = true;
-        let is_immediate = is_idle || self.missed_renewals > 0;
+        let is_immediate = is_idle || self.missed_renewals > 0 || self.is_foreign_suspected;
         let max_wait = if is_immediate { Duration::ZERO } else { self.renewal_wait(now) };
         // After two missed renewals the lease is left to expire. A target with only attempts of others
         // gets no extension either, since their former stewards rely on their expiry.
@@ -358,6 +372,17 @@
         matching.map(|one| one.recalled = true).count()
     }
 
+    /// Returns the step by which tokens rise after a rejected claim. The target doesn't tell the highest
+    /// token that it has seen. A new steward looks for it in growing steps, since its predecessor's
+    /// clock may have been far ahead; a host that has held the target leaves it to the higher token.
+    #[must_use]
+    pub fn fenced_claim_step(&self) -> Duration {
+        if self.was_held {
+            return Duration::ZERO;
+        }
+        MIN_CLAIM_STEP * 2_u32.pow(self.fenced_claims.min(MAX_CLAIM_DOUBLINGS))
+    }
+
     /// Makes the target be claimed again, because another process may use the current token. A pending
     /// claim is void.
     pub fn void_token(&mut self) {
@@ -392,6 +417,7 @@
         self.has_pending_renewal = false;
         self.missed_renewals = 0;
         self.is_uncertain = false;
+        self.is_foreign_suspected = false;
         self.lease_sent_at = None;
     }
 
--- a/crates/fleet/src/lease/tracker/response.rs
+++ b/crates/fleet/src/lease/tracker/response.rs
@@ -8,6 +8,9 @@
 
 /// Delay before a target whose lease expired without contact is claimed again.
 const RECLAIM_DELAY: Duration = Duration::from_millis(400);
+/// Delay before a target that this host has held is claimed again after it has rejected a claim for a
+/// higher token.
+const FENCED_CLAIM_DELAY: Duration = Duration::from_millis(50);
 /// Delay before the next start after a target has rejected one as unhealthy.
 const UNHEALTHY_DELAY: Duration = Duration::from_millis(500);
 /// Delay after a renewal that was rejected or could not be sent. Several retries fit into a lease.
@@ -53,14 +56,26 @@
                 if is_claim {
                     self.phase = Phase::Held(call.token);
                     self.is_uncertain = false;
+                    self.was_held = true;
+                    self.fenced_claims = 0;
                     self.start_times.record_claimed();
                 }
-                self.reconcile(&report, is_claim, now, changes);
+                let has_waited =
+                    matches!(call.order, Order::Renew { max_wait, .. } if !max_wait.is_zero());
+                self.reconcile(&report, is_claim, has_waited, now, changes);
                 if is_claim && self.phase == Phase::Held(call.token) {
                     changes.push(Change::Claimed(call.token));
                 }
             }
-            Response::Rejected(Rejection::Fenced) => self.handle_fenced(call.token, changes),
+            Response::Rejected(Rejection::Fenced) => {
+                if is_claim {
+                    self.fenced_claims += 1;
+                    if self.was_held {
+                        self.paused_until = now + FENCED_CLAIM_DELAY;
+                    }
+                }
+                self.handle_fenced(call.token, changes);
+            }
             // The order had no effect; running attempts go on until the lease expires.
             Response::Rejected(_) | Response::Accepted { .. } | Response::NotSent => {
                 self.next_renewal_at = now + RENEWAL_RETRY_DELAY;
@@ -153,6 +168,7 @@
         &mut self,
         report: &Report,
         is_claim: bool,
+        has_waited: bool,
         now: Instant,
         changes: &mut Vec<Change>,
     ) {
@@ -205,6 +221,7 @@
             }
         }
         let stopped = std::mem::take(&mut self.orphans);
+        self.is_foreign_suspected = false;
         for listed in &report.running {
             match self.attempts.get_mut(&listed.task) {
                 Some(attempt) if attempt.run == listed.run => {
@@ -212,6 +229,10 @@
                 }
                 _ => {
                     let same = stopped.get(&listed.task).filter(|known| known.run == listed.run);
+                    if same.is_none() && has_waited {
+                        self.is_foreign_suspected = true;
+                        continue;
+                    }
                     if same.is_none() && !is_claim {
                         self.is_uncertain = true;
                         changes
