--- a/crates/fleet/src/steward/tests.rs
+++ b/crates/fleet/src/steward/tests.rs
@@ -9,7 +9,7 @@
 use super::{Output, Settings, Steward};
 use crate::directory::{self, tests::entry};
 use crate::job::{Assignment, End, Grant, Id, Item, Requirements, Reservation, Resources};
-use crate::lease::{self, Call, Ended, Issuer, Order, Report, Response, Term, Token};
+use crate::lease::{self, Call, Ended, Issuer, Order, Phase, Report, Response, Term, Token};
 use crate::member::tests::identity;
 use crate::member::{Claim, Heartbeat, Membership};
 use crate::routing::Load;
@@ -476,3 +476,30 @@
     let names: Vec<String> = output.calls.iter().map(|call| call.target.to_string()).collect();
     assert!(names.iter().all(|name| name == "t1"), "{names:?}");
 }
+
+/// Guards against a former steward that takes a target back from its successor: it keeps the target
+/// only until its last attempts there have ended.
+#[test]
+fn change_of_suffix_claims_no_target_of_a_resigned_zone() {
+    let mut bench = Bench::new(1);
+    bench.enqueue(1, 1, "owner");
+    bench.dispatch();
+    bench.membership.claims.clear();
+    bench.steward.sync(&bench.directory, &bench.membership, bench.now);
+    assert_eq!(bench.steward.busy_unclaimed(&bench.membership).len(), 1);
+    let before = bench.steward.trackers().next().unwrap().phase;
+    bench.steward.void_tokens(&bench.membership);
+    bench.maintain();
+    assert_eq!(bench.steward.trackers().next().unwrap().phase, before);
+}
+
+/// Guards against targets that are still held under tokens which another process may use.
+#[test]
+fn change_of_suffix_claims_targets_again() {
+    let mut bench = Bench::new(1);
+    let before = bench.steward.trackers().next().unwrap().phase;
+    bench.steward.void_tokens(&bench.membership);
+    bench.maintain();
+    let after = bench.steward.trackers().next().unwrap().phase;
+    assert!(matches!((before, after), (Phase::Held(held), Phase::Claiming(new)) if new > held));
+}
