refactor(lease): claims and expiries of a tracker in files of their own

Claims and the bounds on leases move out of tracker.rs, and the call that a report answers is a type in place of two flags.

--- a/crates/fleet/src/lease/tracker.rs
+++ b/crates/fleet/src/lease/tracker.rs
@@ -1,7 +1,9 @@
 //! A steward's view of one target: its lease, its clock and the attempts that may run there.
 
 mod attempt;
+mod claim;
 mod ends;
+mod expiry;
 mod response;
 mod start_times;
 
@@ -28,25 +30,9 @@
 /// Multiple of its expected run time after which an attempt's end is overdue. One run in five takes
 /// longer.
 const OVERDUE_FACTOR: f64 = 1.35;
-/// Largest lag of a target's clock as a fraction of the elapsed time, from the platform's
-/// documentation.
-const MAX_CLOCK_DRIFT: f64 = 0.02;
 /// Age at which the reading of an idle target's clock is refreshed: it may be off by a tenth of a
 /// lease by then.
 const MAX_CLOCK_AGE: Duration = Duration::from_secs(5);
-/// Minimum time between the end of an attempt and the earliest moment at which the caller may resend
-/// the job. It covers the clock drift over the longest lease, the time to stop a task and the delay of
-/// a message from the owner to the steward.
-const RESEND_MARGIN: Duration = Duration::from_millis(150);
-/// Silence of an owner up to which its tasks may start under any lease that is granted: the interval
-/// of heartbeats, and their delay.
-const USUAL_SILENCE: Duration = Duration::from_millis(300);
-/// Time that a target may need to stop a task once its lease has expired.
-const STOP_MARGIN: Duration = Duration::from_millis(100);
-/// First step by which tokens rise after a rejected claim.
-const MIN_CLAIM_STEP: Duration = Duration::from_millis(1);
-/// Number of times that the step doubles: up to 18 hours.
-const MAX_CLAIM_DOUBLINGS: u32 = 26;
 /// Time after which a target that has become idle gets the acknowledgement of its last ends.
 const ACKNOWLEDGE_DELAY: Duration = Duration::from_millis(250);
 
@@ -228,48 +214,11 @@
         Some(self.entry.capacity.saturating_sub(&used))
     }
 
-    /// Returns the longest time since its owner was heard with which a task may start here. The leases
-    /// that were granted before, which can't be shortened, must expire before a caller of that owner
-    /// can resend the job. Returns none if no task may start.
-    #[must_use]
-    pub fn max_silence(&self, now: Instant) -> Option<Duration> {
-        let clock_ms = self.min_clock_ms(now)?;
-        let granted_ms = self.granted_until_ms.unwrap_or_default().saturating_sub(clock_ms);
-        self.lease_before_resend(now, now).checked_sub(Duration::from_millis(granted_ms))
-    }
-
     /// Whether the target may run attempts whose resources are not known.
     fn has_foreign(&self) -> bool {
         !self.orphans.is_empty() || self.unreadable.running > 0 || self.is_foreign_suspected
     }
 
-    /// Whether the target should be claimed now.
-    #[must_use]
-    pub fn wants_claim(&self, now: Instant) -> bool {
-        match self.phase {
-            Phase::Free => now >= self.paused_until,
-            Phase::Claiming(_) => false,
-            Phase::Held(_) => {
-                self.is_uncertain && now >= self.paused_until && now >= self.next_renewal_at
-            }
-        }
-    }
-
-    /// Claims the target. If it is held already, the new token voids all earlier orders.
-    pub fn claim(&mut self, token: Token, now: Instant) -> Call {
-        self.phase = Phase::Claiming(token);
-        self.start_times.record_claim();
-        // Attempts that other hosts started must end, so the lease is extended for own ones only.
-        let extends_lease = !self.attempts.is_empty() && self.missed_renewals == 0;
-        let lease_until_ms = self.extend_lease(extends_lease, now);
-        let order = Order::Renew {
-            lease_until_ms,
-            acknowledged: self.ends.last(),
-            max_wait: Duration::ZERO,
-        };
-        self.new_call(token, order, self.timeout.current())
-    }
-
     /// Returns the next renewal if one is due and none is pending.
     pub fn next_renewal(&mut self, now: Instant) -> Option<Call> {
         let Phase::Held(token) = self.phase else {
@@ -372,26 +321,6 @@
         matching.map(|one| one.recalled = true).count()
     }
 
-    /// Returns the step by which tokens rise after a rejected claim. The target doesn't tell the highest
-    /// token that it has seen. A new steward looks for it in growing steps, since its predecessor's
-    /// clock may have been far ahead; a host that has held the target leaves it to the higher token.
-    #[must_use]
-    pub fn fenced_claim_step(&self) -> Duration {
-        if self.was_held {
-            return Duration::ZERO;
-        }
-        MIN_CLAIM_STEP * 2_u32.pow(self.fenced_claims.min(MAX_CLAIM_DOUBLINGS))
-    }
-
-    /// Makes the target be claimed again, because another process may use the current token. A pending
-    /// claim is void.
-    pub fn void_token(&mut self) {
-        if let Phase::Claiming(_) = self.phase {
-            self.phase = Phase::Held(Token::default());
-        }
-        self.is_uncertain |= self.phase != Phase::Free;
-    }
-
     fn end_attempt(
         &mut self,
         task: &Task,
@@ -421,57 +350,6 @@
         self.lease_sent_at = None;
     }
 
-    /// Returns the expiry of a lease granted now, in milliseconds on the target's clock, and records
-    /// that it is granted. Returns none if it is not to be extended, if the clock is unknown or if the
-    /// lease would be empty.
-    fn extend_lease(&mut self, extends_lease: bool, now: Instant) -> Option<u64> {
-        let lease = self.lease_duration(now);
-        if !extends_lease || lease.is_zero() {
-            return None;
-        }
-        let lease_ms = u64::try_from(lease.as_millis()).unwrap_or(u64::MAX);
-        let until_ms = self.min_clock_ms(now)?.saturating_add(lease_ms);
-        self.granted_until_ms = self.granted_until_ms.max(Some(until_ms));
-        self.lease_sent_at = Some(now);
-        Some(until_ms)
-    }
-
-    /// Returns the earliest time that the target's clock may show now, in milliseconds: it may have
-    /// lagged at the maximum rate since its last reading. A lease counted from there never lasts
-    /// longer than granted.
-    fn min_clock_ms(&self, now: Instant) -> Option<u64> {
-        let (clock_ms, at) = self.clock?;
-        let ahead = now.duration_since(at).mul_f64(1.0 - MAX_CLOCK_DRIFT);
-        Some(clock_ms.saturating_add(u64::try_from(ahead.as_millis()).unwrap_or(u64::MAX)))
-    }
-
-    /// Returns the duration of a lease granted now. It ends before a caller of any owner with an
-    /// attempt here can resend its job. It leaves room for a task of another owner to start under it,
-    /// unless that owner has been silent for longer than usual.
-    fn lease_duration(&self, now: Instant) -> Duration {
-        let owners = self.attempts.values().map(|one| one.owner_heard_at);
-        let earliest = owners.min().map(|heard_at| self.lease_before_resend(heard_at, now));
-        let usual = self.lease_before_resend(now, now).saturating_sub(USUAL_SILENCE);
-        earliest.unwrap_or(usual).min(usual).min(self.term.max)
-    }
-
-    /// Returns the longest lease from now on that ends before a caller of this owner can resend a
-    /// job. The owner may have given the job up right after it was last heard.
-    fn lease_before_resend(&self, owner_heard_at: Instant, now: Instant) -> Duration {
-        let resend_at = owner_heard_at + self.term.resend_after;
-        resend_at.saturating_duration_since(now + RESEND_MARGIN)
-    }
-
-    /// Returns the longest time from granting a lease until all attempts under it have stopped.
-    fn max_lease_age(&self) -> Duration {
-        self.term.max.div_f64(1.0 - MAX_CLOCK_DRIFT) + STOP_MARGIN
-    }
-
-    /// Whether all attempts under the last lease have stopped.
-    fn is_lease_expired(&self, now: Instant) -> bool {
-        self.lease_sent_at.is_none_or(|at| now.duration_since(at) > self.max_lease_age())
-    }
-
     fn current_token(&self) -> Token {
         match self.phase {
             Phase::Held(token) | Phase::Claiming(token) => token,
--- a/crates/fleet/src/lease/tracker/response.rs
+++ b/crates/fleet/src/lease/tracker/response.rs
@@ -18,6 +18,17 @@
 /// Largest step back of the target's clock that reordered responses can explain, in milliseconds.
 const CLOCK_REORDER_MARGIN_MS: u64 = 500;
 
+/// Call that a report answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Source {
+    /// A claim. No other host can have given orders since it was accepted.
+    Claim,
+    /// A renewal that did not wait.
+    Renewal,
+    /// A renewal that waited at the target. Another host may have claimed the target meanwhile.
+    WaitingRenewal,
+}
+
 impl Tracker {
     /// Applies the response to a call and returns the changes that it revealed. Responses to calls
     /// with an outdated token are ignored.
@@ -62,7 +73,12 @@
                 }
                 let has_waited =
                     matches!(call.order, Order::Renew { max_wait, .. } if !max_wait.is_zero());
-                self.reconcile(&report, is_claim, has_waited, now, changes);
+                let source = match (is_claim, has_waited) {
+                    (true, _) => Source::Claim,
+                    (false, false) => Source::Renewal,
+                    (false, true) => Source::WaitingRenewal,
+                };
+                self.reconcile(&report, source, now, changes);
                 if is_claim && self.phase == Phase::Held(call.token) {
                     changes.push(Change::Claimed(call.token));
                 }
@@ -167,11 +183,11 @@
     fn reconcile(
         &mut self,
         report: &Report,
-        is_claim: bool,
-        has_waited: bool,
+        source: Source,
         now: Instant,
         changes: &mut Vec<Change>,
     ) {
+        let is_claim = source == Source::Claim;
         let has_restarted = report
             .started_at_ms
             .is_some_and(|started_at_ms| started_at_ms != self.entry.started_at_ms);
@@ -229,14 +245,17 @@
                 }
                 _ => {
                     let same = stopped.get(&listed.task).filter(|known| known.run == listed.run);
-                    if same.is_none() && has_waited {
-                        self.is_foreign_suspected = true;
-                        continue;
-                    }
-                    if same.is_none() && !is_claim {
-                        self.is_uncertain = true;
-                        changes
-                            .push(Change::SharedToken(self.current_token(), listed.task.clone()));
+                    match source {
+                        Source::WaitingRenewal if same.is_none() => {
+                            self.is_foreign_suspected = true;
+                            continue;
+                        }
+                        Source::Renewal if same.is_none() => {
+                            self.is_uncertain = true;
+                            let task = listed.task.clone();
+                            changes.push(Change::SharedToken(self.current_token(), task));
+                        }
+                        _ => {}
                     }
                     let stop_sent_at = same.and_then(|known| known.stop_sent_at);
                     let orphan = Orphan { run: listed.run, stop_sent_at };
