test: hosts as processes read only the logs of their own test

keeps_its_configuration::after_an_empty_document failed once because the log of its host had a line "store lost". The folder of a cluster was named after the port of its store, the log is appended to, and ports recur: the line was that of an earlier test whose store was away. Not a fault of the product.

Folders are now new for each cluster.

The checks say which lines they found.

--- a/crates/entry/tests/malformed_entries.rs
+++ b/crates/entry/tests/malformed_entries.rs
@@ -209,9 +209,11 @@
     })
     .await;
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    assert_eq!(reports().len(), 1);
+    assert_eq!(reports().len(), 1, "{:?}", reports());
     assert_eq!(reports()[0]["key"], CONFIGURATION);
-    assert!(!hosts[0].log_lines().iter().any(|line| line["msg"] == "store lost"));
+    let lost: Vec<_> =
+        hosts[0].log_lines().into_iter().filter(|line| line["msg"] == "store lost").collect();
+    assert!(lost.is_empty(), "{lost:?}");
     let (status, _) = cluster
         .submit(&hosts[0], "0000000000000001", (1, 14_000, 40))
         .await
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -11,6 +11,8 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::loopback;
+
 /// Time after which a connection that passes no bytes is closed.
 const BLACKHOLE_TIMEOUT: Duration = Duration::from_secs(30);
 const BUFFER_BYTES: usize = 16 << 10;
@@ -89,15 +91,14 @@
     }
 }
 
-/// Chooses a loopback address for one relay. With an address of its own, no outgoing connection and
+/// Chooses a loopback address for one relay, in the block of this process. With an address of its own, no outgoing connection and
 /// no other relay can take its port while [`Fault::Refuse`] keeps the listener closed.
 fn loopback() -> Ipv4Addr {
     static RELAYS: AtomicU32 = AtomicU32::new(0);
     let number = RELAYS.fetch_add(1, Ordering::Relaxed);
     let low = u8::try_from(number % 250).expect("a remainder of 250 is below 250") + 1;
     let middle = u8::try_from(number / 250 % 6).expect("a remainder of 6 is below 6") + 250;
-    let high = u8::try_from(std::process::id() % 250).expect("a remainder of 250 is below 250") + 2;
-    Ipv4Addr::new(127, high, middle, low)
+    Ipv4Addr::new(127, loopback::block(), middle, low)
 }
 
 /// Accepts connections, and closes the listener during [`Fault::Refuse`].
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -17,7 +17,7 @@
 use serde_json::value::RawValue;
 use serde_json::{Value, json};
 
-use super::wait_until;
+use super::{new_folder, wait_until};
 
 const SLOTS_PER_TARGET: usize = 8;
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
@@ -72,8 +72,7 @@
         for _ in 0..targets {
             started.push(Target::start(SLOTS_PER_TARGET).await.expect("a loopback port is free"));
         }
-        let folder = Path::new(folder).join(format!("entries-{}", platform.address.port()));
-        std::fs::create_dir_all(&folder).expect("the folder can be written");
+        let folder = new_folder(Path::new(folder), "entries");
         Self {
             platform,
             targets: started,
