feat(peer): account of the traffic between hosts by kind of message

Control messages fill narrow links, but no log or metric told which ones. A test sends batches through a relay that counts bytes, and compares both ends with the socket.

No change of behaviour; the encoding of a batch is the same.

--- a/crates/fleet/src/peer/message.rs
+++ b/crates/fleet/src/peer/message.rs
@@ -57,6 +57,27 @@
     },
 }
 
+impl Message {
+    /// Name of the kind of message, for logs and metrics.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Heartbeat(_) => "heartbeat",
+            Self::Hosts(_) => "hosts",
+            Self::Run(_) => "run",
+            Self::GrantRequest(_) => "grant_request",
+            Self::Grant(_) => "grant",
+            Self::Withdraw(_) => "withdraw",
+            Self::Cancel(..) => "cancel",
+            Self::Completed(..) => "completed",
+            Self::ConfigRequest => "config_request",
+            Self::Config(_) => "config",
+            Self::Targets(_) => "targets",
+            Self::Speeds { .. } => "speeds",
+        }
+    }
+}
+
 /// Consecutive messages of one session.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Batch {
--- a/crates/fleet/src/peer/outbox.rs
+++ b/crates/fleet/src/peer/outbox.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use super::{Ack, Batch, Message, Transport, Unreachable};
+use super::{Account, Ack, Batch, Message, Transport, Unreachable};
 use crate::control::{self, Event};
 use crate::member::Identity;
 
@@ -23,7 +23,7 @@
 
 /// Input of the task that sends to an address.
 enum Command {
-    Message(Message),
+    Message(Message, Instant),
     /// End the session and begin a new one.
     Reset,
 }
@@ -34,6 +34,7 @@
     transport: Arc<dyn Transport>,
     traffic: Handle,
     control: control::Handle,
+    account: Arc<Account>,
     senders: HashMap<SocketAddr, mpsc::UnboundedSender<Command>>,
 }
 
@@ -45,13 +46,14 @@
         transport: Arc<dyn Transport>,
         traffic: Handle,
         control: control::Handle,
+        account: Arc<Account>,
     ) -> Self {
-        Self { me, transport, traffic, control, senders: HashMap::new() }
+        Self { me, transport, traffic, control, account, senders: HashMap::new() }
     }
 
     /// Queues a message for an address.
     pub fn send(&mut self, to: SocketAddr, message: Message) {
-        self.enqueue(to, Command::Message(message));
+        self.enqueue(to, Command::Message(message, Instant::now()));
     }
 
     /// Ends the session with the host at an address and drops its unsent messages.
@@ -74,6 +76,7 @@
                 },
                 transport: Arc::clone(&self.transport),
                 control: self.control.clone(),
+                account: Arc::clone(&self.account),
             };
             self.traffic.spawn(task.run(commands));
             sender
@@ -89,17 +92,25 @@
     batch: Batch,
     transport: Arc<dyn Transport>,
     control: control::Handle,
+    account: Arc<Account>,
 }
 
 impl Sender {
     /// Sends messages in batches until the outbox or the control thread is gone.
     async fn run(mut self, mut commands: mpsc::UnboundedReceiver<Command>) {
         let mut received = Vec::with_capacity(MAX_BATCH_MESSAGES);
+        let mut queued: Vec<(&'static str, Instant)> = Vec::new();
         while commands.recv_many(&mut received, MAX_BATCH_MESSAGES).await > 0 {
             for command in received.drain(..) {
                 match command {
-                    Command::Message(message) => self.batch.messages.push(message),
-                    Command::Reset => self.begin_session(),
+                    Command::Message(message, queued_at) => {
+                        queued.push((message.kind(), queued_at));
+                        self.batch.messages.push(message);
+                    }
+                    Command::Reset => {
+                        queued.clear();
+                        self.begin_session();
+                    }
                 }
             }
             if self.batch.messages.is_empty() {
@@ -107,6 +118,7 @@
             }
             if let Err(error) = self.deliver().await {
                 self.begin_session();
+                queued.clear();
                 // The queued messages are lost too. The event below reports the loss to their senders.
                 while commands.try_recv().is_ok() {}
                 let refused = error == Unreachable::Refused;
@@ -115,6 +127,9 @@
                     return;
                 }
             }
+            for (kind, queued_at) in queued.drain(..) {
+                self.account.record_wait(kind, queued_at.elapsed());
+            }
             self.batch.messages.clear();
         }
     }
--- a/crates/fleet/src/peer/rpc.rs
+++ b/crates/fleet/src/peer/rpc.rs
@@ -12,11 +12,12 @@
 use jsonrpsee::core::params::ArrayParams;
 use jsonrpsee::server::{ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
-use jsonrpsee::types::error::INTERNAL_ERROR_CODE;
+use jsonrpsee::types::error::{INTERNAL_ERROR_CODE, INVALID_PARAMS_CODE};
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
 use tokio::net::TcpListener;
 
-use super::{Ack, Batch, Transport, Unreachable};
+use super::wire::Frame;
+use super::{Account, Ack, Batch, Transport, Unreachable};
 use crate::control::Handle;
 
 /// The only method: delivers one batch.
@@ -35,11 +36,15 @@
     _handle: ServerHandle,
 }
 
-/// Starts the server on a listening socket and passes each batch to `control`.
+/// Starts the server on a listening socket, passes each batch to `control` and counts it in `account`.
 ///
 /// # Errors
 /// Returns an error if the socket can't be used.
-pub fn serve(listener: TcpListener, control: Handle) -> std::io::Result<Server> {
+pub fn serve(
+    listener: TcpListener,
+    control: Handle,
+    account: Arc<Account>,
+) -> std::io::Result<Server> {
     let config = ServerConfig::builder()
         .max_request_body_size(MAX_BATCH_BYTES)
         .max_connections(MAX_CONNECTIONS)
@@ -47,10 +52,16 @@
         .build();
     let builder = jsonrpsee::server::Server::builder().set_config(config);
     let server = builder.build_from_tcp(listener.into_std()?)?;
-    let mut module = RpcModule::new(control);
+    let mut module = RpcModule::new((control, account));
     module
-        .register_async_method(METHOD, |params, control, _| async move {
-            let batch: Batch = params.one()?;
+        .register_async_method(METHOD, |params, context, _| async move {
+            let (control, account) = &*context;
+            let frame: Frame = params.one()?;
+            let batch = Batch::try_from(&frame).map_err(|error| {
+                ErrorObjectOwned::owned(INVALID_PARAMS_CODE, error.to_string(), None::<()>)
+            })?;
+            account.record_received(&batch.from, frame.parts(&batch));
+            drop(frame);
             control.deliver(batch).await.map_err(|_| {
                 ErrorObjectOwned::owned(INTERNAL_ERROR_CODE, "the host is ending", None::<()>)
             })
@@ -60,8 +71,8 @@
 }
 
 /// The client side: one WebSocket connection per address.
-#[derive(Default)]
 pub struct Rpc {
+    account: Arc<Account>,
     clients: Mutex<HashMap<SocketAddr, Arc<WsClient>>>,
 }
 
@@ -70,7 +81,9 @@
     async fn deliver(&self, to: SocketAddr, batch: &Batch) -> Result<Ack, Unreachable> {
         let client = self.client(to).await?;
         let mut params = ArrayParams::new();
-        params.insert(batch).map_err(|_| Unreachable::TimedOut)?;
+        let frame = Frame::try_from(batch).map_err(|_| Unreachable::TimedOut)?;
+        self.account.record_sent(to, frame.parts(batch));
+        params.insert(frame).map_err(|_| Unreachable::TimedOut)?;
         match tokio::time::timeout(DELIVER_TIMEOUT, client.request(METHOD, params)).await {
             Ok(Ok(ack)) => Ok(ack),
             Ok(Err(_)) | Err(_) => {
@@ -83,6 +96,12 @@
 }
 
 impl Rpc {
+    /// Creates a client without connections that counts what it sends in `account`.
+    #[must_use]
+    pub fn new(account: Arc<Account>) -> Self {
+        Self { account, clients: Mutex::default() }
+    }
+
     async fn client(&self, to: SocketAddr) -> Result<Arc<WsClient>, Unreachable> {
         let known = self.lock().get(&to).filter(|client| client.is_connected()).cloned();
         if let Some(client) = known {
--- a/crates/fleet/src/peer/tests.rs
+++ b/crates/fleet/src/peer/tests.rs
@@ -1,17 +1,24 @@
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_trait::async_trait;
 use coltsfootshunt_core::clock::System;
 use coltsfootshunt_testkit::cases;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle as Runtime;
 use tokio::sync::watch;
 
-use super::{Ack, Batch, Inbox, Message, Outbox, Receipt, Transport, Unreachable};
+use super::{
+    Account, Ack, Batch, Count, Direction, Inbox, Key, Message, Outbox, Receipt, Rpc, Transport,
+    Unreachable, serve,
+};
 use crate::control::{self, Dependencies, Executor, Settings};
 use crate::lease::{Call, Client, Response, Term};
+use crate::member::Heartbeat;
 use crate::member::tests::identity;
 use crate::report::Silent;
 use crate::steward;
@@ -124,7 +131,9 @@
 }
 
 fn outbox(recorder: Arc<Recorder>, control: control::Handle) -> Outbox {
-    Outbox::new(identity("me", "a", 250), recorder, Runtime::current(), control)
+    let me = identity("me", "a", 250);
+    let account = Arc::new(Account::new(me.zone.clone()));
+    Outbox::new(me, recorder, Runtime::current(), control, account)
 }
 
 /// Sends messages one after the other, each once the one before has led to two batches, and checks
@@ -159,3 +168,80 @@
         &[(1, 1, 0), (1, 2, 1), (2, 1, 0), (2, 2, 1)],
     );
 }
+
+/// Forwards the connections of `listener` to `upstream` and counts the bytes of both directions.
+async fn count_bytes(listener: TcpListener, upstream: SocketAddr, bytes: Arc<AtomicU64>) {
+    while let Ok((mut client, _)) = listener.accept().await {
+        let mut server = TcpStream::connect(upstream).await.unwrap();
+        let bytes = Arc::clone(&bytes);
+        tokio::spawn(async move {
+            let (mut from_client, mut to_client) = client.split();
+            let (mut from_server, mut to_server) = server.split();
+            let request = copy(&mut from_client, &mut to_server, &bytes);
+            let response = copy(&mut from_server, &mut to_client, &bytes);
+            tokio::join!(request, response);
+        });
+    }
+}
+
+async fn copy(
+    from: &mut (impl AsyncRead + Unpin),
+    to: &mut (impl AsyncWrite + Unpin),
+    bytes: &AtomicU64,
+) {
+    let mut buffer = [0; 4_096];
+    while let Ok(read @ 1..) = from.read(&mut buffer).await {
+        bytes.fetch_add(read as u64, Ordering::Relaxed);
+        if to.write_all(&buffer[..read]).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn sum(counts: &BTreeMap<Key, Count>, direction: Direction) -> Count {
+    let of_direction = counts.iter().filter(|(key, _)| key.direction == direction);
+    of_direction.fold(Count::default(), |sum, (_, count)| sum + *count)
+}
+
+/// The bytes on the socket are those of the account of either side, and a bounded number for each
+/// connection and batch: the handshake, the frames, the JSON-RPC call and its response.
+fn accounts_for_the_bytes_of(messages: &[Message]) {
+    const MAX_BYTES_PER_CONNECTION: u64 = 600;
+    const MAX_BYTES_PER_BATCH: u64 = 200;
+    let batches = 20;
+    let traffic = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let upstream = listener.local_addr().unwrap();
+        let receiver = Arc::new(Account::new(identity("you", "b", 250).zone));
+        let _server = serve(listener, control(), Arc::clone(&receiver)).unwrap();
+        let counted = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let to = counted.local_addr().unwrap();
+        let bytes = Arc::new(AtomicU64::new(0));
+        tokio::spawn(count_bytes(counted, upstream, Arc::clone(&bytes)));
+        let sender = Arc::new(Account::new(identity("x", "a", 250).zone));
+        let rpc = Rpc::new(Arc::clone(&sender));
+        for sequence in 1..=batches {
+            let messages = if sequence == 1 { Vec::new() } else { messages.to_vec() };
+            let batch = Batch { messages, ..batch(1, 1, sequence) };
+            assert_eq!(rpc.deliver(to, &batch).await, Ok(Ack::Accepted));
+        }
+        let sent = sum(&sender.take().0, Direction::Sent);
+        let received = sum(&receiver.take().0, Direction::Received);
+        assert_eq!(sent, received);
+        assert_eq!(sent.messages, batches + (batches - 1) * messages.len() as u64);
+        let overhead = bytes.load(Ordering::Relaxed) - sent.bytes;
+        assert!(overhead <= MAX_BYTES_PER_CONNECTION + batches * MAX_BYTES_PER_BATCH, "{overhead}");
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(traffic);
+}
+
+cases! { accounts_for_the_bytes_of:
+    heartbeats(&[Message::Heartbeat(Heartbeat::default())]);
+    several_kinds(&[
+        Message::Heartbeat(Heartbeat::default()),
+        Message::ConfigRequest,
+        Message::Hosts(vec![identity("y", "b", 250); 30]),
+        Message::Targets(Vec::new()),
+    ]);
+}
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -175,6 +175,12 @@
             warn!(log, "{}", name; "peer" => %peer, "reason" => reason,
                 "silent_ms" => millis(*silent));
         }
+        Record::PeerTraffic { counts, longest_wait, period } => {
+            let counts: Vec<String> =
+                counts.iter().map(|(key, count)| format!("{key}={count}")).collect();
+            info!(log, "{}", name; "traffic" => counts.join(" "),
+                "longest_wait_ms" => millis(*longest_wait), "period_ms" => millis(*period));
+        }
         Record::ConfigApplied { version, source } => {
             info!(log, "{}", name; "configuration" => version, "from" => source);
         }
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -1,5 +1,6 @@
 //! Events that are logged and counted.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 
 use crate::job::{End, Id, Outcome, Size, Task};
 use crate::lease::{Evidence, Rejection, Suffix, Token, Unreadable};
+use crate::peer;
 use crate::store;
 
 /// A decision of this host or a change of the state that it knows. Each is written as one log line.
@@ -257,6 +259,15 @@
         /// Time since the peer was last heard.
         silent: Duration,
     },
+    /// Messages to and from other hosts in a period.
+    PeerTraffic {
+        /// Number and size by direction, class of peer and kind.
+        counts: BTreeMap<peer::Key, peer::Count>,
+        /// Longest time from the queueing of a message to its acknowledgement.
+        longest_wait: Duration,
+        /// Length of the period.
+        period: Duration,
+    },
     /// A configuration was applied.
     ConfigApplied {
         /// Version of the configuration.
@@ -346,6 +357,7 @@
             Self::StewardshipResigned { .. } => "stewardship given up",
             Self::PeerFound { .. } => "peer found",
             Self::PeerLost { .. } => "peer lost",
+            Self::PeerTraffic { .. } => "peer traffic",
             Self::ConfigApplied { .. } => "configuration in force",
             Self::TargetsChanged { .. } => "targets known",
             Self::EntryUnreadable { .. } => "entry unreadable",
