feat(peer): messages on jobs go before lists and heartbeats

A host sent what it had to say to another one in the order of its creation.

Messages on jobs now go first and in order, at most 64 a batch; of all others only the latest of each kind is kept, and a list goes along with messages on jobs only after 500 ms. The queue is bounded; one that is full ends the session.

A batch without messages goes ahead of messages on jobs if the last acknowledgement is older than 400 ms. So far every host beat to every other one in that time. Hosts that seldom speak to each other need it for the rule that delayed messages on jobs are void, since the silence of the sender shows it.

Test: a link of 250 kB/s with a steward's traffic: longest wait under 150 ms, first come first served over 1 s.

--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -43,6 +43,9 @@
 /// Time after which a batch that can't be delivered ends its session.
 const DELIVERY_TIMEOUT_MS: u64 = 700;
 
+/// Age of the last acknowledgement from which on a batch without messages goes ahead of messages on jobs.
+const MAX_ACK_AGE_MS: u64 = 400;
+
 /// Scheduled event. Hosts are numbered by their index; an incarnation is one run of a host's
 /// process.
 enum SimEvent {
@@ -82,6 +85,10 @@
     batch: Vec<Message>,
     /// Time of the first attempt to deliver the batch in flight.
     sending_since: Option<u64>,
+    /// Whether the batch in flight is one without messages, ahead of those in `batch`.
+    goes_first: Option<bool>,
+    /// Time at which the last batch of the session was sent that the receiver got.
+    acknowledged_at_ms: Option<u64>,
 }
 
 struct Host {
@@ -96,7 +103,15 @@
 
 impl Channel {
     fn new() -> Self {
-        Self { session: 1, sequence: 0, queue: Vec::new(), batch: Vec::new(), sending_since: None }
+        Self {
+            session: 1,
+            sequence: 0,
+            queue: Vec::new(),
+            batch: Vec::new(),
+            sending_since: None,
+            goes_first: None,
+            acknowledged_at_ms: None,
+        }
     }
 
     /// Starts a new session and drops all queued messages.
@@ -105,6 +120,23 @@
         self.sequence = 0;
         self.queue.clear();
         self.batch.clear();
+        self.goes_first = None;
+        self.acknowledged_at_ms = None;
+    }
+
+    /// Takes the queued messages as the next batch, messages on jobs first.
+    fn take_queue(&mut self) {
+        self.batch = std::mem::take(&mut self.queue);
+        self.batch.sort_by_key(|message| !message.is_about_jobs());
+    }
+
+    /// Whether a batch without messages must go first: the session is not open, or messages on jobs follow
+    /// a time without acknowledgements.
+    fn needs_empty_batch(&self, now_ms: u64) -> bool {
+        let is_recent =
+            self.acknowledged_at_ms.is_some_and(|at_ms| now_ms < at_ms + MAX_ACK_AGE_MS);
+        let is_about_jobs = self.batch.iter().any(Message::is_about_jobs);
+        self.sequence == 0 || (is_about_jobs && !is_recent)
     }
 }
 
--- a/crates/fleet/src/control/tests/simulation/network.rs
+++ b/crates/fleet/src/control/tests/simulation/network.rs
@@ -43,19 +43,23 @@
             return;
         };
         if channel.batch.is_empty() {
-            channel.batch = std::mem::take(&mut channel.queue);
+            channel.take_queue();
         }
         if channel.batch.is_empty() {
             channel.sending_since = None;
             return;
         }
-        let is_opening = channel.sequence == 0;
         let is_first = channel.sending_since.is_none();
+        // A batch that is repeated stays the same.
+        let goes_first = match channel.goes_first.filter(|_| !is_first) {
+            Some(goes_first) => goes_first,
+            None => *channel.goes_first.insert(channel.needs_empty_batch(now_ms)),
+        };
         let since = *channel.sending_since.get_or_insert(now_ms);
         if is_first && partition == Some(Partition::Silent) && self.delivers_after_partition {
             // The batch is in flight; the sender gives it up later without a reset.
             let (session, sequence) = (channel.session, channel.sequence + 1);
-            let messages = if is_opening { Vec::new() } else { channel.batch.clone() };
+            let messages = if goes_first { Vec::new() } else { channel.batch.clone() };
             let batch = Batch { from: from.clone(), session, sequence, messages };
             self.delayed_batches.push((host, other, batch));
         }
@@ -70,8 +74,10 @@
             return self.schedule(20, SimEvent::Deliver { host, incarnation, to });
         }
         channel.sequence += 1;
+        channel.goes_first = None;
+        channel.acknowledged_at_ms = Some(now_ms);
         channel.sending_since = Some(now_ms);
-        let messages = if is_opening { Vec::new() } else { std::mem::take(&mut channel.batch) };
+        let messages = if goes_first { Vec::new() } else { std::mem::take(&mut channel.batch) };
         let batch = Batch { from, session: channel.session, sequence: channel.sequence, messages };
         let request_id = self.new_request_id();
         let other_incarnation = self.hosts[other].incarnation;
--- a/crates/fleet/src/peer/message.rs
+++ b/crates/fleet/src/peer/message.rs
@@ -58,6 +58,26 @@
 }
 
 impl Message {
+    /// Whether the message creates, changes or ends work for a job. Such messages are void when they are
+    /// late; all others only report state.
+    #[must_use]
+    pub fn is_about_jobs(&self) -> bool {
+        match self {
+            Self::Run(_)
+            | Self::GrantRequest(_)
+            | Self::Grant(_)
+            | Self::Withdraw(_)
+            | Self::Cancel(..)
+            | Self::Completed(..) => true,
+            Self::Heartbeat(_)
+            | Self::Hosts(_)
+            | Self::ConfigRequest
+            | Self::Config(_)
+            | Self::Targets(_)
+            | Self::Speeds { .. } => false,
+        }
+    }
+
     /// Name of the kind of message, for logs and metrics.
     #[must_use]
     pub fn kind(&self) -> &'static str {
--- a/crates/fleet/src/peer/mod.rs
+++ b/crates/fleet/src/peer/mod.rs
@@ -11,6 +11,7 @@
 mod inbox;
 mod message;
 mod outbox;
+mod queue;
 mod rpc;
 mod wire;
 
@@ -21,4 +22,5 @@
 pub use inbox::{Inbox, Receipt};
 pub use message::{Ack, Batch, Message, Transport, Unreachable};
 pub use outbox::Outbox;
+pub use queue::{Full, Queue};
 pub use rpc::{Rpc, Server, serve};
--- a/crates/fleet/src/peer/outbox.rs
+++ b/crates/fleet/src/peer/outbox.rs
@@ -9,7 +9,8 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use super::{Account, Ack, Batch, Message, Transport, Unreachable};
+use super::queue::Queued;
+use super::{Account, Ack, Batch, Full, Message, Queue, Transport, Unreachable};
 use crate::control::{self, Event};
 use crate::member::Identity;
 
@@ -18,12 +19,15 @@
 const DELIVERY_TIMEOUT: Duration = Duration::from_millis(700);
 /// Delay before a batch is sent again.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
-/// Maximum number of messages in one batch.
-const MAX_BATCH_MESSAGES: usize = 256;
+/// Age of the last acknowledgement from which on a batch without messages goes ahead of messages on jobs. It
+/// leaves the receiver the rest of the silence that it accepts for the batch to arrive.
+const MAX_ACK_AGE: Duration = Duration::from_millis(400);
+/// Maximum number of commands taken from the control thread at once.
+const MAX_COMMANDS: usize = 256;
 
 /// Input of the task that sends to an address.
 enum Command {
-    Message(Message, Instant),
+    Message(Box<Message>, Instant),
     /// End the session and begin a new one.
     Reset,
 }
@@ -53,7 +57,7 @@
 
     /// Queues a message for an address.
     pub fn send(&mut self, to: SocketAddr, message: Message) {
-        self.enqueue(to, Command::Message(message, Instant::now()));
+        self.enqueue(to, Command::Message(Box::new(message), Instant::now()));
     }
 
     /// Ends the session with the host at an address and drops its unsent messages.
@@ -74,6 +78,8 @@
                     sequence: 0,
                     messages: Vec::new(),
                 },
+                queue: Queue::default(),
+                acknowledged_at: None,
                 transport: Arc::clone(&self.transport),
                 control: self.control.clone(),
                 account: Arc::clone(&self.account),
@@ -90,6 +96,9 @@
 struct Sender {
     to: SocketAddr,
     batch: Batch,
+    queue: Queue,
+    /// Time at which the last acknowledged batch of the session was sent.
+    acknowledged_at: Option<Instant>,
     transport: Arc<dyn Transport>,
     control: control::Handle,
     account: Arc<Account>,
@@ -98,27 +107,25 @@
 impl Sender {
     /// Sends messages in batches until the outbox or the control thread is gone.
     async fn run(mut self, mut commands: mpsc::UnboundedReceiver<Command>) {
-        let mut received = Vec::with_capacity(MAX_BATCH_MESSAGES);
-        let mut queued: Vec<(&'static str, Instant)> = Vec::new();
-        while commands.recv_many(&mut received, MAX_BATCH_MESSAGES).await > 0 {
-            for command in received.drain(..) {
-                match command {
-                    Command::Message(message, queued_at) => {
-                        queued.push((message.kind(), queued_at));
-                        self.batch.messages.push(message);
-                    }
-                    Command::Reset => {
-                        queued.clear();
-                        self.begin_session();
-                    }
+        let mut received = Vec::with_capacity(MAX_COMMANDS);
+        loop {
+            if self.queue.is_empty() {
+                if commands.recv_many(&mut received, MAX_COMMANDS).await == 0 {
+                    return;
                 }
+            } else {
+                received.extend(std::iter::from_fn(|| commands.try_recv().ok()));
             }
-            if self.batch.messages.is_empty() {
-                continue;
-            }
-            if let Err(error) = self.deliver().await {
+            let enqueued = self.enqueue(received.drain(..));
+            let delivered = match enqueued {
+                Ok(()) => {
+                    let messages = self.queue.next_batch(Instant::now());
+                    self.deliver(messages).await
+                }
+                Err(Full) => Err(Unreachable::TimedOut),
+            };
+            if let Err(error) = delivered {
                 self.begin_session();
-                queued.clear();
                 // The queued messages are lost too. The event below reports the loss to their senders.
                 while commands.try_recv().is_ok() {}
                 let refused = error == Unreachable::Refused;
@@ -127,30 +134,57 @@
                     return;
                 }
             }
-            for (kind, queued_at) in queued.drain(..) {
-                self.account.record_wait(kind, queued_at.elapsed());
+        }
+    }
+
+    fn enqueue(&mut self, commands: impl Iterator<Item = Command>) -> Result<(), Full> {
+        for command in commands {
+            match command {
+                Command::Message(message, at) => self.queue.push(*message, at)?,
+                Command::Reset => self.begin_session(),
             }
-            self.batch.messages.clear();
         }
+        Ok(())
     }
 
-    /// Begins a new session and drops the messages of the current batch.
+    /// Begins a new session and drops all messages of the present one.
     fn begin_session(&mut self) {
         self.batch.session += 1;
         self.batch.sequence = 0;
         self.batch.messages.clear();
+        self.acknowledged_at = None;
+        self.queue.clear();
     }
 
-    /// Delivers the messages of the current batch. Opens the session first, so that messages which a
-    /// network partition delays arrive within a session whose sender was silent, and are void.
-    async fn deliver(&mut self) -> Result<(), Unreachable> {
+    /// Delivers messages. A batch without messages goes first where the receiver has not acknowledged one
+    /// recently: messages on jobs that a network partition delays then arrive while the receiver has not
+    /// heard this host for too long, and are void.
+    async fn deliver(&mut self, messages: Vec<Queued>) -> Result<(), Unreachable> {
+        if messages.is_empty() {
+            return Ok(());
+        }
         let deadline = Instant::now() + DELIVERY_TIMEOUT;
-        if self.batch.sequence == 0 {
-            let messages = std::mem::take(&mut self.batch.messages);
+        let is_recent = self.acknowledged_at.is_some_and(|at| at.elapsed() < MAX_ACK_AGE);
+        let is_about_jobs = messages.iter().any(|(message, _)| message.is_about_jobs());
+        if self.batch.sequence == 0 || (is_about_jobs && !is_recent) {
             self.deliver_next(deadline).await?;
-            self.batch.messages = messages;
         }
-        self.deliver_next(deadline).await
+        let (messages, queued): (Vec<_>, Vec<_>) = messages
+            .into_iter()
+            .map(|(message, at)| {
+                let kind = message.kind();
+                (message, (kind, at))
+            })
+            .unzip();
+        self.batch.messages = messages;
+        let delivered = self.deliver_next(deadline).await;
+        self.batch.messages.clear();
+        if delivered.is_ok() {
+            for (kind, at) in queued {
+                self.account.record_wait(kind, at.elapsed());
+            }
+        }
+        delivered
     }
 
     /// Delivers the next batch of the session, repeating it until it is acknowledged or the deadline
@@ -158,8 +192,12 @@
     async fn deliver_next(&mut self, deadline: Instant) -> Result<(), Unreachable> {
         self.batch.sequence += 1;
         loop {
+            let sent_at = Instant::now();
             match self.transport.deliver(self.to, &self.batch).await {
-                Ok(Ack::Accepted) => return Ok(()),
+                Ok(Ack::Accepted) => {
+                    self.acknowledged_at = Some(sent_at);
+                    return Ok(());
+                }
                 Ok(Ack::SessionLost) => return Err(Unreachable::TimedOut),
                 Err(Unreachable::Refused) => return Err(Unreachable::Refused),
                 Err(Unreachable::TimedOut) if Instant::now() >= deadline => {
--- a/crates/fleet/src/peer/tests.rs
+++ b/crates/fleet/src/peer/tests.rs
@@ -1,3 +1,5 @@
+mod queue;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
--- /dev/null
+++ b/crates/fleet/src/peer/tests/queue.rs
@@ -0,0 +1,148 @@
+//! Order of messages on a link that carries less than what is sent.
+
+use std::time::Duration;
+
+use coltsfootshunt_testkit::cases;
+use tokio::time::Instant;
+
+use crate::job::Id;
+use crate::member::Heartbeat;
+use crate::member::tests::identity;
+use crate::peer::{Full, Message, Queue};
+use crate::routing::Load;
+
+fn completed() -> Message {
+    Message::Completed(Vec::new(), Load::default())
+}
+
+fn cancel(generation: u64) -> Message {
+    Message::Cancel(Id::try_from("0000000000000001").unwrap(), generation)
+}
+
+fn heartbeat(config_version: u64) -> Message {
+    Message::Heartbeat(Heartbeat { config_version, ..Heartbeat::default() })
+}
+
+fn hosts(count: usize) -> Message {
+    Message::Hosts(vec![identity("y", "b", 250); count])
+}
+
+fn speeds() -> Message {
+    Message::Speeds { targets: Vec::new(), kinds: Vec::new() }
+}
+
+/// Kinds of the messages of each batch.
+fn batches(messages: &[Message], waited_ms: u64, expected: &[&[&str]]) {
+    let start = Instant::now();
+    let mut queue = Queue::default();
+    messages.iter().for_each(|message| queue.push(message.clone(), start).unwrap());
+    let now = start + Duration::from_millis(waited_ms);
+    let mut batches = Vec::new();
+    while !queue.is_empty() {
+        let batch = queue.next_batch(now);
+        batches.push(batch.iter().map(|(message, _)| message.kind()).collect::<Vec<_>>());
+    }
+    assert_eq!(batches, expected);
+}
+
+cases! { batches:
+    messages_on_jobs_before_all_others(
+        &[speeds(), hosts(1), heartbeat(1), cancel(1), completed()],
+        0,
+        &[&["cancel", "completed", "heartbeat"], &["hosts"], &["speeds"]],
+    );
+    a_list_that_waited_long_along_with_them(
+        &[speeds(), cancel(1)],
+        500,
+        &[&["cancel", "speeds"]],
+    );
+    only_the_last_heartbeat(&[heartbeat(1), heartbeat(2), heartbeat(3)], 0, &[&["heartbeat"]]);
+    only_the_last_list(&[hosts(1), hosts(2), hosts(3)], 0, &[&["hosts"]]);
+}
+
+/// Messages on jobs stay in order and none is left out.
+#[test]
+fn messages_on_jobs_keep_their_order() {
+    let now = Instant::now();
+    let mut queue = Queue::default();
+    (0..500).for_each(|number| queue.push(cancel(number), now).unwrap());
+    let mut generations = Vec::new();
+    while !queue.is_empty() {
+        let batch = queue.next_batch(now);
+        assert!(batch.len() <= 64);
+        generations.extend(batch.into_iter().map(|(message, _)| match message {
+            Message::Cancel(_, generation) => generation,
+            other => panic!("{other:?}"),
+        }));
+    }
+    assert_eq!(generations, (0..500).collect::<Vec<_>>());
+}
+
+/// Guards against a host that never answers and fills the memory of those that send to it.
+#[test]
+fn the_queue_is_bounded() {
+    let now = Instant::now();
+    let mut queue = Queue::default();
+    let full = (0..5_000).find(|number| queue.push(cancel(*number), now) == Err(Full));
+    assert_eq!(full, Some(4_096));
+    (0..5_000).for_each(|_| queue.push(hosts(1), now).unwrap());
+    queue.clear();
+    assert!(queue.is_empty());
+}
+
+/// Plays 10 s of a steward's messages on a link of 250 kB a second and returns the longest wait of a message
+/// on jobs: for each of 17 hosts one heartbeat in 100 ms, learned speeds and a list of hosts each second,
+/// and 70 ends a second.
+fn longest_wait(
+    next_batch: impl Fn(&mut Queue, &mut Vec<Message>, Instant) -> Vec<Message>,
+) -> Duration {
+    const BYTES_PER_S: f64 = 250_000.0;
+    let start = Instant::now();
+    let (mut queue, mut first_come) = (Queue::default(), Vec::new());
+    let (mut free_at, mut longest) = (start, Duration::ZERO);
+    let mut sent_at: Vec<Instant> = Vec::new();
+    for ms in 0..10_000_u64 {
+        let now = start + Duration::from_millis(ms);
+        let mut push = |message: Message| {
+            queue.push(message.clone(), now).unwrap();
+            first_come.push(message);
+        };
+        // The heartbeats of 17 hosts share the link, so one queue stands for all of them.
+        if ms % 6 == 0 {
+            push(heartbeat(ms));
+        }
+        if ms % 59 == 0 {
+            push(hosts(96));
+        }
+        if ms % 14 == 0 {
+            push(cancel(sent_at.len() as u64));
+            sent_at.push(now);
+        }
+        while free_at <= now {
+            let batch = next_batch(&mut queue, &mut first_come, now);
+            if batch.is_empty() {
+                break;
+            }
+            for message in batch {
+                let bytes = serde_json::to_vec(&message).unwrap().len() + 250;
+                free_at = free_at.max(now) + Duration::from_secs_f64(bytes as f64 / BYTES_PER_S);
+                if let Message::Cancel(_, number) = message {
+                    longest = longest.max(free_at - sent_at[usize::try_from(number).unwrap()]);
+                }
+            }
+        }
+    }
+    longest
+}
+
+/// Load pattern: a steward on a link of 2 Mbit/s that sends 300 kB a second of lists and heartbeats.
+#[test]
+fn messages_on_jobs_are_not_late_behind_lists() {
+    let ordered = longest_wait(|queue, _, now| {
+        queue.next_batch(now).into_iter().map(|(message, _)| message).collect()
+    });
+    let first_come =
+        longest_wait(|_, first_come, _| first_come.drain(..first_come.len().min(1)).collect());
+    assert!(ordered < Duration::from_millis(150), "{ordered:?}");
+    assert!(first_come > Duration::from_secs(1), "{first_come:?}");
+}
