feat(member): hosts watch each other as closely as their common work needs

What hosts say to each other grew with hosts x hosts: each one sent 4 heartbeats a second to each other one, a steward 10.

Each heartbeat now says when the next one comes, and its receiver holds the sender to that. Owners and stewards that have work in common, a zone's hosts and its steward, the two hosts that would follow that one, and hosts of a zone without a steward send one in 250 ms and are lost after 800 ms as before. All others send one in 2 s. A steward sends at most about 100 a second, but one in 250 ms to each host. A longer interval begins with a heartbeat that announces it. Hosts of an earlier version, which announce nothing, get and owe the close interval.

What rested on every host hearing every host: - leases against the owner's last word: owners of tasks are watched as before; silence before the common work doesn't count, and the batch with the tasks is itself a contact. - late batches are void: for hosts that are watched closely, and for all messages on jobs, as before. - isolation: a host that heard nobody for 800 ms and lost some is isolated, although rarely heard hosts still count as alive. - takeover of a zone without hosts: stewards do it if there are any, since they watch such hosts closely. - after a pause, a loss or a change of claims, heartbeats go to all at once.

Also: hosts that are not heard are contacted less often the longer that lasts; speeds go to other zones every 2 s; only a steward tells a new host the others; a configuration is asked of peers only 500 ms after it is known, with the targets only for who knows none; hosts that are no steward read the targets each 10 s for 2.5 s, and the registrations too after the first 15 s.

--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -6,30 +6,24 @@
 use coltsfootshunt_core::name::{Host, Zone};
 
 use super::State;
-use crate::member::{Claim, Heartbeat, Identity};
+use crate::member::{CLOSE_INTERVAL, Claim, Heartbeat, Identity};
 use crate::peer::Message;
 use crate::report::Record;
 use crate::steward;
 use crate::store::{Listing, Unreadable, Update};
 
-/// Interval between heartbeats of a steward; its free capacity changes within tens of
-/// milliseconds.
-const STEWARD_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which a steward may have issued tokens that no peer has heard of: two heartbeat intervals.
 const UNREPORTED_TOKENS: Duration = Duration::from_millis(200);
-/// Interval between heartbeats of other hosts: a third of the silence after which they count as
-/// lost.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
-/// Interval between attempts to reach hosts that are not heard from. The first message of a new
-/// session tells a host that its peer had lost it. The host must then stop the peer's tasks before
-/// a caller retries, 1.3 s after the loss.
-const CONTACT_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval between messages that share the learned speeds of targets and kinds, which would
 /// otherwise be lost with this host.
 const SPEEDS_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval between messages that share the learned speeds of kinds with hosts of other zones.
+const REMOTE_SPEEDS_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum number of kinds in one message that shares learned speeds. The trends of that many take
 /// about half a kilobyte, and each steward sends them to each host.
 const MAX_KINDS_PER_MESSAGE: usize = 8;
+/// Time for which the store may deliver a configuration before this host requests it from a peer.
+const CONFIG_REQUEST_DELAY: Duration = Duration::from_millis(500);
 /// Shortest interval between requests for the configuration and the list of targets.
 const CONFIG_REQUEST_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -46,23 +40,31 @@
         if is_new_session || is_replaced {
             self.drop_peer(&identity.host, now);
         }
-        self.contacts.remove(&identity.address);
+        self.contacts.remove(identity.address);
         if self.membership.record_contact(identity, now) {
             let peer = identity.host.clone();
             self.record(Record::PeerFound { peer, incarnation: identity.incarnation });
-            let mut identities: Vec<Identity> =
-                self.membership.alive().map(|peer| peer.identity.clone()).collect();
-            identities.push(self.membership.me().clone());
-            self.send(identity.address, Message::Hosts(identities));
-            // Send the new host a heartbeat at once.
-            self.last_heartbeat = None;
+            self.send_hosts(identity.address);
         }
     }
 
+    /// Tells a new host which others there are. Where the own zone has a steward, that one does it.
+    fn send_hosts(&mut self, to: SocketAddr) {
+        if self.membership.claims.is_empty()
+            && self.membership.has_steward(&self.membership.me().zone)
+        {
+            return;
+        }
+        let mut identities: Vec<Identity> =
+            self.membership.alive().map(|peer| peer.identity.clone()).collect();
+        identities.push(self.membership.me().clone());
+        self.send(to, Message::Hosts(identities));
+    }
+
     pub(super) fn handle_message(&mut self, from: &Identity, message: Message, now: Instant) {
         match message {
             Message::Heartbeat(heartbeat) => self.handle_heartbeat(from, heartbeat, now),
-            Message::Hosts(identities) => self.add_contacts(&identities),
+            Message::Hosts(identities) => self.add_contacts(&identities, now),
             Message::Run(assignment) => self.enqueue_tasks(&from.host, assignment, now),
             Message::GrantRequest(requests) => {
                 self.handle_grant_requests(&from.host, &requests, now)
@@ -82,12 +84,16 @@
                 if let Some(document) = self.config.document().cloned() {
                     self.send(from.address, Message::Config(document));
                 }
-                let entries = self.directory.iter().cloned().collect();
-                self.send(from.address, Message::Targets(entries));
+                let knows_targets = self.membership.peer(&from.host);
+                if !knows_targets.is_some_and(|peer| peer.heartbeat.knows_targets) {
+                    let entries = self.directory.iter().cloned().collect();
+                    self.send(from.address, Message::Targets(entries));
+                }
             }
             Message::Config(document) => {
                 let version = document.version;
                 if self.config.replace_if_newer(document) {
+                    self.outdated_since = None;
                     self.record(Record::ConfigApplied { version, source: "a peer" });
                 }
             }
@@ -112,7 +118,8 @@
         if from.host == self.membership.me().host {
             return;
         }
-        let is_outdated = heartbeat.config_version > self.config.version();
+        let is_outdated =
+            heartbeat.config_version > self.config.version() && self.is_store_late(now);
         let is_missing_targets = self.directory.is_empty() && heartbeat.knows_targets;
         let was_requested = self
             .last_config_request
@@ -131,6 +138,13 @@
         }
     }
 
+    /// Whether the store had time to deliver the configuration that a peer already has. Without that, every
+    /// host would read each configuration twice.
+    fn is_store_late(&mut self, now: Instant) -> bool {
+        let since = *self.outdated_since.get_or_insert(now);
+        self.config.document().is_none() || now.duration_since(since) >= CONFIG_REQUEST_DELAY
+    }
+
     /// Issues tokens with another suffix, because another process uses the same one: a peer, or `None` if
     /// only a target's report shows it. Targets are claimed again, since their tokens may be that
     /// process's too.
@@ -142,15 +156,15 @@
         let after = self.issuer.suffix();
         self.record(Record::TokenSuffixChanged { peer: peer.cloned(), before, after });
         self.steward.void_tokens(&self.membership);
-        self.last_heartbeat = None;
+        self.membership.announce();
     }
 
     /// Adds unknown hosts to those that are contacted until they are heard from.
-    fn add_contacts(&mut self, identities: &[Identity]) {
+    fn add_contacts(&mut self, identities: &[Identity], now: Instant) {
         for identity in identities {
             let is_known = self.membership.peer(&identity.host).is_some_and(|peer| peer.is_alive);
             if identity.host != self.membership.me().host && !is_known {
-                self.contacts.insert(identity.address);
+                self.contacts.add(identity.address, true, now);
             }
         }
     }
@@ -160,6 +174,7 @@
             Update::Document(document) => {
                 let version = document.version;
                 if self.config.replace_if_newer(document) {
+                    self.outdated_since = None;
                     self.record(Record::ConfigApplied { version, source: "the store" });
                 }
             }
@@ -178,7 +193,7 @@
             Update::Hosts(Listing { entries, unreadable }) => {
                 let new_entries = self.reported_hosts.filter_new(unreadable);
                 self.record_unreadable(new_entries);
-                self.add_contacts(&entries);
+                self.add_contacts(&entries, now);
             }
             Update::Unreadable(one) => {
                 let new_entries = self.reported_configuration.filter_new(vec![one]);
@@ -219,7 +234,10 @@
         self.drop_peer(host, now);
         // Contact the peer at once: if it is alive, the first message of the new session tells it
         // that it was lost.
-        self.last_contact = None;
+        if let Some(peer) = self.membership.peer(host) {
+            let is_close = self.membership.is_watched_closely(peer);
+            self.contacts.add(peer.identity.address, is_close, now);
+        }
     }
 
     /// Drops a peer's tasks here, and gives up own jobs that have tasks at the peer.
@@ -258,7 +276,7 @@
                 self.membership.claims.push(Claim { zone: zone.clone(), token });
                 self.record(Record::StewardshipTaken { zone: zone.clone(), token });
                 // Announce the claim at once.
-                self.last_heartbeat = None;
+                self.membership.announce();
             }
         }
     }
@@ -278,31 +296,40 @@
 
     /// Sends what is due: heartbeats to peers, learned speeds, and heartbeats to absent hosts.
     pub(super) fn send_heartbeats(&mut self, now: Instant) {
-        let is_steward = !self.membership.claims.is_empty();
-        let interval = if is_steward { STEWARD_HEARTBEAT_INTERVAL } else { HEARTBEAT_INTERVAL };
-        let due =
-            |at: Option<Instant>, interval| at.is_none_or(|at| now.duration_since(at) >= interval);
-        if due(self.last_heartbeat, interval) {
-            self.last_heartbeat = Some(now);
+        let working = self.jobs.stewards().chain(self.steward.owners());
+        let me = &self.membership.me().host;
+        let working = working.filter(|host| host != me).collect();
+        self.membership.set_working(working, now);
+        self.membership.has_busy_targets =
+            !self.steward.busy_unclaimed(&self.membership).is_empty();
+        let due = self.membership.due_heartbeats(now);
+        if !due.is_empty() {
             let heartbeat = self.own_heartbeat(now);
-            let alive: Vec<_> = self.membership.alive().map(|peer| peer.identity.address).collect();
-            for address in alive {
-                self.send(address, Message::Heartbeat(heartbeat.clone()));
+            for (host, interval) in due {
+                let next_in_ms = Some(interval.as_millis() as u32);
+                let heartbeat = Heartbeat { next_in_ms, ..heartbeat.clone() };
+                if let Some(peer) = self.membership.peer(&host) {
+                    let address = peer.identity.address;
+                    self.send(address, Message::Heartbeat(heartbeat));
+                }
             }
         }
-        if is_steward && due(self.last_speeds_sent, SPEEDS_INTERVAL) {
+        let due =
+            |at: Option<Instant>, interval| at.is_none_or(|at| now.duration_since(at) >= interval);
+        if !self.membership.claims.is_empty() && due(self.last_speeds_sent, SPEEDS_INTERVAL) {
             self.last_speeds_sent = Some(now);
-            self.send_speeds(now);
-        }
-        if due(self.last_contact, CONTACT_INTERVAL) {
-            self.last_contact = Some(now);
-            self.contact_absent_hosts(now);
+            let is_remote_due = due(self.last_remote_speeds_sent, REMOTE_SPEEDS_INTERVAL);
+            if is_remote_due {
+                self.last_remote_speeds_sent = Some(now);
+            }
+            self.send_speeds(is_remote_due, now);
         }
+        self.contact_absent_hosts(now);
     }
 
-    /// Sends the learned speeds of kinds to all peers, and those of own targets to peers of the
-    /// same zone, which may replace this host as steward.
-    fn send_speeds(&mut self, now: Instant) {
+    /// Sends the learned speeds of kinds and of own targets to peers of the same zone, which may replace
+    /// this host as steward, and those of kinds to all others if `is_remote_due`.
+    fn send_speeds(&mut self, is_remote_due: bool, now: Instant) {
         let mut kinds = self.speeds.kind_trends();
         kinds.truncate(MAX_KINDS_PER_MESSAGE);
         let mut targets = self.speeds.slowness_by_target(now);
@@ -314,20 +341,22 @@
             .map(|peer| (peer.identity.address, peer.identity.zone == me.zone));
         let peers: Vec<(SocketAddr, bool)> = peers.collect();
         for (address, is_same_zone) in peers {
+            if !is_same_zone && !is_remote_due {
+                continue;
+            }
             let targets = if is_same_zone { targets.clone() } else { Vec::new() };
             self.send(address, Message::Speeds { targets, kinds: kinds.clone() });
         }
     }
 
-    /// Sends a heartbeat to all known hosts that are not alive.
+    /// Sends a heartbeat to hosts that are not heard.
     fn contact_absent_hosts(&mut self, now: Instant) {
-        let heartbeat = self.own_heartbeat(now);
-        let lost =
-            self.membership.peers().filter(|peer| !peer.is_alive).map(|peer| peer.identity.address);
-        let mut addresses: Vec<SocketAddr> = self.contacts.iter().copied().chain(lost).collect();
+        let mut addresses = self.contacts.due(now);
         addresses.retain(|address| *address != self.membership.me().address);
-        addresses.sort();
-        addresses.dedup();
+        if addresses.is_empty() {
+            return;
+        }
+        let heartbeat = self.own_heartbeat(now);
         for address in addresses {
             self.send(address, Message::Heartbeat(heartbeat.clone()));
         }
@@ -343,6 +372,7 @@
             knows_targets: !self.directory.is_empty(),
             highest_token: self.issuer.highest(),
             token_suffix: Some(self.issuer.suffix()),
+            next_in_ms: Some(CLOSE_INTERVAL.as_millis() as u32),
         }
     }
 }
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -12,7 +12,7 @@
 use crate::directory;
 use crate::job::{self, Id, Outcome, RequestId};
 use crate::lease::Issuer;
-use crate::member::{Identity, Membership, PEER_TIMEOUT};
+use crate::member::{Contacts, Identity, Membership, PEER_TIMEOUT};
 use crate::peer::{Ack, Batch, Inbox, Message, Receipt};
 use crate::report::Record;
 use crate::speed;
@@ -55,14 +55,14 @@
     pub(super) steward: Steward,
     pub(super) speeds: speed::Estimator,
     pub(super) issuer: Issuer,
-    /// Addresses of hosts that this host knows of but has not heard from.
-    pub(super) contacts: BTreeSet<SocketAddr>,
-    /// Time of the last heartbeat to all peers; `None` sends one at the next tick.
-    pub(super) last_heartbeat: Option<Instant>,
-    /// Time of the last attempt to contact absent hosts; `None` makes one at the next tick.
-    pub(super) last_contact: Option<Instant>,
+    /// Addresses of hosts that this host knows of but does not hear.
+    pub(super) contacts: Contacts,
     pub(super) last_speeds_sent: Option<Instant>,
+    /// Time of the last speeds sent to hosts of other zones.
+    pub(super) last_remote_speeds_sent: Option<Instant>,
     pub(super) last_config_request: Option<Instant>,
+    /// Since when a peer is known to have a newer configuration than this host.
+    pub(super) outdated_since: Option<Instant>,
     /// Number of unreadable entries in the last list of targets.
     pub(super) unreadable_targets: usize,
     /// Unreadable store entries that were logged already, so that each is logged only once.
@@ -85,6 +85,8 @@
     pub fn new(settings: Settings, clock: Arc<dyn Clock>) -> Self {
         let now = clock.now();
         let last_uptime = clock.uptime();
+        let mut contacts = Contacts::default();
+        settings.seeds.iter().for_each(|seed| contacts.add(*seed, true, now));
         Self {
             membership: Membership::new(settings.identity.clone(), now),
             inbox: Inbox::default(),
@@ -96,11 +98,11 @@
             steward: Steward::new(settings.steward),
             speeds: speed::Estimator::default(),
             issuer: Issuer::new(settings.identity.incarnation),
-            contacts: settings.seeds.iter().copied().collect(),
-            last_heartbeat: None,
-            last_contact: None,
+            contacts,
             last_speeds_sent: None,
+            last_remote_speeds_sent: None,
             last_config_request: None,
+            outdated_since: None,
             unreadable_targets: 0,
             reported_targets: store::Reported::default(),
             reported_hosts: store::Reported::default(),
@@ -196,11 +198,18 @@
 
     /// Whether a batch belongs to a session that this host has given up. A network partition
     /// delayed the batch, and its sender has since responded to the callers of the jobs in it.
+    ///
+    /// The silence of a peer that is not watched closely says nothing. Such a peer sends a batch without
+    /// messages ahead of those on jobs.
     fn is_stale(&self, batch: &Batch, now: Instant) -> bool {
-        let known =
-            self.membership.peer(&batch.from.host).filter(|peer| peer.identity == batch.from);
-        batch.sequence > 1
-            && known.is_some_and(|peer| now.duration_since(peer.last_heard) > PEER_TIMEOUT)
+        let known = self.membership.peer(&batch.from.host);
+        let Some(peer) = known.filter(|peer| peer.identity == batch.from) else {
+            return false;
+        };
+        let is_about_jobs = batch.messages.iter().any(Message::is_about_jobs);
+        let ends_by_silence =
+            is_about_jobs || !peer.is_alive || self.membership.is_watched_closely(peer);
+        batch.sequence > 1 && ends_by_silence && now.duration_since(peer.last_heard) > PEER_TIMEOUT
     }
 
     fn job_state(&self, id: &Id) -> Option<JobState> {
@@ -223,7 +232,7 @@
         self.record(Record::Stopping);
         self.stopping_since = Some(now);
         self.membership.is_stopping = true;
-        self.last_heartbeat = None;
+        self.membership.announce();
         self.maintain_peers(now);
         self.send_heartbeats(now);
     }
--- a/crates/fleet/src/job/registry.rs
+++ b/crates/fleet/src/job/registry.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use coltsfootshunt_core::name::Kind;
+use coltsfootshunt_core::name::{Host, Kind};
 
 use super::{Id, Open, Outcome, RequestId};
 
@@ -96,6 +96,11 @@
         matching.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Stewards that have tasks of open jobs, some of them repeatedly.
+    pub fn stewards(&self) -> impl Iterator<Item = Host> {
+        self.open.values().flat_map(Open::stewards)
+    }
+
     /// Drops outcomes whose retention has expired.
     pub fn expire(&mut self, now: Instant) {
         self.outcomes.retain(|_, (_, at)| now.duration_since(*at) < OUTCOME_RETENTION);
--- a/crates/fleet/src/member/membership.rs
+++ b/crates/fleet/src/member/membership.rs
@@ -8,7 +8,8 @@
 
 use super::{Claim, Heartbeat, Identity};
 
-/// Silence after which a peer counts as lost: eight heartbeat intervals of a steward.
+/// Silence after which a peer counts as lost that has work with this host, or is watched closely for another
+/// reason: eight heartbeat intervals of a steward.
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time after its start during which a host claims no zone, so that it hears existing claims first: a
 /// few heartbeat intervals of a steward.
@@ -41,6 +42,8 @@
     /// Whether its address refused the last connection: its process ended, or a partition rejects
     /// connections.
     pub is_refusing: bool,
+    /// Time of the last heartbeat to it, and the interval that this announced; `None` if one is due.
+    pub(super) sent: Option<(Instant, Duration)>,
 }
 
 /// All hosts known to this one, with their claims.
@@ -48,8 +51,10 @@
 pub struct Membership {
     me: Identity,
     /// Start of this process, or the end of its last pause.
-    started: Instant,
-    peers: BTreeMap<Host, Peer>,
+    pub(super) started: Instant,
+    pub(super) peers: BTreeMap<Host, Peer>,
+    /// Hosts that have work with this one, and since when.
+    pub(super) working_since: BTreeMap<Host, Instant>,
     /// Zones without a live host that is not stopping, and since when.
     vacant_since: BTreeMap<Zone, Instant>,
     /// Time at which a target of a zone last showed that it obeys another host.
@@ -60,6 +65,8 @@
     pub claims: Vec<Claim>,
     /// Whether this host is shutting down.
     pub is_stopping: bool,
+    /// Whether its tasks run on targets of zones that it no longer claims, whose new steward waits for them.
+    pub has_busy_targets: bool,
 }
 
 impl Membership {
@@ -70,11 +77,13 @@
             me,
             started: now,
             peers: BTreeMap::new(),
+            working_since: BTreeMap::new(),
             vacant_since: BTreeMap::new(),
             rival_seen: BTreeMap::new(),
             isolated_since: None,
             claims: Vec::new(),
             is_stopping: false,
+            has_busy_targets: false,
         }
     }
 
@@ -119,8 +128,14 @@
         if is_new {
             let heartbeat = Heartbeat::default();
             let identity = identity.clone();
-            let peer =
-                Peer { identity, heartbeat, last_heard: now, is_alive: true, is_refusing: false };
+            let peer = Peer {
+                identity,
+                heartbeat,
+                last_heard: now,
+                is_alive: true,
+                is_refusing: false,
+                sent: None,
+            };
             self.peers.insert(peer.identity.host.clone(), peer);
         } else if let Some(peer) = self.peers.get_mut(&identity.host) {
             peer.last_heard = now;
@@ -152,15 +167,6 @@
         std::mem::take(&mut peer.is_alive)
     }
 
-    /// Peers that count as alive but have been silent for longer than [`PEER_TIMEOUT`], not counting the
-    /// time before the start or the last pause of this process.
-    pub fn timed_out(&mut self, now: Instant) -> Vec<Host> {
-        let silent_since = |peer: &Peer| peer.last_heard.max(self.started);
-        let timed_out =
-            |peer: &&Peer| peer.is_alive && now.duration_since(silent_since(peer)) > PEER_TIMEOUT;
-        self.peers.values().filter(timed_out).map(|peer| peer.identity.host.clone()).collect()
-    }
-
     /// Updates which of the zones have no hosts, and whether this host is isolated.
     pub fn update_zones(&mut self, zones: impl Iterator<Item = Zone>, now: Instant) {
         for zone in zones {
@@ -170,8 +176,11 @@
                 self.vacant_since.entry(zone).or_insert(now);
             }
         }
+        // A peer that is not watched closely counts as alive for longer than this host may go on serving
+        // if all others are out of reach.
+        let is_heard = |peer: &Peer| now.duration_since(peer.last_heard) <= PEER_TIMEOUT;
         let no_peer_heard =
-            self.alive().next().is_none() && self.maybe_partitioned(now).next().is_some();
+            !self.alive().any(is_heard) && self.maybe_partitioned(now).next().is_some();
         self.isolated_since = if no_peer_heard { self.isolated_since.or(Some(now)) } else { None };
     }
 
@@ -237,6 +246,8 @@
         self.started = now;
         self.vacant_since.clear();
         self.claims.clear();
+        // The first message after the pause tells the hosts that had work with this one to give it up.
+        self.announce();
     }
 
     /// Steward of a zone, if one is known: the live host with the highest claim. Claims of the zone's own
@@ -279,7 +290,14 @@
         if vacant_for.zip(delay).is_none_or(|(vacant_for, delay)| vacant_for < delay) {
             return false;
         }
-        best(zone, self.identities()).is_some_and(|identity| identity.host == self.me.host)
+        // Stewards watch the hosts of a zone without a steward closely, so they know best that it has none.
+        let is_steward = |identity: &&Identity| {
+            let claims = self.peers.get(&identity.host).map(|peer| &peer.heartbeat.claims);
+            !claims.unwrap_or(&self.claims).is_empty()
+        };
+        let stewards = best(zone, self.identities().filter(is_steward));
+        let best = stewards.or_else(|| best(zone, self.identities()));
+        best.is_some_and(|identity| identity.host == self.me.host)
     }
 
     /// Whether this host should resign as steward of a zone: another claim is higher, the zone has hosts
@@ -298,7 +316,7 @@
     }
 
     /// Hosts of a zone that may become its steward.
-    fn candidates<'a>(&'a self, zone: &'a Zone) -> impl Iterator<Item = &'a Identity> {
+    pub(super) fn candidates<'a>(&'a self, zone: &'a Zone) -> impl Iterator<Item = &'a Identity> {
         self.identities().filter(move |identity| identity.zone == *zone)
     }
 
@@ -318,7 +336,7 @@
 
 /// Rank of a host as the steward of a zone: hosts of the zone come first, then those with a larger share of
 /// the processor. A hash of zone and host breaks ties, so that zones get different stewards.
-fn rank(zone: &Zone, identity: &Identity) -> (bool, u32, u64) {
+pub(super) fn rank(zone: &Zone, identity: &Identity) -> (bool, u32, u64) {
     let hash = xxh3_64(format!("{zone}/{}", identity.host).as_bytes());
     (identity.zone == *zone, identity.cpu_millis, hash)
 }
--- a/crates/fleet/src/member/message.rs
+++ b/crates/fleet/src/member/message.rs
@@ -57,4 +57,7 @@
     /// Suffix of its fencing tokens; none from earlier versions.
     #[serde(default)]
     pub token_suffix: Option<Suffix>,
+    /// Time until the next heartbeat to the receiver, in milliseconds; none from earlier versions.
+    #[serde(default)]
+    pub next_in_ms: Option<u32>,
 }
--- a/crates/fleet/src/member/mod.rs
+++ b/crates/fleet/src/member/mod.rs
@@ -1,11 +1,15 @@
 //! Membership of the fleet: which hosts are alive, which host is the steward of each availability zone,
 //! and whether this host is isolated by a network partition.
 
+mod contacts;
+mod interval;
 mod membership;
 mod message;
 
 #[cfg(test)]
 pub(crate) mod tests;
 
+pub use contacts::Contacts;
+pub use interval::{CLOSE_INTERVAL, DISTANT_INTERVAL};
 pub use membership::{Membership, PEER_TIMEOUT, Peer};
 pub use message::{Claim, Heartbeat, Identity};
--- a/crates/fleet/src/member/tests.rs
+++ b/crates/fleet/src/member/tests.rs
@@ -1,3 +1,6 @@
+mod contacts;
+mod interval;
+
 use std::time::{Duration, Instant};
 
 use coltsfootshunt_core::name::{Host, Zone};
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -77,6 +77,13 @@
         self.trackers.contains_key(target)
     }
 
+    /// Owners of queued and running tasks, some of them repeatedly.
+    pub fn owners(&self) -> impl Iterator<Item = Host> {
+        let queued = self.queue.iter().map(|queued| queued.owner.clone());
+        let attempts = self.trackers.values().flat_map(Tracker::attempts);
+        queued.chain(attempts.map(|(_, attempt)| attempt.owner.clone()))
+    }
+
     /// Number of queued tasks.
     #[must_use]
     pub fn queued(&self) -> usize {
--- a/crates/fleet/src/store/agent.rs
+++ b/crates/fleet/src/store/agent.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use super::{Change, Error, Store, Update};
 use crate::control::{Event, Handle};
 use crate::member::Identity;
@@ -14,10 +16,18 @@
 /// Interval between reads of the targets at a steward: half of the time for which a draining target
 /// may still get work.
 const STEWARD_TARGETS_INTERVAL: Duration = Duration::from_millis(700);
-/// Interval between reads of the targets at hosts that are no steward.
-const NON_STEWARD_TARGETS_INTERVAL: Duration = Duration::from_millis(2_500);
-/// Interval between reads of the registered hosts.
-const HOSTS_INTERVAL: Duration = Duration::from_millis(2_500);
+/// Interval between reads of the targets at hosts that are no steward. They use the list only to know which
+/// zones have targets, and read it at once when they become one.
+const NON_STEWARD_TARGETS_INTERVAL: Duration = Duration::from_secs(10);
+/// Interval between checks whether this host has become a steward.
+const STEWARD_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval between reads of the registered hosts during [`DISCOVERY_TIME`].
+const DISCOVERY_INTERVAL: Duration = Duration::from_millis(2_500);
+/// Time from the start of the process after which the hosts of its fleet have registered. One that comes
+/// later finds the others in the store and contacts them.
+const DISCOVERY_TIME: Duration = Duration::from_secs(15);
+/// Interval between reads of the registered hosts after that.
+const HOSTS_INTERVAL: Duration = Duration::from_secs(10);
 /// Delay after a failed call, and between reads while there is no configuration.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -74,16 +84,27 @@
             match self.report_availability(self.store.list_targets(stale).await).await {
                 Ok(targets) => {
                     self.send(Update::Targets(targets)).await;
-                    let pause =
-                        if stale { NON_STEWARD_TARGETS_INTERVAL } else { STEWARD_TARGETS_INTERVAL };
-                    tokio::time::sleep(pause).await;
+                    if stale {
+                        self.wait_unless_steward(NON_STEWARD_TARGETS_INTERVAL).await;
+                    } else {
+                        tokio::time::sleep(STEWARD_TARGETS_INTERVAL).await;
+                    }
                 }
                 Err(_) => tokio::time::sleep(RETRY_DELAY).await,
             }
         }
     }
 
+    /// Waits until the time is over or this host has become a steward.
+    async fn wait_unless_steward(&self, time: Duration) {
+        let until = Instant::now() + time;
+        while Instant::now() < until && !self.control.snapshot().is_steward {
+            tokio::time::sleep(STEWARD_CHECK_INTERVAL).await;
+        }
+    }
+
     async fn poll_hosts(self: Arc<Self>, identity: Identity) {
+        let started = Instant::now();
         let mut is_registered = false;
         while !self.control.is_closed() {
             if !is_registered {
@@ -95,7 +116,8 @@
                     // The registration may have been deleted from the store.
                     is_registered &= hosts.entries.contains(&identity);
                     self.send(Update::Hosts(hosts)).await;
-                    HOSTS_INTERVAL
+                    let is_new = started.elapsed() < DISCOVERY_TIME;
+                    if is_new { DISCOVERY_INTERVAL } else { HOSTS_INTERVAL }
                 }
                 Err(_) => RETRY_DELAY,
             };
