fix(platform): a large configuration reaches hosts on narrow links

Version 21 has 1,520 routes more: its value takes over a second on a link of 2 Mbit/s, and the time limit of 0.7 s for a whole response of the store ended each read before its end.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -102,6 +102,47 @@
         }
     }
 
+    /// Sends a request whose response may be large for the link. The timeout of the request limits the time
+    /// until the response begins and the time between two parts of it, and `transfer_timeout` that of all.
+    ///
+    /// # Errors
+    /// Same as for [`Self::send`].
+    pub async fn send_in_parts(
+        &self,
+        request: Request<'_>,
+        transfer_timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let timeout = request.timeout;
+        match tokio::time::timeout(transfer_timeout, self.exchange_in_parts(request, timeout)).await
+        {
+            Ok(outcome) => outcome,
+            Err(_) => Err(Error::Timeout),
+        }
+    }
+
+    async fn exchange_in_parts(
+        &self,
+        request: Request<'_>,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let response = self.pool.request(encode(request, &[]));
+        let response = tokio::time::timeout(timeout, response).await.map_err(|_| Error::Timeout)?;
+        let response = response.map_err(|error| classify(&error))?;
+        let status = response.status();
+        let mut body = response.into_body();
+        let mut bytes = BytesMut::new();
+        while let Some(frame) =
+            tokio::time::timeout(timeout, body.frame()).await.map_err(|_| Error::Timeout)?
+        {
+            let frame = frame.map_err(|_| Error::Disconnected)?;
+            bytes.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
+            if bytes.len() > self.max_response_bytes {
+                return Err(Error::Oversized);
+            }
+        }
+        Ok((status, bytes.freeze()))
+    }
+
     async fn exchange(
         &self,
         request: Request<'_>,
