fix(member): a wrong list of hosts does not occupy a host

A list of 10,000 hosts made a host contact all of them four times a second. At most 2,048 addresses are kept and 64 contacted at a time, those that wait longest first; what is ignored is logged ("hosts ignored").

--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -161,12 +161,16 @@
 
     /// Adds unknown hosts to those that are contacted until they are heard from.
     fn add_contacts(&mut self, identities: &[Identity], now: Instant) {
+        let mut ignored = 0;
         for identity in identities {
             let is_known = self.membership.peer(&identity.host).is_some_and(|peer| peer.is_alive);
             if identity.host != self.membership.me().host && !is_known {
-                self.contacts.add(identity.address, true, now);
+                ignored += usize::from(!self.contacts.add(identity.address, true, now));
             }
         }
+        if ignored > 0 {
+            self.record(Record::HostsIgnored { listed: identities.len(), ignored });
+        }
     }
 
     pub(super) fn handle_store_update(&mut self, update: Update, now: Instant) {
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -86,7 +86,10 @@
         let now = clock.now();
         let last_uptime = clock.uptime();
         let mut contacts = Contacts::default();
-        settings.seeds.iter().for_each(|seed| contacts.add(*seed, true, now));
+        for seed in &settings.seeds {
+            // There is room for all seeds of a settings file.
+            contacts.add(*seed, true, now);
+        }
         Self {
             membership: Membership::new(settings.identity.clone(), now),
             inbox: Inbox::default(),
--- a/crates/fleet/src/member/contacts.rs
+++ b/crates/fleet/src/member/contacts.rs
@@ -22,6 +22,11 @@
 /// Interval between attempts after that time.
 const LAST_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Maximum number of addresses. Further ones are ignored, so that a wrong list of hosts can't occupy this host.
+const MAX_CONTACTS: usize = 2_048;
+/// Maximum number of attempts at one time.
+const MAX_ATTEMPTS: usize = 64;
+
 #[derive(Clone, Copy, Debug)]
 struct Contact {
     since: Instant,
@@ -47,10 +52,16 @@
 }
 
 impl Contacts {
-    /// Adds an address, which is due at once. An address that is known keeps its time.
-    pub fn add(&mut self, address: SocketAddr, is_close: bool, now: Instant) {
+    /// Adds an address, which is due at once. An address that is known keeps its time. Returns whether there
+    /// was room for it.
+    pub fn add(&mut self, address: SocketAddr, is_close: bool, now: Instant) -> bool {
+        let is_full = self.contacts.len() >= MAX_CONTACTS && !self.contacts.contains_key(&address);
+        if is_full || address.port() == 0 {
+            return false;
+        }
         let contact = Contact { since: now, attempted_at: None, is_close };
         self.contacts.entry(address).or_insert(contact);
+        true
     }
 
     /// Removes the address of a host that was heard.
@@ -58,16 +69,22 @@
         self.contacts.remove(&address);
     }
 
-    /// Addresses to contact now. Counts them as contacted.
+    /// Addresses to contact now, those first that wait longest. Counts them as contacted.
     pub fn due(&mut self, now: Instant) -> Vec<SocketAddr> {
         let is_due = |contact: &Contact| {
             contact.attempted_at.is_none_or(|at| now.duration_since(at) >= contact.interval(now))
         };
-        let due = self.contacts.iter_mut().filter(|(_, contact)| is_due(contact));
-        due.map(|(address, contact)| {
-            contact.attempted_at = Some(now);
-            *address
-        })
-        .collect()
+        let due = self.contacts.iter().filter(|(_, contact)| is_due(contact));
+        let mut due: Vec<(Option<Instant>, SocketAddr)> =
+            due.map(|(address, contact)| (contact.attempted_at, *address)).collect();
+        due.sort();
+        due.truncate(MAX_ATTEMPTS);
+        let due: Vec<SocketAddr> = due.into_iter().map(|(_, address)| address).collect();
+        for address in &due {
+            if let Some(contact) = self.contacts.get_mut(address) {
+                contact.attempted_at = Some(now);
+            }
+        }
+        due
     }
 }
--- a/crates/fleet/src/member/tests/contacts.rs
+++ b/crates/fleet/src/member/tests/contacts.rs
@@ -1,5 +1,7 @@
 //! Attempts to reach hosts that are not heard.
 
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use coltsfootshunt_testkit::cases;
@@ -40,3 +42,23 @@
     contacts.add(address, false, start);
     assert_eq!(contacts.due(start), [address]);
 }
+
+/// Guards against a wrong list of hosts: a host that tries to reach thousands of addresses has no time for
+/// anything else.
+#[test]
+fn a_list_of_ten_thousand_hosts_is_cut_off() {
+    let start = Instant::now();
+    let mut contacts = Contacts::default();
+    let address = |number: u32| SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + number), 80));
+    let added = (0..10_000).filter(|number| contacts.add(address(*number), true, start)).count();
+    assert_eq!(added, 2_048);
+    assert!(!contacts.add(SocketAddr::from(([10, 0, 0, 1], 0)), true, start), "port 0");
+    assert!(contacts.add(address(5), true, start), "a known address");
+    let mut reached = BTreeSet::new();
+    for tick in 0..40 {
+        let due = contacts.due(start + Duration::from_millis(50) * tick);
+        assert!(due.len() <= 64);
+        reached.extend(due);
+    }
+    assert_eq!(reached.len(), 2_048, "all get their turn");
+}
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -175,6 +175,9 @@
             warn!(log, "{}", name; "peer" => %peer, "reason" => reason,
                 "silent_ms" => millis(*silent));
         }
+        Record::HostsIgnored { listed, ignored } => {
+            warn!(log, "{}", name; "listed" => listed, "ignored" => ignored);
+        }
         Record::PeerTraffic { counts, longest_wait, period } => {
             let counts: Vec<String> =
                 counts.iter().map(|(key, count)| format!("{key}={count}")).collect();
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -259,6 +259,13 @@
         /// Time since the peer was last heard.
         silent: Duration,
     },
+    /// A list of hosts had addresses that this host doesn't contact: it knows too many, or they are invalid.
+    HostsIgnored {
+        /// Number of hosts in the list.
+        listed: usize,
+        /// Number of those that are ignored.
+        ignored: usize,
+    },
     /// Messages to and from other hosts in a period.
     PeerTraffic {
         /// Number and size by direction, class of peer and kind.
@@ -357,6 +364,7 @@
             Self::StewardshipResigned { .. } => "stewardship given up",
             Self::PeerFound { .. } => "peer found",
             Self::PeerLost { .. } => "peer lost",
+            Self::HostsIgnored { .. } => "hosts ignored",
             Self::PeerTraffic { .. } => "peer traffic",
             Self::ConfigApplied { .. } => "configuration in force",
             Self::TargetsChanged { .. } => "targets known",
