--- a/crates/fleet/src/store/agent.rs
+++ b/crates/fleet/src/store/agent.rs
@@ -13,9 +13,12 @@
 /// Longest wait of one watch of the configuration. A dead connection is noticed only after it, so it
 /// is below the time within which a new configuration must be in force.
 const MAX_WATCH_WAIT: Duration = Duration::from_millis(1_200);
-/// Interval between reads of the targets at a steward: half of the time for which a draining target
-/// may still get work.
-const STEWARD_TARGETS_INTERVAL: Duration = Duration::from_millis(700);
+/// Interval between reads of the targets at a steward, as a share of the time for which a draining target may
+/// still get tasks: two reads fit into that time, and leave some of it for a slow one.
+const STEWARD_TARGETS_SHARE: f64 = 0.35;
+/// Shortest and longest interval between reads of the targets at a steward, whatever the settings say.
+const MIN_TARGETS_INTERVAL: Duration = Duration::from_millis(200);
+const MAX_TARGETS_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval between reads of the targets at hosts that are no steward. They use the list only to know which
 /// zones have targets, and read it at once when they become one.
 const NON_STEWARD_TARGETS_INTERVAL: Duration = Duration::from_secs(10);
@@ -36,12 +39,22 @@
     store: Arc<dyn Store>,
     control: Handle,
     is_unreachable: AtomicBool,
+    /// Interval between reads of the targets at a steward.
+    targets_interval: Duration,
 }
 
 impl Agent {
-    /// Spawns the tasks on the current Tokio runtime. They end with the control thread.
-    pub fn start(store: Arc<dyn Store>, control: Handle, identity: Identity) {
-        let agent = Arc::new(Self { store, control, is_unreachable: AtomicBool::new(false) });
+    /// Spawns the tasks on the current Tokio runtime. They end with the control thread. `drain` is the time
+    /// for which a draining target may still get tasks.
+    pub fn start(store: Arc<dyn Store>, control: Handle, identity: Identity, drain: Duration) {
+        let agent = Arc::new(Self {
+            store,
+            control,
+            is_unreachable: AtomicBool::new(false),
+            targets_interval: drain
+                .mul_f64(STEWARD_TARGETS_SHARE)
+                .clamp(MIN_TARGETS_INTERVAL, MAX_TARGETS_INTERVAL),
+        });
         tokio::spawn(Arc::clone(&agent).watch_config());
         tokio::spawn(Arc::clone(&agent).poll_targets());
         tokio::spawn(agent.poll_hosts(identity));
@@ -87,7 +100,7 @@
                     if stale {
                         self.wait_unless_steward(NON_STEWARD_TARGETS_INTERVAL).await;
                     } else {
-                        tokio::time::sleep(STEWARD_TARGETS_INTERVAL).await;
+                        tokio::time::sleep(self.targets_interval).await;
                     }
                 }
                 Err(_) => tokio::time::sleep(RETRY_DELAY).await,
