fix(member): the end of common work does not make a host look silent

A steward watches the owners of its tasks closely; an owner whose job was answered spoke rarely at once, while the steward still had the job's cancelled tasks or their last message on the way, and took the owner for lost after 800 ms. Hosts now keep the close interval for a second after their common work, and cancelled tasks are no common work.

--- a/crates/fleet/src/member/interval.rs
+++ b/crates/fleet/src/member/interval.rs
@@ -24,6 +24,9 @@
 pub const DISTANT_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum number of heartbeats per second from a steward, unless [`CLOSE_INTERVAL`] needs more.
 const MAX_STEWARD_HEARTBEATS_PER_S: u32 = 100;
+/// Time for which a host goes on as if it had common work with another one. The other one may learn later that
+/// the work is over, and expects the close interval until then.
+const WORK_HOLD: Duration = Duration::from_secs(1);
 /// Number of hosts of a zone, the highest ranking ones, that are ready to follow its steward.
 const SUCCESSORS: usize = 2;
 
@@ -71,7 +74,7 @@
         let is_successor = |host| self.successors.contains(host);
         let is_close = !tells_interval
             || self.membership.has_busy_targets
-            || self.membership.works_with(&peer.identity.host)
+            || self.membership.worked_at.contains_key(&peer.identity.host)
             || (is_own_zone && is_steward)
             || (is_own_zone && (is_successor(&me.host) || is_successor(&peer.identity.host)))
             || (!self.has_own_steward && (is_own_zone || is_steward));
@@ -98,6 +101,8 @@
     /// Sets the hosts that have tasks for this one, or tasks of it.
     pub fn set_working(&mut self, hosts: BTreeSet<Host>, now: Instant) {
         self.working_since.retain(|host, _| hosts.contains(host));
+        self.worked_at.retain(|_, at| now.duration_since(*at) < WORK_HOLD);
+        self.worked_at.extend(hosts.iter().map(|host| (host.clone(), now)));
         for host in hosts {
             self.working_since.entry(host).or_insert(now);
         }
--- a/crates/fleet/src/member/membership.rs
+++ b/crates/fleet/src/member/membership.rs
@@ -55,6 +55,8 @@
     pub(super) peers: BTreeMap<Host, Peer>,
     /// Hosts that have work with this one, and since when.
     pub(super) working_since: BTreeMap<Host, Instant>,
+    /// Hosts that have or recently had work with this one, and when that was known last.
+    pub(super) worked_at: BTreeMap<Host, Instant>,
     /// Zones without a live host that is not stopping, and since when.
     vacant_since: BTreeMap<Zone, Instant>,
     /// Time at which a target of a zone last showed that it obeys another host.
@@ -78,6 +80,7 @@
             started: now,
             peers: BTreeMap::new(),
             working_since: BTreeMap::new(),
+            worked_at: BTreeMap::new(),
             vacant_since: BTreeMap::new(),
             rival_seen: BTreeMap::new(),
             isolated_since: None,
--- a/crates/fleet/src/peer/mod.rs
+++ b/crates/fleet/src/peer/mod.rs
@@ -21,6 +21,6 @@
 pub use account::{Account, Count, Direction, Key, Scope};
 pub use inbox::{Inbox, Receipt};
 pub use message::{Ack, Batch, Message, Transport, Unreachable};
-pub use outbox::Outbox;
+pub use outbox::{MAX_ACK_AGE, Outbox};
 pub use queue::{Full, Queue};
 pub use rpc::{Rpc, Server, serve};
--- a/crates/fleet/src/peer/outbox.rs
+++ b/crates/fleet/src/peer/outbox.rs
@@ -21,7 +21,7 @@
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 /// Age of the last acknowledgement from which on a batch without messages goes ahead of messages on jobs. It
 /// leaves the receiver the rest of the silence that it accepts for the batch to arrive.
-const MAX_ACK_AGE: Duration = Duration::from_millis(400);
+pub const MAX_ACK_AGE: Duration = Duration::from_millis(400);
 /// Maximum number of commands taken from the control thread at once.
 const MAX_COMMANDS: usize = 256;
 
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -77,10 +77,12 @@
         self.trackers.contains_key(target)
     }
 
-    /// Owners of queued and running tasks, some of them repeatedly.
+    /// Owners of queued and running tasks, some of them repeatedly. The owner of a cancelled task no longer
+    /// waits for it.
     pub fn owners(&self) -> impl Iterator<Item = Host> {
         let queued = self.queue.iter().map(|queued| queued.owner.clone());
         let attempts = self.trackers.values().flat_map(Tracker::attempts);
+        let attempts = attempts.filter(|(_, attempt)| !attempt.cancelled);
         queued.chain(attempts.map(|(_, attempt)| attempt.owner.clone()))
     }
 
