feat(routing): jobs are spread over stewards that seem able to start them in time

All 97 owners see the same loads, up to 250 ms old, and each took the best steward, with ties to the first one.

Tasks still go to free slots of the nearest steward first. The rest of a job goes to one of the stewards that are expected to start it in time, drawn with the room that each seems to have; the nearest one counts double. Long tasks go to another one of equal stewards for each job.

--- a/crates/fleet/src/control/assignment.rs
+++ b/crates/fleet/src/control/assignment.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use coltsfootshunt_core::name::Host;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::State;
 use super::jobs::{RESPONSE_MARGIN, RETRY_AFTER, profile};
@@ -44,14 +45,15 @@
         // elsewhere counts as started.
         let started = open.started || open.committed || profile.is_long && open.is_in_progress();
         let count = ready.len();
+        let draw = xxh3_64_with_seed(id.to_string().as_bytes(), ready[0].sequence.into());
         let assigned = match (profile.is_long, open.must_share) {
-            (false, _) => assign(count, &profile, &mut candidates),
-            (true, false) => assign_fast(count, &profile, &mut candidates),
+            (false, _) => assign(count, &profile, &mut candidates, draw),
+            (true, false) => assign_fast(count, &profile, &mut candidates, draw),
             (true, true) => Vec::new(),
         };
         let shared = profile.is_long && assigned.is_empty();
         let tasks = if shared {
-            share_all(open, ready, &mut candidates)
+            share_all(open, ready, &mut candidates, draw)
         } else {
             mark_assigned(open, ready, &assigned, &candidates)
         };
@@ -137,8 +139,9 @@
     open: &mut Open,
     ready: Vec<Ready>,
     candidates: &mut [Candidate],
+    draw: u64,
 ) -> BTreeMap<usize, Vec<Item>> {
-    let stewards = choose_stewards(ready.len(), candidates);
+    let stewards = choose_stewards(ready.len(), candidates, draw);
     if stewards.is_empty() {
         return BTreeMap::new();
     }
--- a/crates/fleet/src/routing/load.rs
+++ b/crates/fleet/src/routing/load.rs
@@ -4,6 +4,7 @@
 
 use coltsfootshunt_core::name::Host;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::ends::{EndTimes, MAX_END_TIMES};
 use crate::queue::SLACK_LEVELS_MS;
@@ -12,6 +13,16 @@
 /// already offer it about three times as many targets as one.
 pub const MAX_RESERVATIONS: usize = 3;
 
+/// Part of a steward's slots, as a divisor, that others may take while its report is on the way.
+const RESERVED_PART: u32 = 20;
+/// Wait that makes a steward less likely to be drawn by a factor of e. Shorter ones would follow reports that
+/// are already outdated.
+const WAIT_SCALE: Duration = Duration::from_millis(150);
+/// Factor by which the nearest steward is more likely to be drawn, since messages to others cost more.
+const NEAREST_PREFERENCE: f64 = 2.0;
+/// Relative increase of the probability to be drawn of a steward whose slots are all free.
+const FREE_PREFERENCE: f64 = 4.0;
+
 /// Load of a steward, as reported in its heartbeats. Slots are counted in tasks of typical size.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
@@ -83,6 +94,25 @@
         }
     }
 
+    /// Orders stewards that seem equal, in another way for each job.
+    fn tie_break(&self, draw: u64) -> u64 {
+        xxh3_64_with_seed(self.host.as_bytes(), draw)
+    }
+
+    /// Free slots that are probably still free when a task arrives.
+    fn spare_slots(&self) -> u32 {
+        self.load.free_slots.saturating_sub(self.load.slots / RESERVED_PART)
+    }
+
+    /// Weight with which the steward is drawn: its size, less if tasks wait there, and more if slots are
+    /// free.
+    fn weight(&self, level: usize) -> f64 {
+        let slots = f64::from(self.load.slots);
+        let wait = Duration::from_millis(self.load.waits_ms[level].into());
+        let free = f64::from(self.load.free_slots) / slots;
+        slots * (-wait.div_duration_f64(WAIT_SCALE)).exp() * (1.0 + FREE_PREFERENCE * free)
+    }
+
     /// Updates the load by one more task that is sent to this steward.
     fn add_task(&mut self, task: &Profile) {
         if self.load.free_slots > 0 {
@@ -137,12 +167,40 @@
 }
 
 /// Assigns the tasks of a job of short work. Returns the index in `candidates` of each task's steward, and
-/// fewer than `tasks` if there is no steward with targets.
+/// fewer than `tasks` if there is no steward with targets. `draw` is a number that differs between jobs.
 ///
-/// Each task goes to the steward where it is expected to start first. If too few slots are free and one
+/// Tasks go to free slots of the nearest steward first. The rest goes to one that is expected to start all
+/// in time, drawn at random with the room that each seems to have. Hundreds of hosts see the same loads,
+/// some of them a quarter of a second old, and would all choose the same steward if each took the best. If
+/// none is expected to start all in time, each task goes where it is expected to start first.
+pub fn assign(
+    tasks: usize,
+    profile: &Profile,
+    candidates: &mut [Candidate],
+    draw: u64,
+) -> Vec<usize> {
+    let free: usize = candidates.iter().map(|candidate| candidate.load.free_slots as usize).sum();
+    let mut assigned = Vec::with_capacity(tasks);
+    let nearest = nearest(candidates);
+    if let Some(nearest) = nearest.filter(|_| free >= tasks) {
+        let room = candidates[nearest].spare_slots() as usize;
+        add_tasks(nearest, tasks.min(room), profile, candidates, &mut assigned);
+    }
+    let rest = tasks - assigned.len();
+    if rest == 0 {
+        return assigned;
+    }
+    match draw_steward(rest, profile, candidates, nearest, draw) {
+        Some(drawn) => add_tasks(drawn, rest, profile, candidates, &mut assigned),
+        None => assigned.extend(assign_best(rest, profile, candidates)),
+    }
+    assigned
+}
+
+/// Sends each task to the steward where it is expected to start first. If too few slots are free and one
 /// steward is expected to start all tasks in time, all go to that one: it completes jobs that it has begun
 /// first, and can return the job as a whole.
-pub fn assign(tasks: usize, profile: &Profile, candidates: &mut [Candidate]) -> Vec<usize> {
+fn assign_best(tasks: usize, profile: &Profile, candidates: &mut [Candidate]) -> Vec<usize> {
     let free: usize = candidates.iter().map(|candidate| candidate.load.free_slots as usize).sum();
     let mut serving = candidates.iter().filter(|candidate| candidate.load.slots > 0);
     let to_one = free < tasks
@@ -164,15 +222,75 @@
             return assigned;
         };
         let count = if to_one { tasks } else { 1 };
-        (0..count).for_each(|_| candidates[index].add_task(profile));
-        assigned.extend(std::iter::repeat_n(index, count));
+        add_tasks(index, count, profile, candidates, &mut assigned);
     }
     assigned
 }
 
+fn add_tasks(
+    to: usize,
+    tasks: usize,
+    profile: &Profile,
+    candidates: &mut [Candidate],
+    assigned: &mut Vec<usize>,
+) {
+    (0..tasks).for_each(|_| candidates[to].add_task(profile));
+    assigned.extend(std::iter::repeat_n(to, tasks));
+}
+
+/// The steward with targets that is nearer than all others.
+fn nearest(candidates: &[Candidate]) -> Option<usize> {
+    let serving =
+        || candidates.iter().enumerate().filter(|(_, candidate)| candidate.load.slots > 0);
+    let (index, nearest) = serving().min_by_key(|(_, candidate)| candidate.round_trip)?;
+    let is_only = serving().all(|(at, other)| at == index || other.round_trip > nearest.round_trip);
+    is_only.then_some(index)
+}
+
+/// Draws one of the stewards that are expected to start all tasks in time. The nearest one gets them if
+/// others are no sooner even without a wait.
+fn draw_steward(
+    tasks: usize,
+    profile: &Profile,
+    candidates: &[Candidate],
+    nearest: Option<usize>,
+    draw: u64,
+) -> Option<usize> {
+    let delay = |candidate: &Candidate| candidate.expected_delay_of_all(tasks, profile);
+    let is_in_time =
+        |candidate: &Candidate| candidate.load.slots > 0 && delay(candidate) <= profile.slack;
+    let others = candidates.iter().enumerate().filter(|(index, _)| Some(*index) != nearest);
+    let way = others.map(|(_, candidate)| candidate.round_trip).min();
+    let is_soonest = |index: &usize| {
+        let own_delay = candidates[*index].expected_delay(profile.slack_level);
+        way.is_none_or(|way| own_delay <= way) && is_in_time(&candidates[*index])
+    };
+    if let Some(nearest) = nearest.filter(is_soonest) {
+        return Some(nearest);
+    }
+    let weight = |index: usize| {
+        let candidate = &candidates[index];
+        let preference = if Some(index) == nearest { NEAREST_PREFERENCE } else { 1.0 };
+        if is_in_time(candidate) { preference * candidate.weight(profile.slack_level) } else { 0.0 }
+    };
+    let weights: Vec<f64> = (0..candidates.len()).map(weight).collect();
+    let mut left = weights.iter().sum::<f64>() * (draw as f64 / u64::MAX as f64);
+    let drawn = weights.iter().position(|weight| {
+        left -= weight;
+        *weight > 0.0 && left <= 0.0
+    });
+    // Rounding may leave a little after the last one.
+    drawn.or_else(|| weights.iter().rposition(|weight| *weight > 0.0))
+}
+
 /// Assigns the tasks of a job of long work to the nearest stewards with free slots on fast targets. Returns
 /// the index in `candidates` of each task's steward, or nothing if not all tasks can start at once.
-pub fn assign_fast(tasks: usize, profile: &Profile, candidates: &mut [Candidate]) -> Vec<usize> {
+pub fn assign_fast(
+    tasks: usize,
+    profile: &Profile,
+    candidates: &mut [Candidate],
+    draw: u64,
+) -> Vec<usize> {
     let free =
         candidates.iter().map(|candidate| candidate.load.free_fast_slots as usize).sum::<usize>();
     let count = if free < tasks { 0 } else { tasks };
@@ -182,7 +300,7 @@
             .enumerate()
             .filter(|(_, candidate)| candidate.load.free_fast_slots > 0);
         with_free_slots
-            .min_by_key(|(index, candidate)| (candidate.round_trip, *index))
+            .min_by_key(|(_, candidate)| (candidate.round_trip, candidate.tie_break(draw)))
             .map(|(index, _)| index)
     };
     let mut assigned = Vec::with_capacity(count);
@@ -195,13 +313,15 @@
 
 /// Chooses the stewards that queue long tasks which can't start at once: those where a fast target is
 /// expected to be free first. Returns their indices in `candidates`.
-pub fn choose_stewards(tasks: usize, candidates: &mut [Candidate]) -> Vec<usize> {
+pub fn choose_stewards(tasks: usize, candidates: &mut [Candidate], draw: u64) -> Vec<usize> {
     let serving = candidates.iter().enumerate().filter(|(_, candidate)| candidate.load.slots > 0);
     let mut chosen: Vec<usize> = serving.map(|(index, _)| index).collect();
     chosen.sort_by_cached_key(|&index| {
-        let Candidate { round_trip, load, .. } = &candidates[index];
+        let candidate = &candidates[index];
+        let Candidate { round_trip, load, .. } = candidate;
         let wait = load.ends().collect::<EndTimes>().wait_after(load.queued_long as usize);
-        (if load.free_fast_slots > 0 { *round_trip } else { *round_trip + wait }, index)
+        let delay = if load.free_fast_slots > 0 { *round_trip } else { *round_trip + wait };
+        (delay, candidate.tie_break(draw))
     });
     chosen.truncate(MAX_RESERVATIONS);
     for &index in &chosen {
