fix(member): a new host takes the targets from a steward's list

A host that the store does not serve asked the first host that beat for the list of targets. It asks a steward if there is one.

Malformed calls between hosts, looked for after the report that one took a whole process down: unknown and malformed messages, wild numbers and deep nesting are rejected, and the next batch is taken; no fault found.

--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -120,7 +120,11 @@
         }
         let is_outdated =
             heartbeat.config_version > self.config.version() && self.is_store_late(now);
-        let is_missing_targets = self.directory.is_empty() && heartbeat.knows_targets;
+        // A steward reads the list often. That of another host may still name targets that have left.
+        let is_steward = !heartbeat.claims.is_empty();
+        let is_best_source = is_steward || !self.has_steward();
+        let is_missing_targets =
+            self.directory.is_empty() && heartbeat.knows_targets && is_best_source;
         let was_requested = self
             .last_config_request
             .is_some_and(|at| now.duration_since(at) < CONFIG_REQUEST_INTERVAL);
--- a/crates/fleet/src/control/tests/startup.rs
+++ b/crates/fleet/src/control/tests/startup.rs
@@ -5,6 +5,7 @@
 
 use coltsfootshunt_core::clock::Clock;
 use coltsfootshunt_core::name::{Kind, Zone};
+use coltsfootshunt_testkit::cases;
 
 use super::simulation::ManualClock;
 use crate::config::tests::{document, route};
@@ -118,3 +119,28 @@
         "{refused_at_ms:?}"
     );
 }
+
+/// Sends host `me` a heartbeat of a host that knows targets and returns whether it requests them. Guards
+/// against a new host, which the store does not serve, that uses targets which have left.
+fn requests_targets(knows_steward: bool, from_steward: bool, expected: bool) {
+    let mut state = host_without_peers(&Arc::new(ManualClock::new()));
+    if knows_steward {
+        deliver_steward_heartbeat(&mut state);
+    }
+    let claims =
+        from_steward.then(|| Claim { zone: Zone::try_from("c").unwrap(), token: Token(3) });
+    let claims = claims.into_iter().collect();
+    let heartbeat = Heartbeat { claims, knows_targets: true, ..Heartbeat::default() };
+    let from = identity("other", "c", 250);
+    let messages = vec![Message::Heartbeat(heartbeat)];
+    let batch = Batch { from, session: 1, sequence: 1, messages };
+    state.handle(Event::Request(RequestId(3), Request::Deliver(batch)));
+    let requests = |action: &Action| matches!(action, Action::Send(_, Message::ConfigRequest));
+    assert_eq!(state.advance().iter().any(requests), expected);
+}
+
+cases! { requests_targets:
+    of_a_steward(true, true, true);
+    of_no_other_host_if_there_is_a_steward(true, false, false);
+    of_any_host_before_there_is_a_steward(false, false, true);
+}
--- a/crates/fleet/src/peer/tests.rs
+++ b/crates/fleet/src/peer/tests.rs
@@ -9,6 +9,10 @@
 use async_trait::async_trait;
 use coltsfootshunt_core::clock::System;
 use coltsfootshunt_testkit::cases;
+use jsonrpsee::core::client::ClientT;
+use jsonrpsee::core::params::ArrayParams;
+use jsonrpsee::ws_client::WsClientBuilder;
+use serde_json::value::RawValue;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle as Runtime;
@@ -247,3 +251,43 @@
         Message::Targets(Vec::new()),
     ]);
 }
+
+/// A call of another program or version with the wrong parameters is rejected, and the host goes on.
+fn rejects(parameters: &str) {
+    let calls = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let to = listener.local_addr().unwrap();
+        let account = Arc::new(Account::new(identity("me", "a", 250).zone));
+        let handle = control();
+        let _server = serve(listener, handle.clone(), Arc::clone(&account)).unwrap();
+        let client = WsClientBuilder::default().build(format!("ws://{to}")).await.unwrap();
+        let mut array = ArrayParams::new();
+        array.insert(RawValue::from_string(parameters.to_owned()).unwrap()).unwrap();
+        let response = client.request::<Ack, _>("fleet_deliver", array).await;
+        assert!(response.is_err(), "{response:?}");
+        let rpc = Rpc::new(account);
+        assert_eq!(rpc.deliver(to, &batch(1, 1, 1)).await, Ok(Ack::Accepted));
+        assert!(!handle.is_closed());
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(calls);
+}
+
+const FROM: &str =
+    r#""from":{"host":"y","zone":"a","incarnation":7,"address":"10.0.0.9:80","weight":250}"#;
+
+cases! { rejects:
+    no_batch("null");
+    an_empty_object("{}");
+    an_unknown_message(&format!("{{{FROM},\"session\":1,\"number\":1,\"messages\":[{{\"vote\":1}}]}}"));
+    a_malformed_heartbeat(&format!(
+        "{{{FROM},\"session\":1,\"number\":1,\"messages\":[{{\"beat\":{{\"claims\":7}}}}]}}"
+    ));
+    a_negative_sequence_number(&format!("{{{FROM},\"session\":1,\"number\":-1,\"messages\":[]}}"));
+    a_huge_session_number(&format!("{{{FROM},\"session\":1e40,\"number\":1,\"messages\":[]}}"));
+    an_invalid_host(&format!(
+        "{{{},\"session\":1,\"number\":1,\"messages\":[]}}",
+        FROM.replace("\"y\"", "\"a b\"")
+    ));
+    deep_nesting(&format!("{}{}", "[".repeat(100_000), "]".repeat(100_000)));
+}
