--- a/crates/fleet/src/routing/load.rs
+++ b/crates/fleet/src/routing/load.rs
@@ -197,32 +197,18 @@
     assigned
 }
 
-/// Sends each task to the steward where it is expected to start first. If too few slots are free and one
-/// steward is expected to start all tasks in time, all go to that one: it completes jobs that it has begun
-/// first, and can return the job as a whole.
+/// Sends each task to the steward where it is expected to start first.
 fn assign_best(tasks: usize, profile: &Profile, candidates: &mut [Candidate]) -> Vec<usize> {
-    let free: usize = candidates.iter().map(|candidate| candidate.load.free_slots as usize).sum();
-    let mut serving = candidates.iter().filter(|candidate| candidate.load.slots > 0);
-    let to_one = free < tasks
-        && serving
-            .any(|candidate| candidate.expected_delay_of_all(tasks, profile) <= profile.slack);
     let mut assigned = Vec::with_capacity(tasks);
     while assigned.len() < tasks {
         let serving =
             candidates.iter().enumerate().filter(|(_, candidate)| candidate.load.slots > 0);
-        let delay = |candidate: &Candidate| {
-            if to_one {
-                candidate.expected_delay_of_all(tasks, profile)
-            } else {
-                candidate.expected_delay(profile.slack_level)
-            }
-        };
+        let delay = |candidate: &Candidate| candidate.expected_delay(profile.slack_level);
         let Some((index, _)) = serving.min_by_key(|(index, candidate)| (delay(candidate), *index))
         else {
             return assigned;
         };
-        let count = if to_one { tasks } else { 1 };
-        add_tasks(index, count, profile, candidates, &mut assigned);
+        add_tasks(index, 1, profile, candidates, &mut assigned);
     }
     assigned
 }
