fix(control): a host reads the targets before it becomes a steward

A host now claims a zone only with a list that is no older than a steward's reads and was not read with stale allowed; it asks for one and waits 1.5 s at most, and not at all if the store does not respond. The test failed before: a host claimed its zone with a list 3 s old.

--- a/crates/fleet/src/control/message.rs
+++ b/crates/fleet/src/control/message.rs
@@ -99,6 +99,8 @@
     pub is_steward: bool,
     /// Whether the host knows any target.
     pub knows_targets: bool,
+    /// Whether the host waits for a new list of targets before it claims a zone.
+    pub awaits_targets: bool,
 }
 
 /// Output of the control state.
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -22,6 +22,8 @@
 /// Maximum number of kinds in one message that shares learned speeds. The trends of that many take
 /// about half a kilobyte, and each steward sends them to each host.
 const MAX_KINDS_PER_MESSAGE: usize = 8;
+/// Longest time for which a host waits for the list of targets before it claims a zone.
+const MAX_TARGETS_WAIT: Duration = Duration::from_millis(1_500);
 /// Time for which the store may deliver a configuration before this host requests it from a peer.
 const CONFIG_REQUEST_DELAY: Duration = Duration::from_millis(500);
 /// Shortest interval between requests for the configuration and the list of targets.
@@ -186,7 +188,10 @@
                     self.record(Record::ConfigApplied { version, source: "the store" });
                 }
             }
-            Update::Targets(Listing { entries, unreadable }) => {
+            Update::Targets(Listing { entries, unreadable, is_stale }) => {
+                if !is_stale {
+                    self.targets_read_at = Some(now);
+                }
                 let known_before = self.directory.iter().count();
                 let unreadable_count = unreadable.len();
                 let new_entries = self.reported_targets.filter_new(unreadable);
@@ -198,7 +203,7 @@
                     self.record(Record::TargetsChanged { known, unreadable: unreadable_count });
                 }
             }
-            Update::Hosts(Listing { entries, unreadable }) => {
+            Update::Hosts(Listing { entries, unreadable, .. }) => {
                 let new_entries = self.reported_hosts.filter_new(unreadable);
                 self.record_unreadable(new_entries);
                 self.add_contacts(&entries, now);
@@ -207,8 +212,14 @@
                 let new_entries = self.reported_configuration.filter_new(vec![one]);
                 self.record_unreadable(new_entries);
             }
-            Update::Lost(failure) => self.record(Record::StoreLost { error: failure }),
-            Update::Regained => self.record(Record::StoreRegained),
+            Update::Lost(failure) => {
+                self.is_store_lost = true;
+                self.record(Record::StoreLost { error: failure });
+            }
+            Update::Regained => {
+                self.is_store_lost = false;
+                self.record(Record::StoreRegained);
+            }
         }
     }
 
@@ -276,7 +287,12 @@
         let resigned: Vec<Zone> =
             claimed.filter(|zone| self.membership.should_resign(zone)).collect();
         self.resign_zones(&resigned, now);
-        for zone in zones {
+        let vacant: Vec<&Zone> =
+            zones.iter().filter(|zone| self.membership.should_claim(zone, now)).collect();
+        if !self.may_claim(!vacant.is_empty(), now) {
+            return;
+        }
+        for zone in vacant {
             if self.membership.should_claim(zone, now) {
                 // The last steward may have issued tokens since its last heartbeat.
                 self.issuer.observe(self.issuer.highest(), UNREPORTED_TOKENS);
@@ -289,6 +305,20 @@
         }
     }
 
+    /// Whether this host may claim zones now if it should. A host that was no steward may have read the list
+    /// of targets long ago, and would start tasks on targets that have left since. It reads the list first,
+    /// unless the store does not respond.
+    fn may_claim(&mut self, should_claim: bool, now: Instant) -> bool {
+        let age = self.targets_read_at.map(|at| now.duration_since(at));
+        let is_current = age.is_some_and(|age| age <= self.settings.max_targets_age);
+        if !should_claim || is_current || self.is_store_lost {
+            self.awaits_targets_since = None;
+            return should_claim;
+        }
+        let since = *self.awaits_targets_since.get_or_insert(now);
+        now.duration_since(since) >= MAX_TARGETS_WAIT
+    }
+
     /// Gives up claims on zones. Queued tasks are returned with the last claim.
     pub(super) fn resign_zones(&mut self, zones: &[Zone], now: Instant) {
         for zone in zones {
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -38,6 +38,8 @@
     pub steward: steward::Settings,
     /// Longest duration of a planned stop.
     pub stop_timeout: Duration,
+    /// Age of the list of targets above which this host reads it anew before it claims a zone.
+    pub max_targets_age: Duration,
 }
 
 /// Control state of a host.
@@ -63,6 +65,12 @@
     pub(super) last_config_request: Option<Instant>,
     /// Since when a peer is known to have a newer configuration than this host.
     pub(super) outdated_since: Option<Instant>,
+    /// Whether the store did not respond the last time.
+    pub(super) is_store_lost: bool,
+    /// Time of the last list of targets that was not stale.
+    pub(super) targets_read_at: Option<Instant>,
+    /// Since when this host waits for the list of targets before it claims a zone.
+    pub(super) awaits_targets_since: Option<Instant>,
     /// Number of unreadable entries in the last list of targets.
     pub(super) unreadable_targets: usize,
     /// Unreadable store entries that were logged already, so that each is logged only once.
@@ -106,6 +114,9 @@
             last_remote_speeds_sent: None,
             last_config_request: None,
             outdated_since: None,
+            is_store_lost: false,
+            targets_read_at: None,
+            awaits_targets_since: None,
             unreadable_targets: 0,
             reported_targets: store::Reported::default(),
             reported_hosts: store::Reported::default(),
@@ -281,11 +292,13 @@
             is_closing_connections,
             is_steward: !self.membership.claims.is_empty(),
             knows_targets: !self.directory.is_empty(),
+            awaits_targets: self.awaits_targets_since.is_some(),
         };
         let is_same = |a: &Snapshot, b: &Snapshot| {
             a.document.as_ref().map(|one| one.version) == b.document.as_ref().map(|one| one.version)
                 && (a.is_ready, a.is_closing_connections, a.is_steward, a.knows_targets)
                     == (b.is_ready, b.is_closing_connections, b.is_steward, b.knows_targets)
+                && a.awaits_targets == b.awaits_targets
         };
         if !is_same(&snapshot, &self.snapshot) {
             self.snapshot = snapshot.clone();
--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -313,6 +313,7 @@
             seeds,
             steward: steward::Settings { term, remote_factor: 1.5 },
             stop_timeout: Duration::from_secs(5),
+            max_targets_age: Duration::from_secs(1),
         };
         let clock: Arc<dyn Clock> = Arc::clone(&one.clock) as _;
         one.state = Some(State::new(settings, clock));
--- a/crates/fleet/src/control/tests/startup.rs
+++ b/crates/fleet/src/control/tests/startup.rs
@@ -10,6 +10,7 @@
 use super::simulation::ManualClock;
 use crate::config::tests::{document, route};
 use crate::control::{Action, Event, Request, Response, Settings, State};
+use crate::directory;
 use crate::job::{
     Id, Outcome, Plan, Refusal, RequestId, Requirements, Resources, Step, Submission,
 };
@@ -17,9 +18,10 @@
 use crate::member::tests::identity;
 use crate::member::{Claim, Heartbeat, Identity};
 use crate::peer::{Batch, Message};
+use crate::report::Record;
 use crate::routing::Load;
 use crate::steward;
-use crate::store::Update;
+use crate::store::{self, Listing, Update};
 
 /// A host that knows the configuration, but no peer and no target.
 pub(super) fn host_without_peers(clock: &Arc<ManualClock>) -> State {
@@ -29,6 +31,7 @@
         seeds: Vec::new(),
         steward: steward::Settings { term, remote_factor: 1.5 },
         stop_timeout: Duration::from_secs(5),
+        max_targets_age: Duration::from_secs(1),
     };
     let mut state = State::new(settings, Arc::clone(clock) as Arc<dyn Clock>);
     let document = Arc::new(document(1, vec![route("cut", "/a/")]));
@@ -144,3 +147,41 @@
     of_no_other_host_if_there_is_a_steward(true, false, false);
     of_any_host_before_there_is_a_steward(false, false, true);
 }
+
+/// A host whose list of targets is three seconds old finds its zone without a steward. Guards against a new
+/// steward that starts tasks on a target which said meanwhile that it leaves: on the bench, 5 starts up to
+/// 3.7 s after that word, by a host that had just taken its zone over.
+fn claims_its_zone(update: Option<Update>, after_ms: u64, expected: bool) {
+    let clock = Arc::new(ManualClock::new());
+    let mut state = host_without_peers(&clock);
+    let listing = |is_stale| Listing { is_stale, ..Listing::from(vec![target()]) };
+    state.handle(Event::Store(Update::Targets(listing(false))));
+    clock.set(3_000);
+    let mut actions = state.advance();
+    if let Some(update) = update {
+        state.handle(Event::Store(update));
+    }
+    for at_ms in (3_050..=3_000 + after_ms).step_by(50) {
+        clock.set(at_ms);
+        actions.extend(state.advance());
+    }
+    let is_claim =
+        |action: &Action| matches!(action, Action::Record(Record::StewardshipTaken { .. }));
+    assert_eq!(actions.iter().any(is_claim), expected, "{actions:?}");
+    let asks = |action: &Action| matches!(action, Action::Publish(one) if one.awaits_targets);
+    assert!(actions.iter().any(asks), "it asks for the list");
+}
+
+fn target() -> directory::Entry {
+    directory::tests::entry("t0", "a")
+}
+
+cases! { claims_its_zone:
+    not_with_an_old_list(None, 1_000, false);
+    after_a_new_list(Some(Update::Targets(vec![target()].into())), 200, true);
+    not_after_a_list_that_may_be_old(
+        Some(Update::Targets(Listing { is_stale: true, ..vec![target()].into() })), 1_000, false,
+    );
+    at_once_if_the_store_is_lost(Some(Update::Lost(store::Error::Unreachable)), 200, true);
+    in_the_end_if_the_store_serves_no_list(None, 1_700, true);
+}
--- a/crates/fleet/src/store/agent.rs
+++ b/crates/fleet/src/store/agent.rs
@@ -6,7 +6,7 @@
 
 use tokio::time::Instant;
 
-use super::{Change, Error, Store, Update};
+use super::{Change, Error, Listing, Store, Update};
 use crate::control::{Event, Handle};
 use crate::member::Identity;
 
@@ -20,10 +20,10 @@
 const MIN_TARGETS_INTERVAL: Duration = Duration::from_millis(200);
 const MAX_TARGETS_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval between reads of the targets at hosts that are no steward. They use the list only to know which
-/// zones have targets, and read it at once when they become one.
+/// zones have targets, and read it before they become one.
 const NON_STEWARD_TARGETS_INTERVAL: Duration = Duration::from_secs(10);
-/// Interval between checks whether this host has become a steward.
-const STEWARD_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval between checks whether this host needs the list sooner.
+const NEED_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between reads of the registered hosts during [`DISCOVERY_TIME`].
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(2_500);
 /// Time from the start of the process after which the hosts of its fleet have registered. One that comes
@@ -34,6 +34,12 @@
 /// Delay after a failed call, and between reads while there is no configuration.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Interval between reads of the targets at a steward, where a draining target may still get tasks for `drain`.
+#[must_use]
+pub fn targets_interval(drain: Duration) -> Duration {
+    drain.mul_f64(STEWARD_TARGETS_SHARE).clamp(MIN_TARGETS_INTERVAL, MAX_TARGETS_INTERVAL)
+}
+
 /// Reads the store periodically and registers this host in it.
 pub struct Agent {
     store: Arc<dyn Store>,
@@ -51,9 +57,7 @@
             store,
             control,
             is_unreachable: AtomicBool::new(false),
-            targets_interval: drain
-                .mul_f64(STEWARD_TARGETS_SHARE)
-                .clamp(MIN_TARGETS_INTERVAL, MAX_TARGETS_INTERVAL),
+            targets_interval: targets_interval(drain),
         });
         tokio::spawn(Arc::clone(&agent).watch_config());
         tokio::spawn(Arc::clone(&agent).poll_targets());
@@ -91,14 +95,14 @@
 
     async fn poll_targets(self: Arc<Self>) {
         while !self.control.is_closed() {
-            let is_steward = self.control.snapshot().is_steward;
-            let is_known = self.control.snapshot().knows_targets;
-            let stale = is_known && !is_steward;
+            let snapshot = self.control.snapshot();
+            let is_needed = snapshot.is_steward || snapshot.awaits_targets;
+            let stale = snapshot.knows_targets && !is_needed;
             match self.report_availability(self.store.list_targets(stale).await).await {
                 Ok(targets) => {
-                    self.send(Update::Targets(targets)).await;
+                    self.send(Update::Targets(Listing { is_stale: stale, ..targets })).await;
                     if stale {
-                        self.wait_unless_steward(NON_STEWARD_TARGETS_INTERVAL).await;
+                        self.wait_until_needed(NON_STEWARD_TARGETS_INTERVAL).await;
                     } else {
                         tokio::time::sleep(self.targets_interval).await;
                     }
@@ -108,11 +112,15 @@
         }
     }
 
-    /// Waits until the time is over or this host has become a steward.
-    async fn wait_unless_steward(&self, time: Duration) {
+    /// Waits until the time is over or this host needs the list.
+    async fn wait_until_needed(&self, time: Duration) {
         let until = Instant::now() + time;
-        while Instant::now() < until && !self.control.snapshot().is_steward {
-            tokio::time::sleep(STEWARD_CHECK_INTERVAL).await;
+        while Instant::now() < until {
+            let snapshot = self.control.snapshot();
+            if snapshot.is_steward || snapshot.awaits_targets {
+                return;
+            }
+            tokio::time::sleep(NEED_CHECK_INTERVAL).await;
         }
     }
 
--- a/crates/fleet/src/store/message.rs
+++ b/crates/fleet/src/store/message.rs
@@ -42,11 +42,13 @@
     pub entries: Vec<T>,
     /// Entries that can't be decoded.
     pub unreadable: Vec<Unreadable>,
+    /// Whether it may be seconds old.
+    pub is_stale: bool,
 }
 
 impl<T> From<Vec<T>> for Listing<T> {
     fn from(entries: Vec<T>) -> Self {
-        Self { entries, unreadable: Vec::new() }
+        Self { entries, unreadable: Vec::new(), is_stale: false }
     }
 }
 
--- a/crates/fleet/src/store/mod.rs
+++ b/crates/fleet/src/store/mod.rs
@@ -8,6 +8,6 @@
 #[cfg(test)]
 mod tests;
 
-pub use agent::Agent;
+pub use agent::{Agent, targets_interval};
 pub use message::{Change, Error, Listing, Store, Unreadable, Update};
 pub use reported::Reported;
--- a/crates/model/src/dispatcher.rs
+++ b/crates/model/src/dispatcher.rs
@@ -200,6 +200,8 @@
                     .collect(),
                 steward: steward::Settings { term: LEASE_TERM, remote_factor: 1.0 },
                 stop_timeout: WARM_UP,
+                // The model's hosts read the list once.
+                max_targets_age: Duration::MAX,
             };
             let state = State::new(settings, Arc::clone(&clock) as Arc<dyn Clock>);
             simulation.hosts.push(Host { identity, state, sessions: BTreeMap::new() });
