--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! through a [`Handle`].
 
 mod assignment;
+mod claims;
 mod executor;
 mod grants;
 mod jobs;
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -1,4 +1,4 @@
-//! Peers: membership, heartbeats, messages, and claims on zones.
+//! Peers: membership, heartbeats and messages.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -6,14 +6,11 @@
 use coltsfootshunt_core::name::{Host, Zone};
 
 use super::State;
-use crate::member::{CLOSE_INTERVAL, Claim, Heartbeat, Identity};
+use crate::member::{CLOSE_INTERVAL, Heartbeat, Identity};
 use crate::peer::Message;
 use crate::report::Record;
-use crate::steward;
 use crate::store::{Listing, Unreadable, Update};
 
-/// Time for which a steward may have issued tokens that no peer has heard of: two heartbeat intervals.
-const UNREPORTED_TOKENS: Duration = Duration::from_millis(200);
 /// Interval between messages that share the learned speeds of targets and kinds, which would
 /// otherwise be lost with this host.
 const SPEEDS_INTERVAL: Duration = Duration::from_secs(1);
@@ -22,8 +19,6 @@
 /// Maximum number of kinds in one message that shares learned speeds. The trends of that many take
 /// about half a kilobyte, and each steward sends them to each host.
 const MAX_KINDS_PER_MESSAGE: usize = 8;
-/// Longest time for which a host waits for the list of targets before it claims a zone.
-const MAX_TARGETS_WAIT: Duration = Duration::from_millis(1_500);
 /// Time for which the store may deliver a configuration before this host requests it from a peer.
 const CONFIG_REQUEST_DELAY: Duration = Duration::from_millis(500);
 /// Shortest interval between requests for the configuration and the list of targets.
@@ -281,57 +276,6 @@
         self.maintain_claims(&zones, now);
     }
 
-    /// Resigns as steward where it should, and claims zones that need this host as steward.
-    fn maintain_claims(&mut self, zones: &[Zone], now: Instant) {
-        let claimed = self.membership.claims.iter().map(|claim| claim.zone.clone());
-        let resigned: Vec<Zone> =
-            claimed.filter(|zone| self.membership.should_resign(zone)).collect();
-        self.resign_zones(&resigned, now);
-        let vacant: Vec<&Zone> =
-            zones.iter().filter(|zone| self.membership.should_claim(zone, now)).collect();
-        if !self.may_claim(!vacant.is_empty(), now) {
-            return;
-        }
-        for zone in vacant {
-            if self.membership.should_claim(zone, now) {
-                // The last steward may have issued tokens since its last heartbeat.
-                self.issuer.observe(self.issuer.highest(), UNREPORTED_TOKENS);
-                let token = self.issuer.next(self.clock.wall_time());
-                self.membership.claims.push(Claim { zone: zone.clone(), token });
-                self.record(Record::StewardshipTaken { zone: zone.clone(), token });
-                // Announce the claim at once.
-                self.membership.announce();
-            }
-        }
-    }
-
-    /// Whether this host may claim zones now if it should. A host that was no steward may have read the list
-    /// of targets long ago, and would start tasks on targets that have left since. It reads the list first,
-    /// unless the store does not respond.
-    fn may_claim(&mut self, should_claim: bool, now: Instant) -> bool {
-        let age = self.targets_read_at.map(|at| now.duration_since(at));
-        let is_current = age.is_some_and(|age| age <= self.settings.max_targets_age);
-        if !should_claim || is_current || self.is_store_lost {
-            self.awaits_targets_since = None;
-            return should_claim;
-        }
-        let since = *self.awaits_targets_since.get_or_insert(now);
-        now.duration_since(since) >= MAX_TARGETS_WAIT
-    }
-
-    /// Gives up claims on zones. Queued tasks are returned with the last claim.
-    pub(super) fn resign_zones(&mut self, zones: &[Zone], now: Instant) {
-        for zone in zones {
-            self.membership.claims.retain(|claim| claim.zone != *zone);
-            self.record(Record::StewardshipResigned { zone: zone.clone() });
-        }
-        if !zones.is_empty() && self.membership.claims.is_empty() {
-            let mut output = steward::Output::default();
-            self.steward.return_queued(&mut output);
-            self.apply_output(output, now);
-        }
-    }
-
     /// Sends what is due: heartbeats to peers, learned speeds, and heartbeats to absent hosts.
     pub(super) fn send_heartbeats(&mut self, now: Instant) {
         let working = self.jobs.stewards().chain(self.steward.owners());
