fix(control): a word tells only of the events its sender has handled

The control thread handles events in the order in which they came, at most 128 before it acts. While it lags, the departure of a caller waits in its channel, and the heartbeats and tasks that it sends meanwhile vouched for that caller as of the moment of sending: a steward's leases for its work could outlast the caller's repeat by the lag. The same holds for the steward's own tasks, whose owner counted as heard at every moment.

Events are now timed when they come. A word tells of the time up to which its sender had handled all events: the coming of the event that it handles, or the moment at which the channel was last found empty. The time for which a stamp was held is counted between two such times, so a stamp that waited in the channel makes a word older and never newer. Without a lag the difference is the time that the event itself waited.

Not covered: an event that a traffic thread has not put into the channel yet.

--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -149,6 +149,11 @@
         }
     }
 
+    /// Records that all events which came before a time have been handled, but for the next one.
+    pub fn set_handled_until(&mut self, at: Instant) {
+        self.membership.set_handled_until(at);
+    }
+
     /// Handles an event; [`Self::advance`] returns the resulting actions.
     pub fn handle(&mut self, event: Event) {
         let now = self.clock.now();
--- a/crates/fleet/src/control/tests/mod.rs
+++ b/crates/fleet/src/control/tests/mod.rs
@@ -5,6 +5,7 @@
 mod evidence;
 mod extreme_values;
 mod jobs;
+mod lagging_owners;
 mod missing_entries;
 mod partitions;
 mod restarts;
--- a/crates/fleet/src/control/tests/startup.rs
+++ b/crates/fleet/src/control/tests/startup.rs
@@ -50,7 +50,16 @@
     let load = Load { free_slots: 8, slots: 10, ..Load::default() };
     let heartbeat = Message::Heartbeat(Heartbeat { claims, load, ..Heartbeat::default() });
     let from = Identity { incarnation, ..identity("steward", "b", 250) };
-    let batch = Batch { from, session, sequence: 1, messages: vec![heartbeat] };
+    deliver_batch_of(state, from, session, vec![heartbeat]);
+}
+
+/// Delivers the first batch of a steward in another availability zone.
+pub(super) fn deliver_batch_of_steward(state: &mut State, messages: Vec<Message>) {
+    deliver_batch_of(state, identity("steward", "b", 250), 1, messages);
+}
+
+fn deliver_batch_of(state: &mut State, from: Identity, session: u64, messages: Vec<Message>) {
+    let batch = Batch { from, session, sequence: 1, messages };
     state.handle(Event::Request(RequestId(1), Request::Deliver(batch)));
 }
 
--- a/crates/fleet/src/control/thread.rs
+++ b/crates/fleet/src/control/thread.rs
@@ -26,9 +26,10 @@
 #[display("the control thread has ended")]
 pub struct Closed;
 
-/// An event, and where its response goes if one is awaited.
+/// An event, when it came, and where its response goes if one is awaited.
 struct Envelope {
     event: Event,
+    came_at: std::time::Instant,
     reply: Option<(RequestId, oneshot::Sender<Response>)>,
 }
 
@@ -38,6 +39,7 @@
     events: mpsc::Sender<Envelope>,
     snapshot: Arc<ArcSwap<Snapshot>>,
     request_ids: Arc<AtomicU64>,
+    clock: Arc<dyn Clock>,
 }
 
 impl Handle {
@@ -134,17 +136,25 @@
     /// # Errors
     /// [`Closed`] if the thread has ended.
     pub async fn send(&self, event: Event) -> Result<(), Closed> {
-        self.events.send(Envelope { event, reply: None }).await.map_err(|_| Closed)
+        self.events.send(self.envelope(event, None)).await.map_err(|_| Closed)
     }
 
     async fn ask(&self, request_id: RequestId, request: Request) -> Result<Response, Closed> {
         let (sender, receiver) = oneshot::channel();
         let event = Event::Request(request_id, request);
-        let envelope = Envelope { event, reply: Some((request_id, sender)) };
+        let envelope = self.envelope(event, Some((request_id, sender)));
         self.events.send(envelope).await.map_err(|_| Closed)?;
         receiver.await.map_err(|_| Closed)
     }
 
+    fn envelope(
+        &self,
+        event: Event,
+        reply: Option<(RequestId, oneshot::Sender<Response>)>,
+    ) -> Envelope {
+        Envelope { event, came_at: self.clock.now(), reply }
+    }
+
     fn request_id(&self) -> RequestId {
         RequestId(self.request_ids.fetch_add(1, Ordering::Relaxed))
     }
@@ -163,7 +173,7 @@
         if self.is_pending {
             let event = Event::CallerLeft(self.id.clone(), self.request_id);
             // If the channel is full, the job runs on until its deadline.
-            let _ = self.handle.events.try_send(Envelope { event, reply: None });
+            let _ = self.handle.events.try_send(self.handle.envelope(event, None));
         }
     }
 }
@@ -186,11 +196,13 @@
     let (events, inbox) = mpsc::channel(CHANNEL_CAPACITY);
     let snapshot = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
     let request_ids = Arc::new(AtomicU64::new(1));
-    let handle = Handle { events, snapshot: Arc::clone(&snapshot), request_ids };
+    let clock = Arc::clone(&dependencies.clock);
+    let handle = Handle { events, snapshot: Arc::clone(&snapshot), request_ids, clock };
     let executor = (dependencies.executor)(handle.clone());
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build()?;
+    let clock = Arc::clone(&dependencies.clock);
     let state = State::new(dependencies.settings, dependencies.clock);
-    let control = ControlThread { state, executor, snapshot, pending: HashMap::new() };
+    let control = ControlThread { state, clock, executor, snapshot, pending: HashMap::new() };
     let thread = std::thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || runtime.block_on(control.run(inbox)))?;
@@ -200,6 +212,7 @@
 /// Everything that the control thread owns.
 struct ControlThread {
     state: State,
+    clock: Arc<dyn Clock>,
     executor: Executor,
     snapshot: Arc<ArcSwap<Snapshot>>,
     pending: HashMap<RequestId, oneshot::Sender<Response>>,
@@ -219,12 +232,19 @@
                 () = tokio::time::sleep_until(wake) => {}
             }
             self.state.detect_pause();
+            let now = self.clock.now();
+            let has_all = inbox.is_empty();
             for envelope in batch.drain(..) {
+                self.state.set_handled_until(envelope.came_at);
                 if let Some((request_id, reply)) = envelope.reply {
                     self.pending.insert(request_id, reply);
                 }
                 self.state.handle(envelope.event);
             }
+            // Otherwise the last event that was handled is the time up to which all were.
+            if has_all {
+                self.state.set_handled_until(now);
+            }
             if self.execute_actions() {
                 return;
             }
--- a/crates/fleet/src/member/membership.rs
+++ b/crates/fleet/src/member/membership.rs
@@ -56,6 +56,8 @@
     pub(super) started: Instant,
     /// Origin of the stamps of this process.
     pub(super) origin: Origin,
+    /// Time up to which this host has handled all events; none if it handles each at once.
+    pub(super) handled_until: Option<Instant>,
     pub(super) peers: BTreeMap<Host, Peer>,
     /// Hosts that have work with this one, and since when.
     pub(super) working_since: BTreeMap<Host, Instant>,
@@ -81,6 +83,7 @@
     pub fn new(me: Identity, now: Instant) -> Self {
         Self {
             origin: Origin::new(&me, now),
+            handled_until: None,
             me,
             started: now,
             peers: BTreeMap::new(),
--- a/crates/fleet/src/member/word.rs
+++ b/crates/fleet/src/member/word.rs
@@ -75,6 +75,17 @@
 }
 
 impl Membership {
+    /// Records that this host has handled all events that came before a time. Its words say no more than that:
+    /// later ones, such as the departure of a caller, may still wait.
+    pub fn set_handled_until(&mut self, at: Instant) {
+        self.handled_until = self.handled_until.max(Some(at));
+    }
+
+    /// Time of which a word that is issued now tells.
+    fn word_time(&self, now: Instant) -> Instant {
+        self.handled_until.map_or(now, |until| until.min(now))
+    }
+
     /// Stamp of this process's clock, in milliseconds.
     #[must_use]
     pub fn stamp_ms(&self, now: Instant) -> u64 {
@@ -85,13 +96,15 @@
     #[must_use]
     pub fn echo(&self, to: &Host, now: Instant) -> Option<Echo> {
         let (stamp_ms, handled_at) = self.peer(to)?.words.stamp?;
-        Some(Echo { stamp_ms, held_ms: millis(now.duration_since(handled_at)) })
+        let held = self.word_time(now).saturating_duration_since(handled_at);
+        Some(Echo { stamp_ms, held_ms: millis(held) })
     }
 
     /// Records the stamp of a peer's heartbeat. Without one, the peer is of an earlier version.
     pub fn record_stamp(&mut self, host: &Host, stamp_ms: Option<u64>, now: Instant) {
+        let handled_at = self.word_time(now);
         if let Some((peer, stamp_ms)) = self.peers.get_mut(host).zip(stamp_ms) {
-            peer.words.stamp = Some((stamp_ms, now));
+            peer.words.stamp = Some((stamp_ms, handled_at));
             peer.words.are_dated = true;
         }
     }
@@ -119,13 +132,13 @@
         Some(issued_at.checked_add(held).map_or(now, |at| at.min(now)))
     }
 
-    /// Time by which a host is known to have spoken last; none if it was never heard. For this host it is always
-    /// `now`. Until the first word that an echo dates, it is the start or the end of the last pause of this
+    /// Time by which a host is known to have spoken last; none if it was never heard. For this host it is `now`,
+    /// or the time up to which it has handled all events. Until the first word that an echo dates, it is the start or the end of the last pause of this
     /// process, which takes no tasks that were sent before. What an earlier version says counts from its arrival.
     #[must_use]
     pub fn last_word(&self, host: &Host, now: Instant) -> Option<Instant> {
         if *host == self.me().host {
-            return Some(now);
+            return Some(self.word_time(now));
         }
         let peer = self.peer(host)?;
         if !peer.words.are_dated {
