fix(control): a departure is noticed when the channel is full

What callers saw: two runs of a task (TWICE). A caller that left while the control thread had as many events as its channel holds was forgotten: its job ran on until its deadline, while the caller sent it again 1.3 s later to another host.

Cause: the guard of a submission drops the event of the departure if there is no room, since it can't wait. Class: a lost message taken as the sender's present wish.

Evidence: two tests stop the control thread at a log record, fill its channel and let a caller leave. Before, `a_departure_is_lost_when_the_channel_is_full` failed with "the job of a caller that has left, left: Some(Queued), right: None", and `a_job_is_begun_for_a_caller_that_has_left`, where the submission itself still waited in the channel, with "jobs accepted, left: 1, right: 0".

Why it works: the future that is dropped owns the receiver of its response, so a closed receiver shows the departure, and no event is needed for it. A guard that finds no room sets a flag; the control thread then looks through the requests that wait for a response, in the same iteration. A submission whose receiver is closed already is not begun, and is logged as `caller left`. Nothing waits or spins. Requests of callers that left are also removed from those that wait, where they stayed until the process ended.

--- a/crates/fleet/src/control/tests/mod.rs
+++ b/crates/fleet/src/control/tests/mod.rs
@@ -2,6 +2,7 @@
 //! faults.
 
 mod delayed_words;
+mod departures;
 mod evidence;
 mod extreme_values;
 mod jobs;
--- a/crates/fleet/src/control/thread.rs
+++ b/crates/fleet/src/control/thread.rs
@@ -2,8 +2,9 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use coltsfootshunt_core::clock::Clock;
@@ -15,6 +16,7 @@
 use super::{Action, Event, Executor, JobState, Request, Response, Settings, Snapshot, State};
 use crate::job::{Id, Outcome, RequestId, Submission};
 use crate::peer::{Ack, Batch};
+use crate::report::Record;
 
 /// Maximum number of events that wait for the control thread; senders wait while it is reached.
 const CHANNEL_CAPACITY: usize = 8_192;
@@ -40,6 +42,8 @@
     snapshot: Arc<ArcSwap<Snapshot>>,
     request_ids: Arc<AtomicU64>,
     clock: Arc<dyn Clock>,
+    /// Whether callers have left whose departure found no room in the channel.
+    has_untold_departures: Arc<AtomicBool>,
 }
 
 impl Handle {
@@ -172,8 +176,10 @@
     fn drop(&mut self) {
         if self.is_pending {
             let event = Event::CallerLeft(self.id.clone(), self.request_id);
-            // If the channel is full, the job runs on until its deadline.
-            let _ = self.handle.events.try_send(self.handle.envelope(event, None));
+            // If the channel is full, the control thread looks for the caller itself.
+            if self.handle.events.try_send(self.handle.envelope(event, None)).is_err() {
+                self.handle.has_untold_departures.store(true, Ordering::Release);
+            }
         }
     }
 }
@@ -197,25 +203,51 @@
     let snapshot = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
     let request_ids = Arc::new(AtomicU64::new(1));
     let clock = Arc::clone(&dependencies.clock);
-    let handle = Handle { events, snapshot: Arc::clone(&snapshot), request_ids, clock };
+    let has_untold_departures = Arc::new(AtomicBool::new(false));
+    let untold = Arc::clone(&has_untold_departures);
+    let handle = Handle {
+        events,
+        snapshot: Arc::clone(&snapshot),
+        request_ids,
+        clock,
+        has_untold_departures,
+    };
     let executor = (dependencies.executor)(handle.clone());
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build()?;
     let clock = Arc::clone(&dependencies.clock);
     let state = State::new(dependencies.settings, dependencies.clock);
-    let control = ControlThread { state, clock, executor, snapshot, pending: HashMap::new() };
+    let pending = HashMap::new();
+    let control =
+        ControlThread { state, clock, executor, snapshot, pending, has_untold_departures: untold };
     let thread = std::thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || runtime.block_on(control.run(inbox)))?;
     Ok((handle, thread))
 }
 
+/// A request that waits for its response.
+struct Pending {
+    /// Job that it submits, if it does.
+    job: Option<Id>,
+    reply: oneshot::Sender<Response>,
+}
+
+impl Pending {
+    /// Whether it submits a job, and its caller has left.
+    fn has_departed(&self) -> bool {
+        self.job.is_some() && self.reply.is_closed()
+    }
+}
+
 /// Everything that the control thread owns.
 struct ControlThread {
     state: State,
     clock: Arc<dyn Clock>,
     executor: Executor,
     snapshot: Arc<ArcSwap<Snapshot>>,
-    pending: HashMap<RequestId, oneshot::Sender<Response>>,
+    pending: HashMap<RequestId, Pending>,
+    /// Set by the guards of submissions.
+    has_untold_departures: Arc<AtomicBool>,
 }
 
 impl ControlThread {
@@ -236,10 +268,10 @@
             let has_all = inbox.is_empty();
             for envelope in batch.drain(..) {
                 self.state.set_handled_until(envelope.came_at);
-                if let Some((request_id, reply)) = envelope.reply {
-                    self.pending.insert(request_id, reply);
-                }
-                self.state.handle(envelope.event);
+                self.handle(envelope);
+            }
+            if self.has_untold_departures.swap(false, Ordering::AcqRel) {
+                self.handle_untold_departures();
             }
             // Otherwise the last event that was handled is the time up to which all were.
             if has_all {
@@ -251,13 +283,50 @@
         }
     }
 
+    fn handle(&mut self, Envelope { event, reply, .. }: Envelope) {
+        if let Some((request_id, reply)) = reply {
+            let job = match &event {
+                Event::Request(_, Request::Submit(submission)) => Some(submission.id.clone()),
+                _ => None,
+            };
+            let pending = Pending { job, reply };
+            // The caller may have repeated its job elsewhere, so the job must not begin here.
+            if pending.has_departed() {
+                return self.record_departure(pending);
+            }
+            self.pending.insert(request_id, pending);
+        }
+        if let Event::CallerLeft(_, request_id) = &event {
+            self.pending.remove(request_id);
+        }
+        self.state.handle(event);
+    }
+
+    /// Handles the departure of all callers that no longer wait for their response.
+    fn handle_untold_departures(&mut self) {
+        let departed = self.pending.extract_if(|_, pending| pending.has_departed());
+        let departed: Vec<(RequestId, Pending)> = departed.collect();
+        for (request_id, Pending { job, .. }) in departed {
+            if let Some(id) = job {
+                self.state.handle(Event::CallerLeft(id, request_id));
+            }
+        }
+    }
+
+    /// Logs a job that did not begin because its caller had left.
+    fn record_departure(&self, Pending { job, .. }: Pending) {
+        if let Some(job) = job {
+            self.executor.log.record(&Record::CallerLeft { job, after: Duration::ZERO });
+        }
+    }
+
     /// Executes the pending actions. Returns whether the process ends.
     fn execute_actions(&mut self) -> bool {
         let mut must_exit = false;
         for action in self.state.advance() {
             match action {
                 Action::Respond(request_id, response) => {
-                    if let Some(reply) = self.pending.remove(&request_id) {
+                    if let Some(Pending { reply, .. }) = self.pending.remove(&request_id) {
                         // Fails only if the requester has stopped waiting.
                         let _ = reply.send(response);
                     }
