fix(peer): no message goes ahead of a cancellation

Where many messages on jobs wait for one steward (a peak, a narrow link), a cancellation waited behind all of them, 64 a batch.

Cause: each batch, and the heartbeat in it, is a word of the owner, and prolongs the leases of all its tasks there; also of those that the owner had cancelled before it made the batch. The bound of 1.15 s after the owner's last word protects nobody then, and the caller repeats 1.3 s after it left. Class: a word that is newer than the wish that it stands for.

Evidence: `a_cancellation_waits_behind_other_messages` failed with "left: (64, 0), right: (64, 1)": a full batch without the cancellation; `keeps::no_tasks_of_a_job_that_was_given_up` with "left: ["run", "cancel"], right: ["cancel"]".

Why it works: cancellations have a queue of their own that is emptied first. What would hand tasks of the same generation to the steward (their assignment, their grants) is dropped from the other queue, so that it can't arrive after the cancellation. A batch has up to 64 cancellations; only more than that at one time leave some for the next.

--- a/crates/fleet/src/peer/queue.rs
+++ b/crates/fleet/src/peer/queue.rs
@@ -3,6 +3,9 @@
 //! Load pattern: a link that carries less than what a host sends, with lists and heartbeats ahead of the
 //! messages that jobs wait for. Messages on jobs go first; of all others only the latest of each kind is
 //! kept, since it replaces the earlier ones.
+//!
+//! Each batch tells its receiver that the sender still wants the tasks that the receiver has, which then
+//! run on. So no batch goes ahead of a cancellation that waits.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -11,6 +14,7 @@
 use tokio::time::Instant;
 
 use super::Message;
+use crate::job::Id;
 
 /// Maximum number of messages in one batch, so that a narrow link carries it within the time limit of a
 /// batch.
@@ -31,7 +35,9 @@
 /// Messages that wait for one host.
 #[derive(Debug, Default)]
 pub struct Queue {
-    /// Messages on jobs, in order.
+    /// Cancellations, in order. They go before all other messages.
+    cancels: VecDeque<Queued>,
+    /// Other messages on jobs, in order.
     jobs: VecDeque<Queued>,
     heartbeat: Option<Queued>,
     /// The latest message of every other kind.
@@ -46,10 +52,15 @@
     /// one by one.
     pub fn push(&mut self, message: Message, now: Instant) -> Result<(), Full> {
         if message.is_about_jobs() {
-            if self.jobs.len() >= MAX_JOB_MESSAGES {
+            if self.cancels.len() + self.jobs.len() >= MAX_JOB_MESSAGES {
                 return Err(Full);
             }
-            self.jobs.push_back((message, now));
+            if let Message::Cancel(job, generation) = &message {
+                self.remove_tasks(job, *generation);
+                self.cancels.push_back((message, now));
+            } else {
+                self.jobs.push_back((message, now));
+            }
         } else if matches!(message, Message::Heartbeat(_)) {
             self.heartbeat = Some((message, now));
         } else {
@@ -60,14 +71,31 @@
         Ok(())
     }
 
+    /// Removes what would hand tasks of a cancelled job to the host after the cancellation.
+    fn remove_tasks(&mut self, job: &Id, generation: u64) {
+        self.jobs.retain_mut(|(message, _)| match message {
+            Message::Run(assignment) => {
+                (&assignment.job, assignment.generation) != (job, generation)
+            }
+            Message::Grant(grants) => {
+                grants.retain(|grant| (&grant.task.job, grant.generation) != (job, generation));
+                !grants.is_empty()
+            }
+            _ => true,
+        });
+    }
+
     /// Removes and returns the messages of the next batch.
     pub fn next_batch(&mut self, now: Instant) -> Vec<Queued> {
-        let count = self.jobs.len().min(MAX_BATCH_MESSAGES);
-        let mut batch: Vec<Queued> = self.jobs.drain(..count).collect();
+        let cancels = self.cancels.len().min(MAX_BATCH_MESSAGES);
+        let others = self.jobs.len().min(MAX_BATCH_MESSAGES - cancels);
+        let count = cancels + others;
+        let mut batch: Vec<Queued> = self.cancels.drain(..cancels).collect();
+        batch.extend(self.jobs.drain(..others));
         if let Some((mut message, since)) = self.heartbeat.take() {
             // It may be newer than messages on jobs that still wait, and must not date them.
             if let Message::Heartbeat(heartbeat) = &mut message
-                && !self.jobs.is_empty()
+                && !(self.cancels.is_empty() && self.jobs.is_empty())
             {
                 heartbeat.echo = None;
             }
@@ -86,7 +114,10 @@
     /// Whether no message waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.jobs.is_empty() && self.heartbeat.is_none() && self.lists.is_empty()
+        self.cancels.is_empty()
+            && self.jobs.is_empty()
+            && self.heartbeat.is_none()
+            && self.lists.is_empty()
     }
 
     /// Drops all messages.
--- a/crates/fleet/src/peer/tests/queue.rs
+++ b/crates/fleet/src/peer/tests/queue.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use coltsfootshunt_core::name::{Kind, Service};
 use coltsfootshunt_testkit::cases;
 use tokio::time::Instant;
 
-use crate::job::Id;
+use crate::job::{Assignment, Grant, Id, Task};
 use crate::member::tests::identity;
 use crate::member::{Echo, Heartbeat};
 use crate::peer::{Full, Message, Queue};
@@ -60,6 +61,71 @@
     only_the_last_list(&[hosts(1), hosts(2), hosts(3)], 0, &[&["hosts"]]);
 }
 
+fn job() -> Id {
+    Id::try_from("0000000000000001").unwrap()
+}
+
+fn run(generation: u64) -> Message {
+    Message::Run(Assignment {
+        job: job(),
+        generation,
+        kind: Kind::try_from("cut").unwrap(),
+        service: Service::try_from("mill").unwrap(),
+        priority: 0,
+        spec: "work".into(),
+        objective_in_ms: 100,
+        deadline_in_ms: 1_500,
+        width: 1,
+        started: false,
+        shared: false,
+        tasks: Vec::new(),
+        echo: None,
+    })
+}
+
+fn grant(generations: &[u64]) -> Message {
+    let task = Task { job: job(), step: 0, index: 0 };
+    let grant = |generation: &u64| Grant {
+        task: task.clone(),
+        generation: *generation,
+        sequence: 1,
+        run: 1,
+        echo: None,
+    };
+    Message::Grant(generations.iter().map(grant).collect())
+}
+
+/// Guards against a task that runs twice: a host hears the owner of a job that was given up, batch after
+/// batch, and keeps the job's tasks alive, while the cancellation waits behind other messages on jobs.
+#[test]
+fn a_cancellation_waits_behind_other_messages() {
+    let now = Instant::now();
+    let mut queue = Queue::default();
+    (0..500).for_each(|_| queue.push(completed(), now).unwrap());
+    queue.push(cancel(1), now).unwrap();
+    let batch = queue.next_batch(now);
+    let cancels = batch.iter().filter(|(message, _)| matches!(message, Message::Cancel(..)));
+    assert_eq!((batch.len(), cancels.count()), (64, 1));
+}
+
+/// Guards against a task that starts after its job was given up: what hands it to the steward must not
+/// follow the cancellation. Other generations of the job are not concerned.
+fn keeps(messages: &[Message], expected: &[&str]) {
+    let now = Instant::now();
+    let mut queue = Queue::default();
+    messages.iter().for_each(|message| queue.push(message.clone(), now).unwrap());
+    let batch = queue.next_batch(now);
+    assert_eq!(batch.iter().map(|(message, _)| message.kind()).collect::<Vec<_>>(), expected);
+}
+
+cases! { keeps:
+    no_tasks_of_a_job_that_was_given_up(&[run(1), cancel(1)], &["cancel"]);
+    the_tasks_of_its_next_generation(&[run(1), cancel(1), run(2)], &["cancel", "run"]);
+    the_tasks_of_another_generation(&[run(2), cancel(1)], &["cancel", "run"]);
+    no_grant_of_a_job_that_was_given_up(&[grant(&[1]), cancel(1)], &["cancel"]);
+    the_grants_of_another_generation(&[grant(&[1, 2]), cancel(1)], &["cancel", "grant"]);
+}
+
 /// Messages on jobs stay in order and none is left out.
 #[test]
 fn messages_on_jobs_keep_their_order() {
