test(control): hosts that speak rarely and get work in common

Worlds for what "no two runs of a task at once" rests on since heartbeats depend on common work.

`safety::bursts`: pauses of 2 to 4 s with faults in them.

The simulation can have more hosts in a zone; it draws no other random numbers than before.

--- a/crates/fleet/src/control/tests/safety.rs
+++ b/crates/fleet/src/control/tests/safety.rs
@@ -122,12 +122,16 @@
     run_ms: (u64, usize),
     /// Run time on slow targets, in percent of that on fast ones.
     slow_percent: u64,
+    /// Number of jobs after which there is a pause of 2 to 4 s, if there are pauses.
+    burst: Option<usize>,
 }
 
 /// Work that ends in time on any target; all targets are equally fast.
-const SHORT_WORK: Workload = Workload { run_ms: (30, 600), slow_percent: 100 };
+const SHORT_WORK: Workload = Workload { run_ms: (30, 600), slow_percent: 100, burst: None };
 /// Work of which a large part ends in time only on fast targets.
-const LONG_WORK: Workload = Workload { run_ms: (150, 800), slow_percent: 220 };
+const LONG_WORK: Workload = Workload { run_ms: (150, 800), slow_percent: 220, burst: None };
+/// Bursts of short work, between which hosts without common work go over to speaking rarely.
+const BURSTS: Workload = Workload { burst: Some(12), ..SHORT_WORK };
 
 /// Runs random work under random faults and checks the safety invariants: no target is over its
 /// capacity, no task runs twice at once, no two processes use one fencing token at a target, and no
@@ -146,7 +150,10 @@
 ) {
     sim.fault_rates = fault_rates;
     sim.slow_percent = workload.slow_percent;
-    for _ in 0..120 {
+    for number in 0..120 {
+        if workload.burst.is_some_and(|burst| number % burst == 0) {
+            pause(&mut sim, faults);
+        }
         let width = 1 + sim.random_below(5) as u32;
         let cpu = 9_000 + sim.random_below(8_000) as u64;
         let run_ms = workload.run_ms.0 + sim.random_below(workload.run_ms.1) as u64;
@@ -172,6 +179,16 @@
     }
 }
 
+/// Lets the hosts be without work for 2 to 4 s. Two faults come in that time, one of them right at its end.
+fn pause(sim: &mut Simulation, faults: &[u8]) {
+    let before_ms = 1_000 + sim.random_below(1_000) as u64;
+    let after_ms = 1_000 + sim.random_below(1_000) as u64;
+    for for_ms in [before_ms, after_ms] {
+        sim.run_for(for_ms);
+        inject_fault(sim, faults);
+    }
+}
+
 fn short_work(fault_rates: FaultRates, faults: &'static [u8]) {
     check_property(SHORT_WORK, fault_rates, faults);
 }
@@ -360,3 +377,16 @@
     under_targets_that_refuse_connections(RELIABLE, &[9]);
     under_partitions_that_delay_batches(RELIABLE, &[12]);
 }
+
+/// Guards against what hosts believe of each other that speak rarely: faults come between bursts of work, when
+/// pairs of hosts go over to the longer interval of heartbeats, and back.
+fn bursts(fault_rates: FaultRates, faults: &'static [u8]) {
+    check_property(BURSTS, fault_rates, faults);
+}
+
+cases! { bursts:
+    under_frozen_hosts(HANGING, &[1]);
+    under_partitions(HANGING, &[4, 6, 7, 8]);
+    under_frozen_and_killed_hosts_and_all_partitions(HANGING, &[0, 1, 4, 5, 6, 7, 8]);
+    under_killed_hosts_and_partitions_that_delay_batches(HANGING, &[0, 1, 4, 5, 6, 7, 8, 12]);
+}
--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -34,8 +34,9 @@
 pub(super) use partitions::Partition;
 use tokens::Ledger;
 
-/// Availability zones; each has two hosts and [`TARGETS_PER_ZONE`] targets.
+/// Availability zones; each has [`HOSTS_PER_ZONE`] hosts by default, and [`TARGETS_PER_ZONE`] targets.
 pub(super) const ZONES: [&str; 2] = ["a", "b"];
+const HOSTS_PER_ZONE: usize = 2;
 const TARGETS_PER_ZONE: usize = 3;
 const TARGET_CPU_MILLIS: u64 = 32_000;
 /// Delay after which a caller without a definite outcome submits its job again.
@@ -221,12 +222,21 @@
 
 impl Simulation {
     pub(super) fn new(seed: u64) -> Self {
-        Self::with_incarnations(seed, |host, run| run * 16 + host as u64)
+        Self::with_hosts(seed, HOSTS_PER_ZONE)
+    }
+
+    /// Creates a simulation with up to eight hosts in each zone.
+    pub(super) fn with_hosts(seed: u64, hosts_per_zone: usize) -> Self {
+        Self::create(seed, |host, run| run * 16 + host as u64, hosts_per_zone)
     }
 
     /// Creates a simulation in which `identify` returns the number that identifies the given run of a
     /// host's process, from 1 on.
     pub(super) fn with_incarnations(seed: u64, identify: fn(usize, u64) -> u64) -> Self {
+        Self::create(seed, identify, HOSTS_PER_ZONE)
+    }
+
+    fn create(seed: u64, identify: fn(usize, u64) -> u64, hosts_per_zone: usize) -> Self {
         let time = Arc::new(ManualClock::new());
         let mut sim = Self {
             time,
@@ -260,7 +270,8 @@
             has_unsafe_run: false,
             is_traced: std::env::var_os("COLTSFOOTSHUNT_TRACE").is_some(),
         };
-        for (number, zone) in ZONES.iter().flat_map(|zone| [zone, zone]).enumerate() {
+        let zones = ZONES.iter().flat_map(|zone| std::iter::repeat_n(zone, hosts_per_zone));
+        for (number, zone) in zones.enumerate() {
             let identity = Identity {
                 address: format!("10.0.0.{}:1", number + 1).parse().unwrap(),
                 ..crate::member::tests::identity(&format!("h{number}"), zone, 250)
--- a/crates/fleet/src/control/tests/simulation/partitions.rs
+++ b/crates/fleet/src/control/tests/simulation/partitions.rs
@@ -1,5 +1,6 @@
 //! Network partitions.
 
+use coltsfootshunt_core::clock::Clock;
 use coltsfootshunt_core::name::Zone;
 
 use super::{Host, SimEvent, Simulation};
@@ -105,4 +106,21 @@
             |host: &Host| host.state.as_ref().is_some_and(|one| one.membership.has_claim(&zone));
         (0..self.hosts.len()).filter(|host| claims(&self.hosts[*host])).collect()
     }
+
+    /// Returns the time within which a host expects the next heartbeat of another that it knows.
+    pub(in crate::control::tests) fn expected_interval_ms(
+        &self,
+        host: usize,
+        other: usize,
+    ) -> Option<u64> {
+        let membership = &self.hosts[host].state.as_ref()?.membership;
+        let peer = membership.peer(&self.hosts[other].identity.host)?;
+        Some(peer.announced_interval().as_millis() as u64)
+    }
+
+    /// Whether a host considers itself isolated.
+    pub(in crate::control::tests) fn is_isolated(&self, host: usize) -> bool {
+        let state = self.hosts[host].state.as_ref();
+        state.is_some_and(|one| one.membership.is_isolated(self.time.now()))
+    }
 }
