test(speed): hosts disagree on jobs that are declared far above their kind

Up to 1.5 (logarithm) above the mean of the declared times a forecast follows the kind's line, beyond that it is the declared time itself, so it jumps by a factor of two at a mean that each host learns for itself.

--- a/crates/fleet/src/speed/tests.rs
+++ b/crates/fleet/src/speed/tests.rs
@@ -138,6 +138,32 @@
     of_unrelated_declarations_at_the_mean(0.0, 500, 930);
 }
 
+/// Two hosts that have learned from different ends forecast nearly the same, wherever the declared time
+/// lies. Otherwise an owner admits jobs that a steward gives up at once.
+fn hosts_agree(declared_ms: u64) {
+    let within = Duration::from_millis(1_500);
+    let probability = |own_mean_ms: f64| {
+        let mut trend = Trend::default();
+        for index in 0..400 {
+            let spread = f64::from(index % 41 - 20) / 20.0;
+            let error = f64::from(index % 7 - 3) / 10.0;
+            let run_time = spread * 0.45 + error;
+            let millis = |log: f64| Duration::from_secs_f64(own_mean_ms / 1e3 * log.exp());
+            trend.learn(millis(spread), millis(run_time));
+        }
+        trend.forecast(Duration::from_millis(declared_ms)).scaled(0.55).probability_within(within)
+    };
+    let (owner, steward) = (probability(800.0), probability(760.0));
+    assert!((owner - steward).abs() < 0.1, "{owner} at the owner, {steward} at the steward");
+}
+
+cases! { hosts_agree:
+    on_usual_jobs(1_000);
+    on_large_jobs(2_500);
+    on_jobs_that_may_be_outliers(3_500);
+    on_outliers(8_000);
+}
+
 /// A host that is no steward forecasts with the trends that it got from stewards.
 #[test]
 fn trends_of_several_hosts_add_up() {
