--- a/crates/fleet/src/control/tests/delayed_words.rs
+++ b/crates/fleet/src/control/tests/delayed_words.rs
@@ -121,3 +121,28 @@
     by_500_ms(500);
     by_600_ms(600);
 }
+
+/// Guards against a task that runs twice: a caller's connection breaks, its owner handles that late and goes on
+/// with its words until then, and the steward loses the target just before.
+fn runs_once_when_the_owner_is_behind(lag_ms: u64) {
+    for offset_ms in (0..400).step_by(50) {
+        let mut scenario = Scenario::new(1);
+        scenario.sim.run_for(offset_ms);
+        scenario.sim.set_event_lag(scenario.owner, lag_ms);
+        scenario.sim.break_caller(&scenario.id);
+        scenario.sim.direct_callers_to(scenario.other_steward);
+        scenario.sim.run_for(lag_ms.saturating_sub(10));
+        scenario.sim.partition_from_targets(scenario.steward);
+        scenario.sim.run_for(5_000);
+        let has_second_start = scenario.sim.starts.values().any(|starts| *starts > 1);
+        assert!(has_second_start, "offset {offset_ms}: no second start");
+        assert_eq!(scenario.sim.violations, Vec::<String>::new(), "offset {offset_ms}");
+    }
+}
+
+cases! { runs_once_when_the_owner_is_behind:
+    by_1_ms(1);
+    by_200_ms(200);
+    by_400_ms(400);
+    by_650_ms(650);
+}
--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -56,6 +56,8 @@
     Wake(usize, u64),
     /// An event reaches the given incarnation of a host.
     Host(usize, u64, Event),
+    /// A host that is behind handles an event that came earlier.
+    Late { host: usize, incarnation: u64, came_ms: u64, event: Event },
     /// A call reaches a target; `is_answered` says whether its response reaches the host. A delayed
     /// call is lost if its target crashes meanwhile, so `started_at_ms` then identifies the
     /// target's incarnation that received it.
@@ -194,6 +196,8 @@
     delayed_batches: Vec<(usize, usize, Batch)>,
     /// Delays of batches from one host to another beyond the usual one, in milliseconds.
     batch_delays_ms: BTreeMap<(usize, usize), u64>,
+    /// Times after which hosts that are behind handle their events, in milliseconds.
+    event_lags_ms: BTreeMap<usize, u64>,
     /// Hosts without power: their addresses refuse no connections.
     hosts_without_power: BTreeSet<usize>,
     /// Partitions from a host to a running target.
@@ -256,6 +260,7 @@
             session_loss_delay_ms: 0,
             delayed_batches: Vec::new(),
             batch_delays_ms: BTreeMap::new(),
+            event_lags_ms: BTreeMap::new(),
             hosts_without_power: BTreeSet::new(),
             target_partitions: BTreeMap::new(),
             hidden_targets: BTreeSet::new(),
@@ -438,11 +443,21 @@
                     if self.now_ms() / 700 != (self.now_ms() + 50) / 700 {
                         self.read_targets(host);
                     }
+                    self.set_handled_until_lag(host);
                     self.run_host(host, None);
                 }
             }
             SimEvent::Host(host, incarnation, event) => {
+                if self.hosts[host].incarnation == incarnation
+                    && self.is_up(host)
+                    && let Some(event) = self.put_off(host, event)
+                {
+                    self.run_host(host, Some(event));
+                }
+            }
+            SimEvent::Late { host, incarnation, came_ms, event } => {
                 if self.hosts[host].incarnation == incarnation && self.is_up(host) {
+                    self.set_handled_until(host, came_ms);
                     self.run_host(host, Some(event));
                 }
             }
