--- a/crates/fleet/src/lease/tracker.rs
+++ b/crates/fleet/src/lease/tracker.rs
@@ -299,7 +299,7 @@
         stop.into_iter().map(order).collect()
     }
 
-    /// Updates the last contact with the owners of all attempts that are not cancelled.
+    /// Updates the time of the owners' last words for all attempts that are not cancelled.
     pub fn refresh_owner_contact(&mut self, last_contact: impl Fn(&Host) -> Option<Instant>) {
         for attempt in self.attempts.values_mut().filter(|one| !one.cancelled) {
             attempt.owner_heard_at = last_contact(&attempt.owner).unwrap_or(attempt.owner_heard_at);
--- a/crates/fleet/src/lease/tracker/attempt.rs
+++ b/crates/fleet/src/lease/tracker/attempt.rs
@@ -52,7 +52,7 @@
     pub objective: Instant,
     /// Instant at which the caller stops waiting.
     pub deadline: Instant,
-    /// Last contact with the owner before the attempt was cancelled.
+    /// Time of the owner's last word before the attempt was cancelled.
     pub owner_heard_at: Instant,
     /// Whether its result is no longer needed, so that it must be stopped.
     pub cancelled: bool,
--- a/crates/fleet/src/member/contacts.rs
+++ b/crates/fleet/src/member/contacts.rs
@@ -8,8 +8,7 @@
 use std::time::{Duration, Instant};
 
 /// Interval between attempts to reach a host that was watched closely. The first message of a new session
-/// tells a host that its peer had lost it. The host must then stop the peer's tasks before a caller
-/// retries, 1.3 s after the loss.
+/// tells a host that its peer had lost it, so that it stops the peer's tasks before their leases end.
 const CLOSE_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval between attempts to reach any other host.
 const INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/fleet/src/member/word.rs
+++ b/crates/fleet/src/member/word.rs
@@ -46,7 +46,7 @@
     stamp: Option<(u64, Instant)>,
     /// Latest time by which the peer is known to have spoken.
     said_at: Option<Instant>,
-    /// Whether the peer returns stamps; earlier versions don't.
+    /// Whether the peer sends or returns stamps; earlier versions don't.
     are_dated: bool,
 }
 
@@ -133,8 +133,9 @@
     }
 
     /// Time by which a host is known to have spoken last; none if it was never heard. For this host it is `now`,
-    /// or the time up to which it has handled all events. Until the first word that an echo dates, it is the start or the end of the last pause of this
-    /// process, which takes no tasks that were sent before. What an earlier version says counts from its arrival.
+    /// or the time up to which it has handled all events. Until the first word that an echo dates, it is the
+    /// start or the end of the last pause of this process, which takes no tasks that were sent before. What an
+    /// earlier version says counts from its arrival.
     #[must_use]
     pub fn last_word(&self, host: &Host, now: Instant) -> Option<Instant> {
         if *host == self.me().host {
