--- a/review/harness/src/bin/rebirth.rs
+++ b/review/harness/src/bin/rebirth.rs
@@ -1,4 +1,5 @@
-//! A worker crashes and starts again under its identifier, as a machine of a smaller kind.
+//! A worker crashes and starts again under its identifier, as a machine of a smaller kind. With `SAME_KIND` in the
+//! environment it is of the same kind, which shows that the crash alone does no harm.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -70,7 +71,8 @@
         if has_trouble() {
             worker.crash();
             tokio::time::sleep(DOWN).await;
-            worker.restart(kind(16_000, "a"));
+            let is_same = std::env::var_os("SAME_KIND").is_some();
+            worker.restart(if is_same { kind(24_000, "b") } else { kind(16_000, "a") });
         } else {
             tokio::time::sleep(DOWN).await;
         }
