--- a/review/harness/src/bin/cancel.rs
+++ b/review/harness/src/bin/cancel.rs
@@ -1,4 +1,5 @@
-//! A client cancels a job through another host than the one that has the job.
+//! A client cancels a job. The connection of its DELETE is reset before the host that has the job reads it, and the
+//! retry reaches another host.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -6,6 +7,7 @@
 
 use coltsfootshunt_platform_standin::settings;
 use coltsfootshunt_platform_standin::store::CONFIGURATION;
+use coltsfootshunt_standin::relay::{Fault, Relay};
 use review_harness::client::{Client, new_id};
 use review_harness::fleet::{Fleet, SERVICE, ZONES};
 use review_harness::record::Record;
@@ -48,8 +50,17 @@
     tokio::time::sleep(Duration::from_secs(4)).await;
     let id = new_id();
     let front = fleet.hosts[0].front;
-    // Another host of the client's zone.
-    let other = if has_trouble() { fleet.hosts[2].front } else { front };
+    // Another host of the client's zone, which retries reach.
+    let other = fleet.hosts[2].front;
+    // The platform forwards the connection of the DELETE, like that of the POST, to the client's host.
+    let mut forwarder = match Relay::start().await {
+        Ok(forwarder) => forwarder,
+        Err(error) => {
+            record.say(&format!("no port for the forwarder: {error}"));
+            return Verdict::NotRun;
+        }
+    };
+    forwarder.forward_to(front);
     let step = json!({ "count": 2, "cpu": 2_000, "memMb": 64, "estimatedMs": RUN_MS });
     let mut second = step.clone();
     second["after"] = json!([0]);
@@ -66,7 +77,16 @@
         record.say("the job does not run");
         return Verdict::NotRun;
     }
-    let status = Client::new(&record).cancel(other, &id).await;
+    if has_trouble() {
+        forwarder.set_fault(Fault::Reset);
+    }
+    let client = Client::new(&record);
+    let mut status = client.cancel(forwarder.address, &id).await;
+    if status.is_none() {
+        record
+            .say("the connection of the DELETE is reset; the client tries again, at another host");
+        status = client.cancel(other, &id).await;
+    }
     let cancelled = Instant::now();
     record.say(&format!("the cancelling is answered with {status:?}"));
     if !matches!(status, Some(200..300 | 410)) {
