--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -184,6 +184,11 @@
             info!(log, "{}", name; "traffic" => counts.join(" "),
                 "longest_wait_ms" => millis(*longest_wait), "period_ms" => millis(*period));
         }
+        Record::CallsMade { sums, period } => {
+            let calls: Vec<String> =
+                sums.iter().map(|(kind, sum)| format!("{kind}={sum}")).collect();
+            info!(log, "{}", name; "calls" => calls.join(" "), "period_ms" => millis(*period));
+        }
         Record::ConfigApplied { version, source } => {
             info!(log, "{}", name; "configuration" => version, "from" => source);
         }
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -13,6 +13,8 @@
 use crate::peer;
 use crate::store;
 
+use super::Sum;
+
 /// A decision of this host or a change of the state that it knows. Each is written as one log line.
 #[derive(Clone, Debug)]
 pub enum Record {
@@ -275,6 +277,13 @@
         /// Length of the period.
         period: Duration,
     },
+    /// Calls to the platform's store and to targets in a period.
+    CallsMade {
+        /// The calls of each kind.
+        sums: BTreeMap<&'static str, Sum>,
+        /// Length of the period.
+        period: Duration,
+    },
     /// A configuration was applied.
     ConfigApplied {
         /// Version of the configuration.
@@ -366,6 +375,7 @@
             Self::PeerLost { .. } => "peer lost",
             Self::HostsIgnored { .. } => "hosts ignored",
             Self::PeerTraffic { .. } => "peer traffic",
+            Self::CallsMade { .. } => "calls made",
             Self::ConfigApplied { .. } => "configuration in force",
             Self::TargetsChanged { .. } => "targets known",
             Self::EntryUnreadable { .. } => "entry unreadable",
--- a/crates/fleet/src/report/tests.rs
+++ b/crates/fleet/src/report/tests.rs
@@ -2,8 +2,8 @@
 
 use coltsfootshunt_testkit::cases;
 
-use super::Limiter;
 use super::json::truncate;
+use super::{Calls, Limiter, Sum};
 
 /// Writes lines at once and one more later.
 fn limits(lines: u32, later_ms: u64, suppressed: u64) {
@@ -36,3 +36,19 @@
     long_text(&"n".repeat(200), 83);
     long_text_of_multibyte_characters(&"ä".repeat(200), 83);
 }
+
+/// Calls of one kind are added up, and each period begins anew.
+#[test]
+fn calls_of_a_period_are_added_up() {
+    let calls = Calls::default();
+    calls.record("target.start", 100, 20, Duration::from_millis(3));
+    calls.record("target.start", 50, 0, Duration::from_millis(250));
+    calls.record("store.targets", 40, 9_000, Duration::from_millis(30));
+    let sums = calls.take();
+    let longest = Duration::from_millis(250);
+    let sum = Sum { calls: 2, sent_bytes: 150, received_bytes: 20, longest };
+    assert_eq!(sums["target.start"], sum);
+    assert_eq!(sums["target.start"].to_string(), "2/150/20/250");
+    assert_eq!(sums.len(), 2);
+    assert!(calls.take().is_empty());
+}
