--- a/crates/fleet/src/peer/rpc.rs
+++ b/crates/fleet/src/peer/rpc.rs
@@ -14,14 +14,17 @@
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee::types::error::{INTERNAL_ERROR_CODE, INVALID_PARAMS_CODE};
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
+use serde_json::value::RawValue;
 use tokio::net::TcpListener;
 
-use super::wire::Frame;
+use super::wire::{Frame, FrameError, Reply, Senders, Session};
 use super::{Account, Ack, Batch, Transport, Unreachable};
 use crate::control::Handle;
 
 /// The only method: delivers one batch.
 const METHOD: &str = "fleet_deliver";
+/// Its name for batches in the short form.
+const SHORT_METHOD: &str = "d";
 /// Timeout of a batch and its acknowledgement: tens of round trips between zones.
 const DELIVER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout of connecting.
@@ -52,28 +55,40 @@
         .build();
     let builder = jsonrpsee::server::Server::builder().set_config(config);
     let server = builder.build_from_tcp(listener.into_std()?)?;
-    let mut module = RpcModule::new((control, account));
+    let mut module = RpcModule::new((control, account, Senders::default()));
     module
         .register_async_method(METHOD, |params, context, _| async move {
-            let (control, account) = &*context;
-            let frame: Frame = params.one()?;
-            let batch = Batch::try_from(&frame).map_err(|error| {
-                ErrorObjectOwned::owned(INVALID_PARAMS_CODE, error.to_string(), None::<()>)
-            })?;
+            let (control, account, senders) = &*context;
+            let parameter: Box<RawValue> = params.one()?;
+            let frame = Frame::decode(&parameter).map_err(|error| malformed(&error))?;
+            drop(parameter);
+            let batch = match frame.batch(senders) {
+                Ok(batch) => batch,
+                // A process before this one knew the session. The sender begins a new one.
+                Err(FrameError::UnknownSession) => return Ok(Reply::SessionLost),
+                Err(error) => return Err(malformed(&error)),
+            };
             account.record_received(&batch.from, frame.parts(&batch));
-            drop(frame);
-            control.deliver(batch).await.map_err(|_| {
+            let ack = control.deliver(batch).await.map_err(|_| {
                 ErrorObjectOwned::owned(INTERNAL_ERROR_CODE, "the host is ending", None::<()>)
-            })
+            })?;
+            Ok(frame.reply(ack))
         })
         .expect("no other method is registered");
+    module.register_alias(SHORT_METHOD, METHOD).expect("no other method has that name");
     Ok(Server { _handle: server.start(module) })
 }
 
+fn malformed(error: &FrameError) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(INVALID_PARAMS_CODE, error.to_string(), None::<()>)
+}
+
 /// The client side: one WebSocket connection per address.
 pub struct Rpc {
     account: Arc<Account>,
     clients: Mutex<HashMap<SocketAddr, Arc<WsClient>>>,
+    /// Sessions whose receivers know the short form, by address.
+    sessions: Mutex<HashMap<SocketAddr, Session>>,
 }
 
 #[async_trait]
@@ -81,11 +96,27 @@
     async fn deliver(&self, to: SocketAddr, batch: &Batch) -> Result<Ack, Unreachable> {
         let client = self.client(to).await?;
         let mut params = ArrayParams::new();
-        let frame = Frame::try_from(batch).map_err(|_| Unreachable::TimedOut)?;
+        let status = self.sessions().get(&to).and_then(|session| session.status(batch.session));
+        let (method, frame) = match status {
+            Some(status) if batch.sequence > 1 => (SHORT_METHOD, Frame::short(batch, status)),
+            _ => (METHOD, Frame::full(batch)),
+        };
+        let frame = frame.map_err(|_| Unreachable::TimedOut)?;
         self.account.record_sent(to, frame.parts(batch));
-        params.insert(frame).map_err(|_| Unreachable::TimedOut)?;
-        match tokio::time::timeout(DELIVER_TIMEOUT, client.request(METHOD, params)).await {
-            Ok(Ok(ack)) => Ok(ack),
+        let parameter = frame.encode().map_err(|_| Unreachable::TimedOut)?;
+        params.insert(parameter).map_err(|_| Unreachable::TimedOut)?;
+        let response = client.request::<Reply, _>(method, params);
+        match tokio::time::timeout(DELIVER_TIMEOUT, response).await {
+            Ok(Ok(reply)) => {
+                if reply.knows_short_form() {
+                    self.sessions().insert(to, Session::new(batch.session));
+                } else if reply == Reply::Accepted
+                    && let Some(session) = self.sessions().get_mut(&to)
+                {
+                    session.acknowledge(frame);
+                }
+                Ok(reply.into())
+            }
             Ok(Err(_)) | Err(_) => {
                 // Drop the connection, since it won't recover. The next batch opens a new one.
                 self.lock().remove(&to);
@@ -99,7 +130,7 @@
     /// Creates a client without connections that counts what it sends in `account`.
     #[must_use]
     pub fn new(account: Arc<Account>) -> Self {
-        Self { account, clients: Mutex::default() }
+        Self { account, clients: Mutex::default(), sessions: Mutex::default() }
     }
 
     async fn client(&self, to: SocketAddr) -> Result<Arc<WsClient>, Unreachable> {
@@ -112,6 +143,10 @@
         Ok(client)
     }
 
+    fn sessions(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Session>> {
+        self.sessions.lock().expect("no thread panics while it holds the lock")
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Arc<WsClient>>> {
         self.clients.lock().expect("no thread panics while it holds the lock")
     }
--- a/crates/fleet/src/peer/tests.rs
+++ b/crates/fleet/src/peer/tests.rs
@@ -1,3 +1,4 @@
+mod narrow_link;
 mod queue;
 mod versions;
 
--- a/crates/fleet/src/routing/mod.rs
+++ b/crates/fleet/src/routing/mod.rs
@@ -14,7 +14,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use ends::EndTimes;
+pub use ends::{EndTimes, MAX_END_TIMES};
 pub use load::{
     Candidate, Load, MAX_RESERVATIONS, Profile, assign, assign_fast, choose_stewards,
     expected_waits,
