--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -213,6 +213,50 @@
     assert!(started.clone().all(|line| line["target"] == "t-a-1"));
 }
 
+/// A steward read the whole list of targets again and again, which filled a narrow link in bursts.
+#[tokio::test]
+async fn a_steward_reads_each_change_of_a_target_once() {
+    let cluster = Cluster::start(PROGRAM, FOLDER, &["a"], 1).await;
+    let mut host = cluster.host("a-1", "a", &[]);
+    cluster.launch(&mut host);
+    cluster.wait_until_settled(&[&host]).await;
+    let targets = 60_u32;
+    let rewrite = |sequence: u32| {
+        for number in 0..targets {
+            let entry = json!({
+                "service": SERVICE, "address": "127.0.0.1:9", "zone": "a", "state": "ready", "born": 7,
+                "capacity": { "cpu": 32_000, "memMb": 1_024, "gpu": 0 }, "sequence": sequence,
+            });
+            cluster.store.put(&format!("servers/t-silent-{number}"), &entry);
+        }
+    };
+    rewrite(0);
+    wait_until("the host knows all targets", || async {
+        let state = cluster.state(&host).await?;
+        (state["targets_known"] == targets + 1).then_some(())
+    })
+    .await;
+    let (revision, served) = (cluster.store.revision(), cluster.store.served_items());
+    for sequence in 1..=3 {
+        tokio::time::sleep(Duration::from_millis(1_300)).await;
+        rewrite(sequence);
+    }
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let (changes, served) =
+        (cluster.store.revision() - revision, cluster.store.served_items() - served);
+    let list = u64::from(targets) + 1;
+    assert!(
+        served <= changes + list,
+        "{served} items for {changes} changes and one list of {list}"
+    );
+    cluster.store.remove("servers/t-silent-0");
+    wait_until("the host knows that a target is gone", || async {
+        let state = cluster.state(&host).await?;
+        (state["targets_known"] == targets).then_some(())
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn the_log_has_all_steps_of_a_job() {
     let (cluster, hosts) = cluster().await;
--- a/crates/fleet/src/store/agent.rs
+++ b/crates/fleet/src/store/agent.rs
@@ -6,7 +6,7 @@
 
 use tokio::time::Instant;
 
-use super::{Change, Error, Listing, Store, Update};
+use super::{Change, Error, Listing, Replica, Store, Update};
 use crate::control::{Event, Handle};
 use crate::member::Identity;
 
@@ -19,6 +19,12 @@
 /// Shortest and longest interval between reads of the targets at a steward, whatever the settings say.
 const MIN_TARGETS_INTERVAL: Duration = Duration::from_millis(200);
 const MAX_TARGETS_INTERVAL: Duration = Duration::from_secs(2);
+/// Pause between watches of the targets at a steward, as a part of the interval between its reads. Each watch
+/// brings what has changed meanwhile: fewer calls than one for each change, and no long transfers.
+const WATCH_PAUSE_SHARE: f64 = 0.3;
+/// Interval between reads of all targets at a steward. The changes should have told it all; this limits the harm of
+/// a store that loses one.
+const FULL_READ_INTERVAL: Duration = Duration::from_secs(20);
 /// Interval between reads of the targets at hosts that are no steward. They use the list only to know which
 /// zones have targets, and read it before they become one.
 const NON_STEWARD_TARGETS_INTERVAL: Duration = Duration::from_secs(10);
@@ -95,20 +101,60 @@
 
     async fn poll_targets(self: Arc<Self>) {
         while !self.control.is_closed() {
-            let snapshot = self.control.snapshot();
-            let is_needed = snapshot.is_steward || snapshot.awaits_targets;
-            let stale = snapshot.knows_targets && !is_needed;
-            match self.report_availability(self.store.list_targets(stale).await).await {
-                Ok(targets) => {
-                    self.send(Update::Targets(Listing { is_stale: stale, ..targets })).await;
-                    if stale {
-                        self.wait_until_needed(NON_STEWARD_TARGETS_INTERVAL).await;
-                    } else {
-                        tokio::time::sleep(self.targets_interval).await;
+            if self.needs_targets() {
+                self.follow_targets().await;
+            } else {
+                match self.report_availability(self.store.list_targets(true).await).await {
+                    Ok(targets) => {
+                        self.send(Update::Targets(Listing { is_stale: true, ..targets })).await;
                     }
+                    Err(_) => {
+                        tokio::time::sleep(RETRY_DELAY).await;
+                        continue;
+                    }
+                }
+            }
+            self.wait_until_needed(NON_STEWARD_TARGETS_INTERVAL).await;
+        }
+    }
+
+    /// Whether this host acts on the present state of the targets.
+    fn needs_targets(&self) -> bool {
+        let snapshot = self.control.snapshot();
+        snapshot.is_steward || snapshot.awaits_targets || !snapshot.knows_targets
+    }
+
+    /// Reads all targets and then their changes, for as long as this host needs them.
+    async fn follow_targets(&self) {
+        let pause = self.targets_interval.mul_f64(WATCH_PAUSE_SHARE);
+        let max_wait = self.targets_interval - pause;
+        let mut replica = Replica::default();
+        let mut read_at: Option<Instant> = None;
+        while !self.control.is_closed() && self.needs_targets() {
+            let is_recent = read_at.is_some_and(|at| at.elapsed() < FULL_READ_INTERVAL);
+            let result = if is_recent && replica.revision() > 0 {
+                self.store.watch_targets(replica.revision(), max_wait).await
+            } else {
+                replica = Replica::default();
+                read_at = Some(Instant::now());
+                self.store.read_targets(false).await.map(Some)
+            };
+            match self.report_availability(result).await {
+                Ok(Some(changes)) => {
+                    replica.apply(changes);
+                    self.send(Update::Targets(replica.listing())).await;
+                }
+                Ok(None) => read_at = None,
+                Err(error) => {
+                    // Without a response the copy is as good as before, and changes continue from it.
+                    if error == Error::Unreadable || replica.revision() == 0 {
+                        read_at = None;
+                    }
+                    tokio::time::sleep(RETRY_DELAY).await;
+                    continue;
                 }
-                Err(_) => tokio::time::sleep(RETRY_DELAY).await,
             }
+            tokio::time::sleep(pause).await;
         }
     }
 
@@ -116,8 +162,7 @@
     async fn wait_until_needed(&self, time: Duration) {
         let until = Instant::now() + time;
         while Instant::now() < until {
-            let snapshot = self.control.snapshot();
-            if snapshot.is_steward || snapshot.awaits_targets {
+            if self.needs_targets() {
                 return;
             }
             tokio::time::sleep(NEED_CHECK_INTERVAL).await;
--- a/crates/fleet/src/store/message.rs
+++ b/crates/fleet/src/store/message.rs
@@ -52,6 +52,37 @@
     }
 }
 
+/// What a key holds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Content<T> {
+    /// A decoded entry.
+    Entry(T),
+    /// An entry that can't be decoded, and why.
+    Unreadable(Arc<str>),
+    /// Nothing: the key was removed.
+    Removed,
+}
+
+/// A key with what it holds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Row<T> {
+    /// The key.
+    pub key: Arc<str>,
+    /// Revision of the store at which it last changed.
+    pub revision: u64,
+    /// What it holds.
+    pub content: Content<T>,
+}
+
+/// Rows of one kind of entry: all of them, or those that have changed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Changes<T> {
+    /// The rows, oldest first.
+    pub rows: Vec<Row<T>>,
+    /// Revision of the store from which further changes continue; 0 if it is not known.
+    pub revision: u64,
+}
+
 /// Result of watching the configuration.
 #[derive(Clone, Debug, Default)]
 pub struct Change {
@@ -69,8 +100,21 @@
     /// Waits up to `max_wait` for a change of the configuration after the store revision `known`.
     async fn watch_config(&self, known: u64, max_wait: Duration) -> Result<Change, Error>;
 
+    /// Reads all targets. With `stale`, the result may be seconds old.
+    async fn read_targets(&self, stale: bool) -> Result<Changes<Entry>, Error>;
+
+    /// Waits up to `max_wait` for changes of targets after the store revision `known`. `None` if the store has
+    /// discarded that part of its history.
+    async fn watch_targets(
+        &self,
+        known: u64,
+        max_wait: Duration,
+    ) -> Result<Option<Changes<Entry>>, Error>;
+
     /// Lists all targets. With `stale`, the result may be seconds old.
-    async fn list_targets(&self, stale: bool) -> Result<Listing<Entry>, Error>;
+    async fn list_targets(&self, stale: bool) -> Result<Listing<Entry>, Error> {
+        self.read_targets(stale).await.map(Listing::from)
+    }
 
     /// Lists all registered hosts.
     async fn list_hosts(&self) -> Result<Listing<Identity>, Error>;
--- a/crates/fleet/src/store/mod.rs
+++ b/crates/fleet/src/store/mod.rs
@@ -3,11 +3,13 @@
 
 mod agent;
 mod message;
+mod replica;
 mod reported;
 
 #[cfg(test)]
 mod tests;
 
 pub use agent::{Agent, targets_interval};
-pub use message::{Change, Error, Listing, Store, Unreadable, Update};
+pub use message::{Change, Changes, Content, Error, Listing, Row, Store, Unreadable, Update};
+pub use replica::Replica;
 pub use reported::Reported;
