--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod executor;
 mod grants;
 mod jobs;
+mod lag;
 mod message;
 mod peers;
 mod state;
--- a/crates/fleet/src/control/thread.rs
+++ b/crates/fleet/src/control/thread.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
+use super::lag::Lag;
 use super::{Action, Event, Executor, JobState, Request, Response, Settings, Snapshot, State};
 use crate::job::{Id, Outcome, RequestId, Submission};
 use crate::peer::{Ack, Batch};
@@ -253,6 +254,7 @@
 impl ControlThread {
     async fn run(mut self, mut inbox: mpsc::Receiver<Envelope>) {
         let mut batch = Vec::with_capacity(MAX_EVENTS_PER_ITERATION);
+        let mut lag = Lag::new(self.clock.now());
         loop {
             let wake = Instant::from_std(self.state.next_wake());
             tokio::select! {
@@ -267,6 +269,7 @@
             let now = self.clock.now();
             let has_all = inbox.is_empty();
             for envelope in batch.drain(..) {
+                lag.record_event(now.saturating_duration_since(envelope.came_at));
                 self.state.set_handled_until(envelope.came_at);
                 self.handle(envelope);
             }
@@ -280,6 +283,9 @@
             if self.execute_actions() {
                 return;
             }
+            if let Some(record) = lag.end_iteration(now) {
+                self.executor.log.record(&record);
+            }
         }
     }
 
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -189,6 +189,11 @@
                 sums.iter().map(|(kind, sum)| format!("{kind}={sum}")).collect();
             info!(log, "{}", name; "calls" => calls.join(" "), "period_ms" => millis(*period));
         }
+        Record::ControlBehind { events, iterations, mean_wait, longest_wait, period } => {
+            info!(log, "{}", name; "events" => events, "iterations" => iterations,
+                "mean_wait_us" => mean_wait.as_micros() as u64,
+                "longest_wait_ms" => millis(*longest_wait), "period_ms" => millis(*period));
+        }
         Record::ConfigApplied { version, source } => {
             info!(log, "{}", name; "configuration" => version, "from" => source);
         }
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -284,6 +284,19 @@
         /// Length of the period.
         period: Duration,
     },
+    /// Events have waited for the control thread.
+    ControlBehind {
+        /// Number of events handled in the period.
+        events: u64,
+        /// Number of iterations of the thread, each of which handles the events that wait.
+        iterations: u64,
+        /// Mean wait of an event.
+        mean_wait: Duration,
+        /// Longest wait of an event.
+        longest_wait: Duration,
+        /// Length of the period.
+        period: Duration,
+    },
     /// A configuration was applied.
     ConfigApplied {
         /// Version of the configuration.
@@ -376,6 +389,7 @@
             Self::HostsIgnored { .. } => "hosts ignored",
             Self::PeerTraffic { .. } => "peer traffic",
             Self::CallsMade { .. } => "calls made",
+            Self::ControlBehind { .. } => "control behind",
             Self::ConfigApplied { .. } => "configuration in force",
             Self::TargetsChanged { .. } => "targets known",
             Self::EntryUnreadable { .. } => "entry unreadable",
