--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -194,6 +194,10 @@
                 "mean_wait_us" => mean_wait.as_micros() as u64,
                 "longest_wait_ms" => millis(*longest_wait), "period_ms" => millis(*period));
         }
+        Record::TrafficBehind { mean, longest, period } => {
+            info!(log, "{}", name; "mean_delay_us" => mean.as_micros() as u64,
+                "longest_delay_ms" => millis(*longest), "period_ms" => millis(*period));
+        }
         Record::ConfigApplied { version, source } => {
             info!(log, "{}", name; "configuration" => version, "from" => source);
         }
--- a/crates/fleet/src/report/mod.rs
+++ b/crates/fleet/src/report/mod.rs
@@ -5,6 +5,7 @@
 mod json;
 mod limiter;
 mod record;
+mod stall;
 
 #[cfg(test)]
 mod tests;
@@ -13,3 +14,4 @@
 pub use json::{Json, Log, Silent};
 pub use limiter::Limiter;
 pub use record::Record;
+pub use stall::report_stalls;
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -297,6 +297,15 @@
         /// Length of the period.
         period: Duration,
     },
+    /// The thread for traffic is behind: its timers fire late.
+    TrafficBehind {
+        /// Mean delay of a timer.
+        mean: Duration,
+        /// Longest delay of a timer.
+        longest: Duration,
+        /// Length of the period.
+        period: Duration,
+    },
     /// A configuration was applied.
     ConfigApplied {
         /// Version of the configuration.
@@ -390,6 +399,7 @@
             Self::PeerTraffic { .. } => "peer traffic",
             Self::CallsMade { .. } => "calls made",
             Self::ControlBehind { .. } => "control behind",
+            Self::TrafficBehind { .. } => "traffic behind",
             Self::ConfigApplied { .. } => "configuration in force",
             Self::TargetsChanged { .. } => "targets known",
             Self::EntryUnreadable { .. } => "entry unreadable",
