--- a/crates/fleet/src/lease/tests.rs
+++ b/crates/fleet/src/lease/tests.rs
@@ -13,6 +13,7 @@
     Attempt, Call, Change, Ended, Issuer, Order, Phase, Rejection, Report, Response, Running, Term,
     Timeout, Token, Tracker,
 };
+use crate::directory::Entry;
 use crate::directory::tests::entry;
 use crate::job::{End, Id, Resources, Task};
 use crate::lease;
@@ -307,6 +308,8 @@
     let claim = tracker.claim(Token(6), now);
     let changes = tracker.handle_response(&claim, Response::Report(other), now);
     assert_eq!(ends(&changes), [(0, End::Lost)]);
+    assert_eq!(free_cpu(&tracker, now), None, "the entry is that of the earlier incarnation");
+    tracker.update(&Entry { started_at_ms: 2, ..entry("t", "a") }, Some(now));
     assert_eq!(free_cpu(&tracker, now), Some(32_000));
 }
 
--- a/crates/fleet/src/lease/tracker.rs
+++ b/crates/fleet/src/lease/tracker.rs
@@ -36,6 +36,11 @@
 /// Time after which a target that has become idle gets the acknowledgement of its last ends.
 const ACKNOWLEDGE_DELAY: Duration = Duration::from_millis(250);
 
+/// Time from the first report of an incarnation until a read of the directory shows its entry, which it has
+/// written by then. A read that began before takes no longer. What the directory shows after that time counts,
+/// although its start time may be wrong or missing.
+const ENTRY_SETTLING_TIME: Duration = Duration::from_secs(1);
+
 /// Limits on the duration of leases.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Term {
@@ -127,6 +132,9 @@
     fenced_claims: u32,
     /// Start times in the directory, which may be stale or another writer's.
     start_times: StartTimes,
+    /// When the target's reports first showed an incarnation that the entry is not of. The new one may differ in
+    /// every field, so nothing starts until the directory shows its entry.
+    outdated_since: Option<Instant>,
 }
 
 impl Tracker {
@@ -158,14 +166,19 @@
             was_held: false,
             fenced_claims: 0,
             start_times,
+            outdated_since: None,
         }
     }
 
-    /// Applies a newer directory entry. Only the target's reports change the known incarnation, since
-    /// the state of the earlier one has to be dropped with it.
-    pub fn update(&mut self, entry: &Entry) {
+    /// Applies the directory entry of a read at `read_at`; none if a peer has sent the entry. Only the target's
+    /// reports change the known incarnation, since the state of the earlier one has to be dropped with it.
+    pub fn update(&mut self, entry: &Entry, read_at: Option<Instant>) {
         let started_at_ms = self.entry.started_at_ms;
         self.entry = Entry { started_at_ms, ..entry.clone() };
+        let is_settled =
+            |since: &Instant| read_at.is_some_and(|at| at >= *since + ENTRY_SETTLING_TIME);
+        let is_own = entry.started_at_ms == started_at_ms;
+        self.outdated_since = self.outdated_since.filter(|since| !is_own && !is_settled(since));
         let is_unchecked = self.start_times.list(entry.started_at_ms);
         let shows_other = is_unchecked && entry.started_at_ms != started_at_ms;
         if shows_other && matches!(self.phase, Phase::Held(_)) {
@@ -199,14 +212,20 @@
     }
 
     /// Returns the free resources, or none while nothing may start: without a claim, while the state is
-    /// uncertain, with orphans or attempts that can't be named at the target, if no sufficient lease can
+    /// uncertain, while the entry may be that of an earlier incarnation, with orphans or attempts that can't be named at the target, if no sufficient lease can
     /// be granted, or during a pause.
     #[must_use]
     pub fn available(&self, now: Instant) -> Option<Resources> {
         let is_reliable =
             matches!(self.phase, Phase::Held(_)) && !self.is_uncertain && self.missed_renewals == 0;
         let is_expiring = self.lease_duration(now) < self.term.max / 2;
-        if !is_reliable || is_expiring || self.has_foreign() || now < self.paused_until {
+        let is_outdated = self.outdated_since.is_some();
+        if !is_reliable
+            || is_outdated
+            || is_expiring
+            || self.has_foreign()
+            || now < self.paused_until
+        {
             return None;
         }
         let used =
--- a/crates/fleet/src/lease/tracker/response.rs
+++ b/crates/fleet/src/lease/tracker/response.rs
@@ -196,6 +196,8 @@
             // have carried out an order meant for the earlier one. Only a claim with a new token shows
             // what runs.
             self.entry.started_at_ms = report.started_at_ms.unwrap_or_default();
+            let is_listed = self.start_times.is_listed(self.entry.started_at_ms);
+            self.outdated_since = (!is_listed).then_some(now);
             self.ends = Ends::default();
             self.acknowledged_end = 0;
             self.clock = None;
--- a/crates/fleet/src/lease/tracker/start_times.rs
+++ b/crates/fleet/src/lease/tracker/start_times.rs
@@ -29,6 +29,11 @@
         !self.checked_ms.contains(&started_at_ms)
     }
 
+    /// Whether the last entry has this start time.
+    pub(super) fn is_listed(&self, started_at_ms: u64) -> bool {
+        self.listed_ms == started_at_ms
+    }
+
     /// Records that a claim was sent.
     pub(super) fn record_claim(&mut self) {
         self.claimed_ms = self.listed_ms;
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -116,7 +116,7 @@
         for entry in directory.iter().filter(|entry| membership.has_claim(&entry.zone)) {
             let tracker = self.trackers.entry(entry.name.clone());
             let tracker = tracker.or_insert_with(|| Tracker::new(entry.clone(), term, now));
-            tracker.update(entry);
+            tracker.update(entry, directory.read_at());
         }
         self.trackers.retain(|name, tracker| {
             let is_claimed =
