--- a/crates/fleet/src/lease/tracker.rs
+++ b/crates/fleet/src/lease/tracker.rs
@@ -212,8 +212,8 @@
     }
 
     /// Returns the free resources, or none while nothing may start: without a claim, while the state is
-    /// uncertain, while the entry may be that of an earlier incarnation, with orphans or attempts that can't be named at the target, if no sufficient lease can
-    /// be granted, or during a pause.
+    /// uncertain, while the entry may be that of an earlier incarnation, with orphans or attempts that
+    /// can't be named at the target, if no sufficient lease can be granted, or during a pause.
     #[must_use]
     pub fn available(&self, now: Instant) -> Option<Resources> {
         let is_reliable =
