--- a/crates/fleet/src/store/agent.rs
+++ b/crates/fleet/src/store/agent.rs
@@ -13,13 +13,13 @@
 /// Longest wait of one watch of the configuration. A dead connection is noticed only after it, so it
 /// is below the time within which a new configuration must be in force.
 const MAX_WATCH_WAIT: Duration = Duration::from_millis(1_200);
-/// Interval between reads of the targets at a steward, as a share of the time for which a draining target may
-/// still get tasks: two reads fit into that time, and leave some of it for a slow one.
+/// Longest time between two responses of the store with the targets at a steward, as a share of the time for which
+/// a draining target may still get tasks: two responses fit into that time, and leave some of it for a slow one.
 const STEWARD_TARGETS_SHARE: f64 = 0.35;
-/// Shortest and longest interval between reads of the targets at a steward, whatever the settings say.
+/// Bounds of that time, whatever the settings say.
 const MIN_TARGETS_INTERVAL: Duration = Duration::from_millis(200);
 const MAX_TARGETS_INTERVAL: Duration = Duration::from_secs(2);
-/// Pause between watches of the targets at a steward, as a part of the interval between its reads. Each watch
+/// Pause between watches of the targets at a steward, as a part of that time. Each watch
 /// brings what has changed meanwhile: fewer calls than one for each change, and no long transfers.
 const WATCH_PAUSE_SHARE: f64 = 0.3;
 /// Interval between reads of all targets at a steward. The changes should have told it all; this limits the harm of
@@ -40,7 +40,8 @@
 /// Delay after a failed call, and between reads while there is no configuration.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Interval between reads of the targets at a steward, where a draining target may still get tasks for `drain`.
+/// Longest time between two responses of the store with the targets at a steward, where a draining target may still
+/// get tasks for `drain`.
 #[must_use]
 pub fn targets_interval(drain: Duration) -> Duration {
     drain.mul_f64(STEWARD_TARGETS_SHARE).clamp(MIN_TARGETS_INTERVAL, MAX_TARGETS_INTERVAL)
@@ -51,7 +52,7 @@
     store: Arc<dyn Store>,
     control: Handle,
     is_unreachable: AtomicBool,
-    /// Interval between reads of the targets at a steward.
+    /// Longest time between two responses of the store with the targets at a steward.
     targets_interval: Duration,
 }
 
