--- a/crates/fleet/src/store/agent.rs
+++ b/crates/fleet/src/store/agent.rs
@@ -30,10 +30,11 @@
 const NON_STEWARD_TARGETS_INTERVAL: Duration = Duration::from_secs(10);
 /// Interval between checks whether this host needs the list sooner.
 const NEED_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Interval between reads of the registered hosts during [`DISCOVERY_TIME`].
+/// Interval between reads of the registered hosts, and of the targets at hosts that are no steward, during
+/// [`DISCOVERY_TIME`].
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(2_500);
-/// Time from the start of the process after which the hosts of its fleet have registered. One that comes
-/// later finds the others in the store and contacts them.
+/// Time from the start of the process after which the hosts and targets of its fleet have registered. A host that
+/// comes later finds the others in the store and contacts them.
 const DISCOVERY_TIME: Duration = Duration::from_secs(15);
 /// Interval between reads of the registered hosts after that.
 const HOSTS_INTERVAL: Duration = Duration::from_secs(10);
@@ -47,6 +48,13 @@
     drain.mul_f64(STEWARD_TARGETS_SHARE).clamp(MIN_TARGETS_INTERVAL, MAX_TARGETS_INTERVAL)
 }
 
+/// Interval between reads of the targets at a host that is no steward and runs for `uptime`. When a whole fleet
+/// starts, an early list lacks targets, and a zone that seems to have none gets no steward.
+#[must_use]
+pub(super) fn list_interval(uptime: Duration) -> Duration {
+    if uptime < DISCOVERY_TIME { DISCOVERY_INTERVAL } else { NON_STEWARD_TARGETS_INTERVAL }
+}
+
 /// Reads the store periodically and registers this host in it.
 pub struct Agent {
     store: Arc<dyn Store>,
@@ -101,6 +109,7 @@
     }
 
     async fn poll_targets(self: Arc<Self>) {
+        let started = Instant::now();
         while !self.control.is_closed() {
             if self.needs_targets() {
                 self.follow_targets().await;
@@ -115,7 +124,7 @@
                     }
                 }
             }
-            self.wait_until_needed(NON_STEWARD_TARGETS_INTERVAL).await;
+            self.wait_until_needed(list_interval(started.elapsed())).await;
         }
     }
 
--- a/crates/fleet/src/store/tests.rs
+++ b/crates/fleet/src/store/tests.rs
@@ -1,5 +1,8 @@
+use std::time::Duration;
+
 use coltsfootshunt_testkit::cases;
 
+use super::agent::list_interval;
 use super::{Changes, Content, Replica, Reported, Row, Unreadable};
 use crate::directory::tests::entry;
 
@@ -70,3 +73,16 @@
     an_entry_that_is_readable_again(
         &[(5, &[("a", 1, "unreadable")]), (7, &[("a", 6, "y")])], &[("a", "y")], &[]);
 }
+
+/// Targets register within seconds of a start of all. A host that had seen the first of them kept that list for ten
+/// seconds, its zone seemed to have no targets and got no steward, and half of the jobs were refused.
+fn reads_the_list_again_within(uptime_ms: u64, interval_ms: u64) {
+    let interval = list_interval(Duration::from_millis(uptime_ms));
+    assert_eq!(interval, Duration::from_millis(interval_ms));
+}
+
+cases! { reads_the_list_again_within:
+    seconds_at_the_start(0, 2_500);
+    seconds_while_the_fleet_starts(14_999, 2_500);
+    ten_seconds_later(15_000, 10_000);
+}
