--- a/crates/entry/tests/malformed_entries.rs
+++ b/crates/entry/tests/malformed_entries.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use coltsfootshunt_http::Method;
+use coltsfootshunt_platform_standin::malformed::{self, entry_with, job_with};
 use coltsfootshunt_platform_standin::process::{Cluster, Host, SERVICE};
 use coltsfootshunt_platform_standin::settings::configuration;
 use coltsfootshunt_platform_standin::store::{CONFIGURATION, Store};
@@ -16,28 +17,6 @@
 /// Number of items that does not fit on one page of the stand-in's lists.
 const MORE_THAN_A_PAGE: usize = 210;
 
-/// Returns the JSON text of a target's entry in the store with one field replaced.
-fn entry_with(field: &str, value: &str) -> String {
-    let mut fields = vec![
-        ("service", format!("{SERVICE:?}")),
-        ("address", "\"127.0.0.1:9\"".to_owned()),
-        ("zone", "\"a\"".to_owned()),
-        ("version", "\"v1\"".to_owned()),
-        ("slots", "8".to_owned()),
-        ("state", "\"ready\"".to_owned()),
-        ("remainingColdMs", "0".to_owned()),
-        ("sequence", "1".to_owned()),
-        ("born", "1".to_owned()),
-        ("labels", "[\"a\", \"r1-1\"]".to_owned()),
-        ("capacity", "{\"cpu\": 32000, \"memMb\": 65536, \"gpu\": 0}".to_owned()),
-    ];
-    fields.retain(|(name, _)| *name != field);
-    fields.push((field, value.to_owned()));
-    let fields: Vec<String> =
-        fields.iter().map(|(name, value)| format!("{name:?}: {value}")).collect();
-    format!("{{{}}}", fields.join(", "))
-}
-
 /// Returns nested JSON lists and nested JSON objects of this depth.
 fn nested(depth: usize) -> [String; 2] {
     let lists = format!("{}{}", "[".repeat(depth), "]".repeat(depth));
@@ -71,18 +50,11 @@
 }
 
 fn numbers_out_of_range(store: &Store) {
-    let fields = ["born", "slots", "sequence", "remainingColdMs", "version", "unknown"];
-    let top_level =
-        fields.iter().flat_map(|field| numbers().map(|value| entry_with(field, &value)));
-    let in_capacity = ["cpu", "memMb", "gpu"].into_iter().flat_map(|field| {
-        numbers().map(|value| {
-            let resources = [("cpu", "1"), ("memMb", "1"), ("gpu", "0")];
-            let resources = resources.map(|(name, one)| {
-                let value = if name == field { &value } else { one };
-                format!("{name:?}: {value}")
-            });
-            entry_with("capacity", &format!("{{{}}}", resources.join(", ")))
-        })
+    let top_level = malformed::ENTRY_NUMBERS
+        .iter()
+        .flat_map(|field| numbers().map(|value| entry_with(field, &value)));
+    let in_capacity = malformed::CAPACITY_FIELDS.iter().flat_map(|field| {
+        numbers().map(|value| entry_with("capacity", &malformed::capacity_with(field, &value)))
     });
     put_all(store, top_level.chain(in_capacity).collect::<Vec<_>>());
 }
@@ -264,34 +236,17 @@
     assert!(metrics.contains(counter), "{metrics}");
 }
 
-/// Returns the body of a job with one field of all steps replaced. Each step depends on the
-/// previous one.
-fn job(steps: usize, field: &str, value: &str) -> String {
-    let step = |number: usize| {
-        let mut fields =
-            vec![("count", "1"), ("cpu", "14000"), ("memMb", "64"), ("estimatedMs", "40")];
-        fields.retain(|(name, _)| *name != field);
-        fields.push((field, value));
-        let after = number.checked_sub(1).map_or(String::new(), |previous| previous.to_string());
-        let fields: Vec<String> =
-            fields.iter().map(|(name, value)| format!("{name:?}:{value}")).collect();
-        format!("{{{},\"after\":[{after}]}}", fields.join(","))
-    };
-    let steps: Vec<String> = (0..steps).map(step).collect();
-    format!("{{\"spec\":\"cpu=14000 ms=40\",\"bestEffort\":true,\"steps\":[{}]}}", steps.join(","))
-}
-
 /// Checks that a host responds to malformed jobs or queues them, and completes a valid job after
 /// them.
 #[tokio::main(flavor = "current_thread")]
 async fn keeps_serving(steps: usize) {
     let cluster = Cluster::start(PROGRAM, FOLDER, &["a"], 2).await;
     let mut hosts = cluster.start_hosts(&[("a-1", "a")]).await;
-    let fields = ["count", "cpu", "memMb", "gpu", "estimatedMs", "antiAffinity", "unknown"];
     let nested = if steps == 1 { [100, 1_000, 30_000].map(nested).concat() } else { Vec::new() };
     let values: Vec<String> = numbers().into_iter().chain(nested).collect();
-    let bodies =
-        fields.iter().flat_map(|field| values.iter().map(|value| job(steps, field, value)));
+    let bodies = malformed::JOB_FIELDS
+        .iter()
+        .flat_map(|field| values.iter().map(|value| job_with(steps, field, value)));
     let host = &hosts[0];
     let requests = bodies.enumerate().map(|(number, body)| {
         let path = format!("/cut/{number:016x}");
--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -6,6 +6,7 @@
 use coltsfootshunt_platform_standin::process::{Cluster, Host, SERVICE, job, unsupported_jobs};
 use coltsfootshunt_platform_standin::settings::configuration;
 use coltsfootshunt_platform_standin::store::{CONFIGURATION, Mode};
+use coltsfootshunt_platform_standin::target::{CPU_MILLIS, Entry};
 use coltsfootshunt_testkit::{Signal, wait_until};
 use serde_json::json;
 
@@ -221,13 +222,14 @@
     cluster.launch(&mut host);
     cluster.wait_until_settled(&[&host]).await;
     let targets = 60_u32;
+    // Nothing listens on this port.
+    let address = ([127, 0, 0, 1], 9).into();
+    let entry =
+        Entry { address, zone: "a", started_at_ms: 7, draining: false, cpu_millis: CPU_MILLIS };
     let rewrite = |sequence: u32| {
         for number in 0..targets {
-            let entry = json!({
-                "service": SERVICE, "address": "127.0.0.1:9", "zone": "a", "state": "ready", "born": 7,
-                "capacity": { "cpu": 32_000, "memMb": 1_024, "gpu": 0 }, "sequence": sequence,
-            });
-            cluster.store.put(&format!("servers/t-silent-{number}"), &entry);
+            let entry = entry.to_json(sequence);
+            cluster.store.put_target(&format!("t-silent-{number}"), &entry);
         }
     };
     rewrite(0);
@@ -249,7 +251,7 @@
         served <= changes + list,
         "{served} items for {changes} changes and one list of {list}"
     );
-    cluster.store.remove("servers/t-silent-0");
+    cluster.store.remove_target("t-silent-0");
     wait_until("the host knows that a target is gone", || async {
         let state = cluster.state(&host).await?;
         (state["targets_known"] == targets).then_some(())
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -1,5 +1,7 @@
 //! Events that are logged and counted.
 
+mod name;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -366,52 +368,3 @@
         open_jobs: usize,
     },
 }
-
-impl Record {
-    /// Message of the line. The rate limit applies to each message separately.
-    #[must_use]
-    pub fn name(&self) -> &'static str {
-        match self {
-            Self::JobAccepted { .. } => "job accepted",
-            Self::JobAnswered { .. } => "job answered",
-            Self::JobRefused { .. } => "job refused",
-            Self::CallerLeft { .. } => "caller left",
-            Self::TasksSent { .. } => "tasks sent",
-            Self::JobReturned { .. } => "tasks given back",
-            Self::TaskReturned { .. } => "task returned",
-            Self::TaskGranted { .. } => "task granted",
-            Self::TaskStarted { .. } => "task started",
-            Self::TaskEnded { .. } => "task ended",
-            Self::StartRejected { .. } => "start turned away",
-            Self::TargetClaimed { .. } => "target claimed",
-            Self::TargetFenced { .. } => "target fenced",
-            Self::TargetLost { .. } => "target lost",
-            Self::ReportUnreadable { .. } => "report unreadable",
-            Self::TargetStalled { .. } => "target hangs",
-            Self::TokenShared { .. } => "token shared",
-            Self::TokenSuffixChanged { .. } => "token suffix changed",
-            Self::OrphanStopped { .. } => "orphan stopped",
-            Self::StewardshipTaken { .. } => "stewardship taken",
-            Self::StewardshipResigned { .. } => "stewardship given up",
-            Self::PeerFound { .. } => "peer found",
-            Self::PeerLost { .. } => "peer lost",
-            Self::HostsIgnored { .. } => "hosts ignored",
-            Self::PeerTraffic { .. } => "peer traffic",
-            Self::CallsMade { .. } => "calls made",
-            Self::ControlBehind { .. } => "control behind",
-            Self::TrafficBehind { .. } => "traffic behind",
-            Self::ConfigApplied { .. } => "configuration in force",
-            Self::TargetsChanged { .. } => "targets known",
-            Self::EntryUnreadable { .. } => "entry unreadable",
-            Self::StoreLost { .. } => "store lost",
-            Self::StoreRegained => "store regained",
-            Self::ProcessPaused { .. } => "process was paused",
-            Self::ProcessStarted { .. } => "process began",
-            Self::SettingsReloaded { .. } => "settings read",
-            Self::ConnectionFailed { .. } => "connection not accepted",
-            Self::ThreadPanicked(_) => "thread panicked",
-            Self::Stopping => "stop began",
-            Self::ProcessStopped { .. } => "process ends",
-        }
-    }
-}
