--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -265,6 +265,7 @@
 
     /// Drops a peer's tasks here, and gives up own jobs that have tasks at the peer.
     fn drop_peer(&mut self, host: &Host, now: Instant) {
+        self.completions.remove(host);
         self.steward.drop_owner(host);
         self.give_up_jobs_at(host, now);
     }
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -1,16 +1,17 @@
 //! The control state and its entry points.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use coltsfootshunt_core::clock::Clock;
+use coltsfootshunt_core::name::Host;
 
 use super::{Action, Event, JobState, Request, Response, Snapshot};
 use crate::config;
 use crate::directory;
-use crate::job::{self, Id, Outcome, RequestId};
+use crate::job::{self, Completion, Id, Outcome, RequestId};
 use crate::lease::Issuer;
 use crate::member::{Contacts, Identity, Membership, PEER_TIMEOUT};
 use crate::peer::{Ack, Batch, Inbox, Message, Receipt};
@@ -77,6 +78,8 @@
     pub(super) reported_targets: store::Reported,
     pub(super) reported_hosts: store::Reported,
     pub(super) reported_configuration: store::Reported,
+    /// Completions to send, by owner.
+    pub(super) completions: BTreeMap<Host, Vec<Completion>>,
     pub(super) actions: Vec<Action>,
     snapshot: Snapshot,
     last_tick: Instant,
@@ -121,6 +124,7 @@
             reported_targets: store::Reported::default(),
             reported_hosts: store::Reported::default(),
             reported_configuration: store::Reported::default(),
+            completions: BTreeMap::new(),
             actions: Vec::new(),
             snapshot: Snapshot::default(),
             last_tick: now,
@@ -179,6 +183,7 @@
         }
         self.retry_stalled(now);
         self.start_tasks(now);
+        self.send_completions(now);
         self.publish(now);
         self.finish_stop(now);
         std::mem::take(&mut self.actions)
@@ -278,6 +283,8 @@
         let mut output = steward::Output::default();
         self.steward.release_targets(&mut output);
         self.apply_output(output, now);
+        // The sessions end, and what was sent in them is void.
+        self.completions.clear();
         let addresses: Vec<SocketAddr> =
             self.membership.alive().map(|peer| peer.identity.address).collect();
         self.actions.extend(addresses.into_iter().map(Action::Disconnect));
--- a/crates/fleet/src/control/targets.rs
+++ b/crates/fleet/src/control/targets.rs
@@ -134,7 +134,8 @@
         }
     }
 
-    /// Executes the output of the steward: log records, calls, grant requests and completions.
+    /// Executes the output of the steward: log records, calls and grant requests. Completions for other hosts are
+    /// collected.
     pub(super) fn apply_output(&mut self, output: Output, now: Instant) {
         self.actions.extend(output.records.into_iter().map(Action::Record));
         self.actions.extend(output.calls.into_iter().map(Action::Call));
@@ -151,19 +152,24 @@
                 self.send(address, Message::GrantRequest(requests));
             }
         }
-        let mut remote: BTreeMap<Host, Vec<Completion>> = BTreeMap::new();
         for (owner, completion) in output.completions {
             if owner == me {
                 self.task_ended(&owner, &completion, now);
             } else {
-                remote.entry(owner).or_default().push(completion);
+                self.completions.entry(owner).or_default().push(completion);
             }
         }
-        if remote.is_empty() {
+    }
+
+    /// Sends the completions that were collected, with the load after the starts that they made possible. Working
+    /// out the load takes longer than handling an end, so it is done once for all of them.
+    pub(super) fn send_completions(&mut self, now: Instant) {
+        let collected = std::mem::take(&mut self.completions);
+        if collected.is_empty() {
             return;
         }
         let load = self.steward.load(&self.membership, &self.speeds, now);
-        for (owner, completions) in remote {
+        for (owner, completions) in collected {
             if let Some(peer) = self.membership.peer(&owner).filter(|peer| peer.is_alive) {
                 let address = peer.identity.address;
                 self.send(address, Message::Completed(completions, load));
--- a/crates/fleet/src/control/tests/mod.rs
+++ b/crates/fleet/src/control/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Simulations of several hosts and of targets that follow the published protocol, with injected
 //! faults.
 
+mod busy_stewards;
 mod common_work;
 mod delayed_words;
 mod departures;
