--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -5,6 +5,7 @@
 
 mod assignment;
 mod claims;
+mod crashes;
 mod executor;
 mod grants;
 mod jobs;
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -10,6 +10,7 @@
 
 use super::{Action, Event, JobState, Request, Response, Snapshot};
 use crate::config;
+use crate::crash;
 use crate::directory;
 use crate::job::{self, Completion, Id, Outcome, RequestId};
 use crate::lease::Issuer;
@@ -56,6 +57,7 @@
     /// Jobs with tasks for which no steward was available.
     pub(super) stalled: BTreeSet<Id>,
     pub(super) steward: Steward,
+    pub(super) crashes: crash::Ledger,
     pub(super) speeds: speed::Estimator,
     pub(super) issuer: Issuer,
     /// Addresses of hosts that this host knows of but does not hear.
@@ -110,6 +112,7 @@
             classifier: job::Classifier::default(),
             stalled: BTreeSet::new(),
             steward: Steward::new(settings.steward),
+            crashes: crash::Ledger::default(),
             speeds: speed::Estimator::default(),
             issuer: Issuer::new(settings.identity.incarnation),
             contacts,
@@ -193,6 +196,7 @@
         self.maintain_peers(now);
         self.maintain_targets(now);
         self.maintain_jobs(now);
+        self.expire_losses(now);
         self.send_heartbeats(now);
     }
 
@@ -282,6 +286,7 @@
         self.give_up_all_jobs(now);
         let mut output = steward::Output::default();
         self.steward.release_targets(&mut output);
+        self.add_losses(std::mem::take(&mut output.losses), now);
         self.apply_output(output, now);
         // The sessions end, and what was sent in them is void.
         self.completions.clear();
--- a/crates/fleet/src/control/targets.rs
+++ b/crates/fleet/src/control/targets.rs
@@ -50,8 +50,14 @@
             self.issuer.observe(call.token, step);
         }
         let contested_zone = self.contested_zone(call, &response);
+        let report = self.current_report(call, &response);
         let mut output = Output::default();
         self.steward.handle_response(call, response, &mut self.speeds, now, &mut output);
+        // The completions below depend on what the lost runs say of their tasks.
+        self.add_losses(std::mem::take(&mut output.losses), now);
+        if let Some(report) = report {
+            self.judge_losses(&call.target, &report, now);
+        }
         if output.records.iter().any(|record| matches!(record, Record::TokenShared { .. })) {
             self.change_token_suffix(None);
         }
--- a/crates/fleet/src/lease/evidence.rs
+++ b/crates/fleet/src/lease/evidence.rs
@@ -11,6 +11,9 @@
     /// A later report of the target doesn't list the attempt.
     #[display("missing")]
     Missing,
+    /// A later incarnation of the target reports, so the one that ran the attempt has ended.
+    #[display("restarted")]
+    Restarted,
     /// The target rejected the start.
     #[display("rejected")]
     Rejected,
--- a/crates/fleet/src/lease/tracker.rs
+++ b/crates/fleet/src/lease/tracker.rs
@@ -283,7 +283,10 @@
     pub fn start(&mut self, task: &Task, spec: Arc<str>, attempt: Attempt, now: Instant) -> Call {
         let token = self.current_token();
         let run = attempt.run;
-        self.attempts.insert(task.clone(), Attempt { token, ..attempt });
+        let alone = self.attempts.is_empty();
+        self.attempts.values_mut().for_each(|other| other.alone = false);
+        let started_at_ms = self.entry.started_at_ms;
+        self.attempts.insert(task.clone(), Attempt { token, started_at_ms, alone, ..attempt });
         let lease_until_ms = self.extend_lease(true, now).unwrap_or_default();
         self.lease_sent_at = Some(now);
         let order = Order::Start { task: task.clone(), run, spec, lease_until_ms };
--- a/crates/fleet/src/lease/tracker/attempt.rs
+++ b/crates/fleet/src/lease/tracker/attempt.rs
@@ -54,6 +54,10 @@
     pub deadline: Instant,
     /// Time of the owner's last word before the attempt was cancelled.
     pub owner_heard_at: Instant,
+    /// Unix time of the start of the target that runs it, in milliseconds.
+    pub started_at_ms: u64,
+    /// Whether no other attempt of this host has been at the target with it.
+    pub alone: bool,
     /// Whether its result is no longer needed, so that it must be stopped.
     pub cancelled: bool,
     /// Whether it must be stopped so that its task can start elsewhere.
@@ -90,6 +94,8 @@
             objective: sent_at,
             deadline: sent_at,
             owner_heard_at: sent_at,
+            started_at_ms: 0,
+            alone: true,
             cancelled: false,
             recalled: false,
             status: Status::Sent,
--- a/crates/fleet/src/lease/tracker/response.rs
+++ b/crates/fleet/src/lease/tracker/response.rs
@@ -313,18 +313,20 @@
             if is_listed(report, task, attempt) {
                 continue;
             }
+            let is_later = attempt.started_at_ms < self.entry.started_at_ms;
+            let evidence = if is_later { Evidence::Restarted } else { Evidence::Missing };
             match attempt.status {
                 Status::Running(clock_ms) if report.clock_ms > clock_ms => {
-                    lost.push((task.clone(), End::Lost));
+                    lost.push((task.clone(), evidence));
                 }
                 // The new token voids a start that has not arrived. One that has arrived may have run
                 // and ended under another host, which acknowledged the end.
-                Status::Sent if is_claim => lost.push((task.clone(), End::Lost)),
+                Status::Sent if is_claim => lost.push((task.clone(), evidence)),
                 _ => {}
             }
         }
-        for (task, end) in lost {
-            self.end_attempt(&task, end, Evidence::Missing, changes);
+        for (task, evidence) in lost {
+            self.end_attempt(&task, End::Lost, evidence, changes);
         }
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod config;
 pub mod control;
+pub mod crash;
 pub mod directory;
 pub mod job;
 pub mod lease;
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -8,6 +8,7 @@
 use slog::{Drain, Logger, error, info, o, warn};
 
 use super::{Limiter, Record};
+use crate::crash::Loss;
 use crate::job::Outcome;
 use crate::member::Identity;
 
@@ -124,6 +125,11 @@
                 "target" => %target, "end" => %end, "evidence" => %evidence,
                 "took_ms" => millis(*took));
         }
+        Record::RunLost { loss: Loss { run, alone, verdict }, peer } => {
+            warn!(log, "{}", name; "job" => %run.task.job, "task" => %run.task,
+                "run" => run.number, "target" => %run.target, "target_began" => run.started_at_ms,
+                "alone" => alone, "verdict" => %verdict, "from" => peer.as_deref());
+        }
         Record::StartRejected { target, task, rejection } => {
             warn!(log, "{}", name; "job" => %task.job, "task" => %task, "target" => %target,
                 "reason" => %rejection);
@@ -208,6 +214,7 @@
             warn!(log, "{}", name; "key" => %truncate(key), "revision" => revision,
                 "reason" => %truncate(reason));
         }
+        Record::LossesDropped { dropped } => warn!(log, "{}", name; "losses" => dropped),
         Record::StoreLost { error } => warn!(log, "{}", name; "reason" => %error),
         Record::ProcessPaused { pause } => warn!(log, "{}", name; "gap_ms" => millis(*pause)),
         Record::ProcessStarted { address } => info!(log, "{}", name; "address" => %address),
@@ -256,6 +263,11 @@
                 "evidence" => evidence.to_string())
             .increment(1);
         }
+        Record::RunLost { loss, peer: None } => {
+            counter!("coltsfootshunt_lost_runs_total", "verdict" => loss.verdict.to_string(),
+                "alone" => loss.alone.to_string())
+            .increment(1);
+        }
         Record::ConfigApplied { version, .. } => {
             metrics::gauge!("coltsfootshunt_configuration_version").set(*version as f64);
         }
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -10,6 +10,7 @@
 use coltsfootshunt_core::name::{Host, Kind, Target, Zone};
 use coltsfootshunt_core::panic::Panic;
 
+use crate::crash::Loss;
 use crate::job::{End, Id, Outcome, Size, Task};
 use crate::lease::{Evidence, Rejection, Suffix, Token, Unreadable};
 use crate::peer;
@@ -163,6 +164,18 @@
         /// Time since the start was sent.
         took: Duration,
     },
+    /// It is known what became of a target under a run that was lost with it, or that a run was lost.
+    RunLost {
+        /// The loss.
+        loss: Loss,
+        /// Peer that told of it; none if this host found it.
+        peer: Option<Host>,
+    },
+    /// Losses are dropped: there are more than are kept.
+    LossesDropped {
+        /// Number of losses that are dropped.
+        dropped: usize,
+    },
     /// A target rejected the start of a task.
     StartRejected {
         /// Target that rejected it.
--- a/crates/fleet/src/report/record/name.rs
+++ b/crates/fleet/src/report/record/name.rs
@@ -17,6 +17,8 @@
             Self::TaskGranted { .. } => "task granted",
             Self::TaskStarted { .. } => "task started",
             Self::TaskEnded { .. } => "task ended",
+            Self::RunLost { .. } => "run lost",
+            Self::LossesDropped { .. } => "losses dropped",
             Self::StartRejected { .. } => "start turned away",
             Self::TargetClaimed { .. } => "target claimed",
             Self::TargetFenced { .. } => "target fenced",
--- a/crates/fleet/src/steward/message.rs
+++ b/crates/fleet/src/steward/message.rs
@@ -2,6 +2,7 @@
 
 use coltsfootshunt_core::name::Host;
 
+use crate::crash::Loss;
 use crate::job::{Completion, Reservation};
 use crate::lease::{Call, Term};
 use crate::report::Record;
@@ -24,6 +25,8 @@
     pub grant_requests: Vec<(Host, Reservation)>,
     /// Completions to report, with the owners of the tasks.
     pub completions: Vec<(Host, Completion)>,
+    /// Runs that were lost with their targets.
+    pub losses: Vec<Loss>,
     /// Records to log and count.
     pub records: Vec<Record>,
 }
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -22,7 +22,7 @@
 use crate::report::Record;
 use crate::speed::Estimator;
 
-use change::{completion, not_run, record, update_speeds};
+use change::{completion, loss, not_run, record, update_speeds};
 use placer::is_hung;
 
 /// An attempt is recalled, to run elsewhere, only if more than this share of its expected run time
@@ -184,9 +184,10 @@
     /// Releases all targets and empties the queue after this process was paused, since other
     /// stewards may have claimed the targets.
     pub fn release_targets(&mut self, output: &mut Output) {
-        for tracker in self.trackers.values_mut() {
+        for (target, tracker) in &mut self.trackers {
             let mut changes = Vec::new();
             tracker.release(End::Unresolved, Evidence::Paused, &mut changes);
+            output.losses.extend(changes.iter().filter_map(|change| loss(target, change)));
             output.completions.extend(changes.into_iter().filter_map(completion));
         }
         self.return_queued(output);
@@ -218,6 +219,7 @@
         for change in changes {
             update_speeds(&call.target, &change, speeds, now);
             record(&call.target, &change, now, output);
+            output.losses.extend(loss(&call.target, &change));
             if let Change::Ended { attempt, .. } = &change
                 && attempt.cancelled
             {
--- a/crates/fleet/src/steward/state/change.rs
+++ b/crates/fleet/src/steward/state/change.rs
@@ -5,8 +5,9 @@
 use coltsfootshunt_core::name::{Host, Target};
 
 use super::placer::OVERDUE_FACTOR;
+use crate::crash::{Loss, Run, Verdict};
 use crate::job::{Completion, End};
-use crate::lease::{Attempt, Change, Rejection};
+use crate::lease::{Attempt, Change, Evidence, Rejection};
 use crate::queue::QueuedTask;
 use crate::report::Record;
 use crate::speed::Estimator;
@@ -75,6 +76,27 @@
     Some((owner, Completion { task, generation, run, sequence, end }))
 }
 
+/// The loss of a run, if the target has not told how it ended.
+pub(super) fn loss(target: &Target, change: &Change) -> Option<Loss> {
+    let Change::Ended { task, attempt, evidence, .. } = change else {
+        return None;
+    };
+    let verdict = match evidence {
+        Evidence::Restarted => Verdict::Crashed,
+        Evidence::LeaseExpired | Evidence::Fenced | Evidence::Paused => Verdict::Open,
+        Evidence::Listed | Evidence::Missing | Evidence::Rejected | Evidence::Unsent => {
+            return None;
+        }
+    };
+    let run = Run {
+        task: task.clone(),
+        target: target.clone(),
+        started_at_ms: attempt.started_at_ms,
+        number: attempt.run,
+    };
+    Some(Loss { run, alone: attempt.alone, verdict })
+}
+
 pub(super) fn not_run(queued: QueuedTask) -> (Host, Completion) {
     // The run number was not used.
     let run = queued.run.saturating_sub(1);
