--- a/crates/fleet/src/control/tests/mod.rs
+++ b/crates/fleet/src/control/tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod busy_stewards;
 mod common_work;
+mod deadly_tasks;
 mod delayed_words;
 mod departures;
 mod evidence;
--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod clock;
+mod crashes;
 mod delays;
 mod network;
 mod partitions;
@@ -18,6 +19,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::target::{MAX_LEASE_MS, Target};
+use crate::config::Document;
 use crate::config::tests::{document, route};
 use crate::control::{Action, Event, Request, Response, Settings, State};
 use crate::directory;
@@ -41,7 +43,8 @@
 const TARGET_CPU_MILLIS: u64 = 32_000;
 /// Delay after which a caller without a definite outcome submits its job again.
 const RETRY_DELAY_MS: u64 = 1_300;
-const CALLER_TIMEOUT_MS: u64 = 1_500;
+/// Number of times that a caller submits a job without a definite outcome, by default.
+const MAX_SENDS: u32 = 3;
 /// Time after which a batch that can't be delivered ends its session.
 const DELIVERY_TIMEOUT_MS: u64 = 700;
 
@@ -76,6 +79,8 @@
     Submit(Id),
     /// A caller's attempt times out.
     CallerTimeout(Id, u32),
+    /// A target crashes under a task that it has started.
+    Crash(coltsfootshunt_core::name::Target),
 }
 
 /// Outgoing messages of one host for another: the sending side of a session.
@@ -206,6 +211,10 @@
     hidden_targets: BTreeSet<coltsfootshunt_core::name::Target>,
     /// Host that callers submit to; `None` for a random one.
     caller_host: Option<usize>,
+    /// Number of times that a caller submits a job without a definite outcome.
+    pub(super) max_sends: u32,
+    document: Arc<Document>,
+    crashes: crashes::Count,
     pub(super) starts: BTreeMap<Task, u32>,
     /// Number of messages in which owners granted shared tasks.
     pub(super) grants: u32,
@@ -265,6 +274,9 @@
             target_partitions: BTreeMap::new(),
             hidden_targets: BTreeSet::new(),
             caller_host: None,
+            max_sends: MAX_SENDS,
+            document: Arc::new(document(1, vec![route("cut", "/a/")])),
+            crashes: crashes::Count::default(),
             starts: BTreeMap::new(),
             grants: 0,
             fenced_calls: 0,
@@ -342,7 +354,7 @@
         let clock: Arc<dyn Clock> = Arc::clone(&one.clock) as _;
         one.state = Some(State::new(settings, clock));
         let incarnation = one.incarnation;
-        let update = Update::Document(Arc::new(document(1, vec![route("cut", "/a/")])));
+        let update = Update::Document(Arc::clone(&self.document));
         self.schedule(1, SimEvent::Host(host, incarnation, Event::Store(update)));
         self.read_targets(host);
         self.schedule(1, SimEvent::Wake(host, incarnation));
@@ -386,8 +398,9 @@
     pub(super) fn crash(&mut self, target: usize) {
         let now_ms = self.now_ms();
         let down_ms = self.rng.random_range(100..1_500);
-        if let Some(target) = self.targets.values_mut().nth(target) {
-            target.crash(now_ms + down_ms);
+        let name = self.targets.keys().nth(target).cloned();
+        if let Some(name) = name {
+            self.crash_for(&name, now_ms + down_ms);
         }
     }
 
@@ -481,6 +494,7 @@
                 let event = Event::Request(request_id, Request::Deliver(batch));
                 self.schedule(0, SimEvent::Host(to, incarnation, event));
             }
+            SimEvent::Crash(target) => self.crash_deadly(&target),
             SimEvent::Heal(one, other) => self.set_partition(one, other, false),
             SimEvent::Submit(id) => self.submit_attempt(&id),
             SimEvent::CallerTimeout(id, attempt) => {
--- a/crates/fleet/src/control/tests/simulation/callers.rs
+++ b/crates/fleet/src/control/tests/simulation/callers.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{CALLER_TIMEOUT_MS, Caller, RETRY_DELAY_MS, SimEvent, Simulation};
+use super::{Caller, RETRY_DELAY_MS, SimEvent, Simulation};
+use crate::config::Document;
 use crate::control::{Event, Request};
 use crate::job::{Id, Outcome, Plan, RequestId, Requirements, Resources, Step, Submission};
+use crate::store::Update;
 
 impl Simulation {
     /// Submits a job of `width` tasks at a random host that is up.
@@ -42,6 +44,20 @@
         id
     }
 
+    /// Makes callers wait for this time from now on, by a new configuration.
+    pub(in crate::control::tests) fn set_caller_timeout(&mut self, timeout: Duration) {
+        let mut document = Document::clone(&self.document);
+        document.version += 1;
+        document.routes.iter_mut().for_each(|route| route.timeout = timeout);
+        self.document = Arc::new(document);
+        for host in 0..self.hosts.len() {
+            let incarnation = self.hosts[host].incarnation;
+            let event = Event::Store(Update::Document(Arc::clone(&self.document)));
+            self.schedule(0, SimEvent::Host(host, incarnation, event));
+        }
+        self.run_for(1);
+    }
+
     /// Makes callers submit to one host from now on.
     pub(in crate::control::tests) fn direct_callers_to(&mut self, host: usize) {
         self.caller_host = Some(host);
@@ -76,14 +92,15 @@
             id: id.clone(),
             kind: coltsfootshunt_core::name::Kind::try_from("cut").unwrap(),
             plan: Arc::clone(&caller.plan),
-            timeout: Duration::from_millis(CALLER_TIMEOUT_MS),
+            timeout: self.document.routes[0].timeout,
         };
+        let timeout_ms = submission.timeout.as_millis() as u64;
         let attempt = caller.attempt;
         self.open_requests.insert((host, request_id), id.clone());
         let incarnation = self.hosts[host].incarnation;
         let event = Event::Request(request_id, Request::Submit(submission));
         self.schedule(1, SimEvent::Host(host, incarnation, event));
-        self.schedule(CALLER_TIMEOUT_MS + 50, SimEvent::CallerTimeout(id.clone(), attempt));
+        self.schedule(timeout_ms + 50, SimEvent::CallerTimeout(id.clone(), attempt));
     }
 
     /// Records the outcome of a caller's attempt; `None` if it got no response.
@@ -96,7 +113,8 @@
         }
         caller.is_waiting = false;
         caller.outcomes.push(outcome);
-        let must_retry = matches!(outcome, None | Some(Outcome::Unknown)) && caller.sends < 3;
+        let must_retry =
+            matches!(outcome, None | Some(Outcome::Unknown)) && caller.sends < self.max_sends;
         let host = caller.host;
         let open_request =
             self.open_requests.iter().find(|((at, _), job)| *at == host && *job == id);
--- /dev/null
+++ b/crates/fleet/src/control/tests/simulation/crashes.rs
@@ -0,0 +1,98 @@
+//! Targets that crash, and tasks that crash each target that starts them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use coltsfootshunt_core::name::Target;
+use rand::Rng;
+
+use super::{SimEvent, Simulation};
+use crate::job::Task;
+
+/// Crashes under one task after which further starts are counted.
+const COUNTED_CRASHES: u32 = 3;
+/// Number of starts after [`COUNTED_CRASHES`] that breaks the rule on deadly tasks.
+const FORBIDDEN_STARTS: u32 = 3;
+/// Time for which a target that crashed under a deadly task is down, in milliseconds.
+const DOWN_MS: std::ops::Range<u64> = 2_000..4_000;
+
+/// Tasks that crash their targets, and the crashes under all tasks.
+#[derive(Default)]
+pub(super) struct Count {
+    /// Tasks that crash each target that starts them, with the time from the start to the crash in
+    /// milliseconds. Those with a time of 0 crash the target before it responds.
+    deadly: BTreeMap<Task, u64>,
+    /// Number of targets that have crashed while they ran the task.
+    under: BTreeMap<Task, u32>,
+    /// Starts of a task after [`COUNTED_CRASHES`].
+    late_starts: BTreeMap<Task, u32>,
+    /// Tasks that ran on a target when a deadly one crashed it.
+    neighbours: BTreeSet<Task>,
+}
+
+impl Simulation {
+    /// Makes a task crash each target this long after its start there.
+    pub(in crate::control::tests) fn make_deadly(&mut self, task: Task, after_ms: u64) {
+        self.crashes.deadly.insert(task, after_ms);
+    }
+
+    /// Number of targets that have crashed while they ran the task.
+    pub(in crate::control::tests) fn crashes_under(&self, task: &Task) -> u32 {
+        self.crashes.under.get(task).copied().unwrap_or_default()
+    }
+
+    /// Number of tasks that were lost because a deadly one crashed their target.
+    pub(in crate::control::tests) fn lost_neighbours(&self) -> usize {
+        self.crashes.neighbours.len()
+    }
+
+    /// Crashes a target, which starts again at `starts_ms`.
+    pub(super) fn crash_for(&mut self, name: &Target, starts_ms: u64) {
+        if let Some(target) = self.targets.get_mut(name) {
+            for task in target.running.keys() {
+                *self.crashes.under.entry(task.clone()).or_default() += 1;
+            }
+            target.crash(starts_ms);
+        }
+    }
+
+    /// Crashes a target if it still runs a deadly task.
+    pub(super) fn crash_deadly(&mut self, name: &Target) {
+        let Some(target) = self.targets.get(name) else {
+            return;
+        };
+        let is_deadly = |task: &&Task| self.crashes.deadly.contains_key(*task);
+        let running: Vec<&Task> = target.running.keys().collect();
+        if running.iter().any(is_deadly) {
+            let neighbours = running.into_iter().filter(|task| !is_deadly(task));
+            self.crashes.neighbours.extend(neighbours.cloned());
+            let down_ms = self.rng.random_range(DOWN_MS);
+            self.crash_for(name, self.now_ms() + down_ms);
+        }
+    }
+
+    /// Counts the start of a task and lets it crash its target if it is deadly. Returns whether the target
+    /// crashes before it responds.
+    pub(super) fn record_start(&mut self, task: &Task, target: &Target) -> bool {
+        if self.crashes_under(task) >= COUNTED_CRASHES {
+            let starts = self.crashes.late_starts.entry(task.clone()).or_default();
+            *starts += 1;
+            if *starts == FORBIDDEN_STARTS {
+                let now_ms = self.now_ms();
+                let crashes = self.crashes_under(task);
+                let violation = format!("{now_ms} ms: {task} starts after {crashes} crashes");
+                self.violations.push(violation);
+            }
+        }
+        match self.crashes.deadly.get(task).copied() {
+            None => false,
+            Some(0) => {
+                self.crash_deadly(target);
+                true
+            }
+            Some(after_ms) => {
+                self.schedule(after_ms, SimEvent::Crash(target.clone()));
+                false
+            }
+        }
+    }
+}
--- a/crates/fleet/src/control/tests/simulation/network.rs
+++ b/crates/fleet/src/control/tests/simulation/network.rs
@@ -157,6 +157,9 @@
             && has_started
         {
             *self.starts.entry(task.clone()).or_default() += 1;
+            if self.record_start(task, &call.target) {
+                return self.deny_response(host, incarnation, call);
+            }
         }
         let waits = match &call.order {
             Order::Renew { acknowledged, max_wait, .. } if !max_wait.is_zero() => {
@@ -167,9 +170,7 @@
             _ => None,
         };
         if !is_answered {
-            let timeout = call.timeout.as_millis() as u64;
-            let event = Event::TargetResponded(Box::new(call), Response::NoResponse);
-            return self.schedule(timeout, SimEvent::Host(host, incarnation, event));
+            return self.deny_response(host, incarnation, call);
         }
         if let Some(max_wait) = waits {
             let until_ms = now_ms + max_wait.as_millis() as u64;
@@ -179,6 +180,13 @@
         self.schedule(1, SimEvent::Host(host, incarnation, event));
     }
 
+    /// Lets a call end without a response.
+    fn deny_response(&mut self, host: usize, incarnation: u64, call: Call) {
+        let timeout = call.timeout.as_millis() as u64;
+        let event = Event::TargetResponded(Box::new(call), Response::NoResponse);
+        self.schedule(timeout, SimEvent::Host(host, incarnation, event));
+    }
+
     pub(super) fn long_poll(&mut self, host: usize, incarnation: u64, call: Call, until_ms: u64) {
         let Order::Renew { acknowledged, .. } = call.order else {
             return;
