--- a/crates/fleet/src/control/assignment.rs
+++ b/crates/fleet/src/control/assignment.rs
@@ -9,7 +9,8 @@
 use super::State;
 use super::jobs::{RESPONSE_MARGIN, RETRY_AFTER, profile};
 use crate::admission::is_feasible;
-use crate::job::{Assignment, Id, Item, Open, Outcome, Ready, Refusal};
+use crate::crash::Standing;
+use crate::job::{Assignment, Id, Item, Open, Outcome, Ready, Refusal, Task};
 use crate::peer::Message;
 use crate::report::Record;
 use crate::routing::{Candidate, assign, assign_fast, choose_stewards};
@@ -21,7 +22,12 @@
         let Some(open) = self.jobs.get_mut(id) else {
             return;
         };
-        let ready = open.ready();
+        let mut ready = open.ready();
+        // These wait for news of the targets that were lost under them.
+        ready.retain(|ready| {
+            let task = Task { job: id.clone(), step: ready.step, index: ready.index };
+            !matches!(self.crashes.standing(&task), Standing::Pending | Standing::Deadly)
+        });
         if ready.is_empty() {
             return;
         }
--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -86,6 +86,8 @@
             Some(refuse(Refusal::NoSteward))
         } else if self.jobs.len() >= MAX_OPEN_JOBS {
             Some(refuse(Refusal::Full))
+        } else if self.crashes.deadly_task(&submission.id).is_some() {
+            Some(Outcome::Failed)
         } else if !can_ever_fit(self.directory.iter(), &route.service, submission) {
             // A target that is gone may return. If none of those fits either, the job can never
             // run.
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -84,6 +84,7 @@
                     self.task_ended(&from.host, &completion, now);
                 }
             }
+            Message::Losses(losses) => self.learn_losses(&from.host, &losses, now),
             Message::ConfigRequest => {
                 if let Some(document) = self.config.document().cloned() {
                     self.send(from.address, Message::Config(document));
@@ -363,6 +364,7 @@
             load: self.steward.load(&self.membership, &self.speeds, now),
             config_version: self.config.version(),
             knows_targets: !self.directory.is_empty(),
+            reads_losses: true,
             highest_token: self.issuer.highest(),
             token_suffix: Some(self.issuer.suffix()),
             next_in_ms: Some(CLOSE_INTERVAL.as_millis() as u32),
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -1,6 +1,6 @@
 //! The control state and its entry points.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -58,6 +58,12 @@
     pub(super) stalled: BTreeSet<Id>,
     pub(super) steward: Steward,
     pub(super) crashes: crash::Ledger,
+    /// News of lost runs to send to all peers.
+    pub(super) unshared_losses: VecDeque<crash::Loss>,
+    /// Number of losses that may still be sent before the next periodic work.
+    pub(super) losses_per_tick: usize,
+    /// Peers that have been sent the losses known before.
+    pub(super) informed: BTreeSet<Host>,
     pub(super) speeds: speed::Estimator,
     pub(super) issuer: Issuer,
     /// Addresses of hosts that this host knows of but does not hear.
@@ -113,6 +119,9 @@
             stalled: BTreeSet::new(),
             steward: Steward::new(settings.steward),
             crashes: crash::Ledger::default(),
+            unshared_losses: VecDeque::new(),
+            losses_per_tick: 0,
+            informed: BTreeSet::new(),
             speeds: speed::Estimator::default(),
             issuer: Issuer::new(settings.identity.incarnation),
             contacts,
@@ -186,6 +195,7 @@
         }
         self.retry_stalled(now);
         self.start_tasks(now);
+        self.share_losses();
         self.send_completions(now);
         self.publish(now);
         self.finish_stop(now);
@@ -197,6 +207,7 @@
         self.maintain_targets(now);
         self.maintain_jobs(now);
         self.expire_losses(now);
+        self.inform_peers();
         self.send_heartbeats(now);
     }
 
--- a/crates/fleet/src/control/targets.rs
+++ b/crates/fleet/src/control/targets.rs
@@ -123,7 +123,8 @@
     pub(super) fn start_tasks(&mut self, now: Instant) {
         loop {
             let mut output = Output::default();
-            self.steward.dispatch(&self.membership, &self.speeds, now, &mut output);
+            let known = (&self.membership, &self.speeds, &self.crashes);
+            self.steward.dispatch(known, now, &mut output);
             let started: BTreeSet<Target> =
                 output.calls.iter().map(|call| call.target.clone()).collect();
             for target in started {
--- a/crates/fleet/src/control/tests/deadly_tasks.rs
+++ b/crates/fleet/src/control/tests/deadly_tasks.rs
@@ -17,10 +17,15 @@
     Task { job: job.clone(), step: 0, index }
 }
 
-/// A simulation whose callers wait long and whose first job has a deadly task.
+/// A simulation whose callers wait long and whose first job has a deadly task. With every second seed, targets
+/// are back under another name after a crash.
 fn with_deadly_job(seed: u64, width: u32, crash_after_ms: u64) -> (Simulation, Id) {
     let mut sim = converged(seed);
     sim.set_caller_timeout(LONG_TIMEOUT);
+    sim.max_sends = 5;
+    if seed.is_multiple_of(2) {
+        sim.rename_crashed_targets();
+    }
     let id = sim.submit(width, 9_000, 100);
     sim.make_deadly(task(&id, 0), crash_after_ms);
     (sim, id)
@@ -64,6 +69,9 @@
     for seed in 1..=8 {
         let mut sim = converged(seed);
         sim.max_sends = 10;
+        if seed.is_multiple_of(2) {
+            sim.rename_crashed_targets();
+        }
         let id = sim.submit(2, 9_000, 100);
         sim.make_deadly(task(&id, 1), crash_after_ms);
         sim.run_for(40_000);
--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -310,6 +310,7 @@
             for each in 0..TARGETS_PER_ZONE {
                 let mut entry = directory::tests::entry(&format!("t{number}{each}"), zone);
                 entry.capacity.cpu_millis = TARGET_CPU_MILLIS;
+                entry.address = ([10, 1, number as u8, each as u8], 80).into();
                 sim.targets.insert(entry.name.clone(), Target::new(entry, 0));
             }
         }
--- a/crates/fleet/src/crash/ledger.rs
+++ b/crates/fleet/src/crash/ledger.rs
@@ -1,6 +1,7 @@
 //! The runs that were lost lately, and what they say of their tasks.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use coltsfootshunt_core::name::Target;
@@ -13,11 +14,9 @@
 const RETENTION: Duration = Duration::from_secs(120);
 /// Largest number of losses that are kept, about 200 bytes each.
 const MAX_LOSSES: usize = 10_000;
-/// Number of crashes under a task, alone on its target, after which the task is given up. A task that was
-/// alone is the only suspect; a second crash rules out chance.
-const MAX_LONE_CRASHES: usize = 2;
-/// Number of lost runs of a task, whatever its targets say, after which it waits for news of them.
-const MAX_OPEN_LOSSES: usize = 3;
+/// Number of targets lost under a task after which it starts nowhere until they have been heard, and is given up
+/// if all of them have crashed. Two may crash for another reason; after the first loss the task runs alone.
+const MAX_LOST_TARGETS: usize = 3;
 
 /// What the lost runs of a task say of it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -44,8 +43,8 @@
 #[derive(Debug, Default)]
 pub struct Ledger {
     losses: BTreeMap<Task, BTreeMap<Run, Entry>>,
-    /// Open losses by target.
-    open: BTreeMap<Target, Vec<Run>>,
+    /// Open losses by the address of their target.
+    open: BTreeMap<SocketAddr, Vec<Run>>,
     len: usize,
 }
 
@@ -78,27 +77,28 @@
                 runs.insert(run.clone(), entry);
                 self.len += 1;
                 if *verdict == Verdict::Open {
-                    self.open.entry(run.target.clone()).or_default().push(run.clone());
+                    self.open.entry(run.address).or_default().push(run.clone());
                 }
             }
         }
         true
     }
 
-    /// Judges the open losses on a target that reports its incarnation and its runs. Returns those that are
-    /// settled by it.
+    /// Judges the open losses at the address of a target that reports its start time and its runs. Returns those
+    /// that are settled by it.
     pub fn judge(
         &mut self,
-        target: &Target,
-        started_at_ms: u64,
+        (target, address, started_at_ms): (&Target, SocketAddr, u64),
         is_running: impl Fn(&Run) -> bool,
         now: Instant,
     ) -> Vec<Loss> {
-        let open = self.open.get(target).cloned().unwrap_or_default();
+        let open = self.open.get(&address).cloned().unwrap_or_default();
         let verdict = |run: &Run| {
             if started_at_ms > run.started_at_ms {
                 Verdict::Crashed
-            } else if started_at_ms == run.started_at_ms && !is_running(run) {
+            } else if (target, started_at_ms) == (&run.target, run.started_at_ms)
+                && !is_running(run)
+            {
                 Verdict::Survived
             } else {
                 Verdict::Open
@@ -123,19 +123,13 @@
         let Some(runs) = self.losses.get(task) else {
             return Standing::Clear;
         };
-        let count =
-            |counts: &dyn Fn(&Entry) -> bool| runs.values().filter(|one| counts(one)).count();
-        let lost = count(&|one| one.verdict != Verdict::Survived);
-        let lost_alone = count(&|one| one.verdict != Verdict::Survived && one.alone);
-        let crashed_alone = count(&|one| one.verdict == Verdict::Crashed && one.alone);
-        if crashed_alone >= MAX_LONE_CRASHES {
-            Standing::Deadly
-        } else if lost_alone >= MAX_LONE_CRASHES || lost >= MAX_OPEN_LOSSES {
-            Standing::Pending
-        } else if lost > 0 {
-            Standing::Suspect
-        } else {
-            Standing::Clear
+        let crashed = runs.values().filter(|entry| entry.verdict == Verdict::Crashed).count();
+        let open = runs.values().filter(|entry| entry.verdict == Verdict::Open).count();
+        match (crashed, crashed + open) {
+            (MAX_LOST_TARGETS.., _) => Standing::Deadly,
+            (_, MAX_LOST_TARGETS..) => Standing::Pending,
+            (_, 1..) => Standing::Suspect,
+            _ => Standing::Clear,
         }
     }
 
@@ -189,10 +183,10 @@
     }
 
     fn close(&mut self, run: &Run) {
-        if let Some(runs) = self.open.get_mut(&run.target) {
+        if let Some(runs) = self.open.get_mut(&run.address) {
             runs.retain(|other| other != run);
             if runs.is_empty() {
-                self.open.remove(&run.target);
+                self.open.remove(&run.address);
             }
         }
     }
--- a/crates/fleet/src/crash/message.rs
+++ b/crates/fleet/src/crash/message.rs
@@ -1,5 +1,7 @@
 //! What hosts tell each other of runs that were lost with their targets.
 
+use std::net::SocketAddr;
+
 use coltsfootshunt_core::name::Target;
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
@@ -13,6 +15,9 @@
     pub task: Task,
     /// Target that ran it.
     pub target: Target,
+    /// Address of the target. A target that crashed is back there, perhaps under another name.
+    #[serde(rename = "at")]
+    pub address: SocketAddr,
     /// Unix time of the target's start, in milliseconds.
     #[serde(rename = "born")]
     pub started_at_ms: u64,
@@ -30,10 +35,10 @@
     /// Not known: the target has not been heard since.
     #[display("open")]
     Open,
-    /// The target was only out of reach: the same incarnation was heard without the run.
+    /// The target was only out of reach: it was heard without the run.
     #[display("survived")]
     Survived,
-    /// The target crashed: a later incarnation was heard.
+    /// The target crashed: one that started later was heard at its address.
     #[display("crashed")]
     Crashed,
 }
--- a/crates/fleet/src/lease/tracker.rs
+++ b/crates/fleet/src/lease/tracker.rs
@@ -8,6 +8,7 @@
 mod start_times;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -65,7 +66,14 @@
         evidence: Evidence,
     },
     /// The target accepted a claim with this token.
-    Claimed(Token),
+    Claimed {
+        /// Token of the claim.
+        token: Token,
+        /// Address of the target.
+        address: SocketAddr,
+        /// Unix time of the target's start, in milliseconds.
+        started_at_ms: u64,
+    },
     /// The target rejected this token: another host used a higher one.
     Fenced(Token),
     /// The lease expired without a response from the target.
@@ -213,14 +221,17 @@
 
     /// Returns the free resources, or none while nothing may start: without a claim, while the state is
     /// uncertain, while the entry may be that of an earlier incarnation, with orphans or attempts that
-    /// can't be named at the target, if no sufficient lease can be granted, or during a pause.
+    /// can't be named or that must run alone at the target, if no sufficient lease can be granted, or during a
+    /// pause.
     #[must_use]
     pub fn available(&self, now: Instant) -> Option<Resources> {
         let is_reliable =
             matches!(self.phase, Phase::Held(_)) && !self.is_uncertain && self.missed_renewals == 0;
         let is_expiring = self.lease_duration(now) < self.term.max / 2;
         let is_outdated = self.outdated_since.is_some();
+        let is_reserved = self.attempts.values().any(|attempt| attempt.isolated);
         if !is_reliable
+            || is_reserved
             || is_outdated
             || is_expiring
             || self.has_foreign()
--- a/crates/fleet/src/lease/tracker/attempt.rs
+++ b/crates/fleet/src/lease/tracker/attempt.rs
@@ -58,6 +58,8 @@
     pub started_at_ms: u64,
     /// Whether no other attempt of this host has been at the target with it.
     pub alone: bool,
+    /// Whether no other attempt may start at the target while it runs.
+    pub isolated: bool,
     /// Whether its result is no longer needed, so that it must be stopped.
     pub cancelled: bool,
     /// Whether it must be stopped so that its task can start elsewhere.
@@ -96,6 +98,7 @@
             owner_heard_at: sent_at,
             started_at_ms: 0,
             alone: true,
+            isolated: false,
             cancelled: false,
             recalled: false,
             status: Status::Sent,
--- a/crates/fleet/src/lease/tracker/response.rs
+++ b/crates/fleet/src/lease/tracker/response.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::{Attempt, Change, Ends, Orphan, Phase, Status, Tracker};
+use crate::directory::Entry;
 use crate::job::{End, Task};
 use crate::lease::{self, Call, Evidence, Order, Rejection, Report, Response, Token};
 
@@ -80,7 +81,8 @@
                 };
                 self.reconcile(&report, source, now, changes);
                 if is_claim && self.phase == Phase::Held(call.token) {
-                    changes.push(Change::Claimed(call.token));
+                    let Entry { address, started_at_ms, .. } = self.entry;
+                    changes.push(Change::Claimed { token: call.token, address, started_at_ms });
                 }
             }
             Response::Rejected(Rejection::Fenced) => {
--- a/crates/fleet/src/member/message.rs
+++ b/crates/fleet/src/member/message.rs
@@ -52,6 +52,9 @@
     pub config_version: u64,
     /// Whether it knows any target.
     pub knows_targets: bool,
+    /// Whether it reads messages on runs that were lost with their targets; earlier versions don't.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub reads_losses: bool,
     /// Token above which it issues its next one; earlier versions don't send it.
     #[serde(default)]
     pub highest_token: Token,
--- a/crates/fleet/src/peer/message.rs
+++ b/crates/fleet/src/peer/message.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::Document;
+use crate::crash::Loss;
 use crate::directory::Entry;
 use crate::job::{Assignment, Completion, Grant, Id, Reservation};
 use crate::member::{Heartbeat, Identity};
@@ -39,6 +40,9 @@
     /// Steward to owner: these tasks have ended, and this is the sender's current load.
     #[serde(rename = "ended")]
     Completed(Vec<Completion>, Load),
+    /// Runs that were lost with their targets, or news of them.
+    #[serde(rename = "lost")]
+    Losses(Vec<Loss>),
     /// Asks for the configuration and the list of targets.
     #[serde(rename = "ask")]
     ConfigRequest,
@@ -58,8 +62,8 @@
 }
 
 impl Message {
-    /// Whether the message creates, changes or ends work for a job. Such messages are void when they are
-    /// late; all others only report state.
+    /// Whether the message creates, changes or ends work for a job, or says which tasks may start. Such messages
+    /// are void when they are late; all others only report state.
     #[must_use]
     pub fn is_about_jobs(&self) -> bool {
         match self {
@@ -68,7 +72,8 @@
             | Self::Grant(_)
             | Self::Withdraw(_)
             | Self::Cancel(..)
-            | Self::Completed(..) => true,
+            | Self::Completed(..)
+            | Self::Losses(_) => true,
             Self::Heartbeat(_)
             | Self::Hosts(_)
             | Self::ConfigRequest
@@ -90,6 +95,7 @@
             Self::Withdraw(_) => "withdraw",
             Self::Cancel(..) => "cancel",
             Self::Completed(..) => "completed",
+            Self::Losses(_) => "losses",
             Self::ConfigRequest => "config_request",
             Self::Config(_) => "config",
             Self::Targets(_) => "targets",
--- a/crates/fleet/src/peer/wire/short.rs
+++ b/crates/fleet/src/peer/wire/short.rs
@@ -45,7 +45,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct UnknownStatus;
 
-/// Two flags of one bit each.
+/// Up to three flags of one bit each.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 struct Flags(u8);
 
@@ -128,8 +128,8 @@
 }
 
 impl Flags {
-    fn new(first: bool, second: bool) -> Self {
-        Self(u8::from(first) | u8::from(second) << 1)
+    fn new(first: bool, second: bool, third: bool) -> Self {
+        Self(u8::from(first) | u8::from(second) << 1 | u8::from(third) << 2)
     }
 
     fn first(self) -> bool {
@@ -139,6 +139,10 @@
     fn second(self) -> bool {
         self.0 & 2 != 0
     }
+
+    fn third(self) -> bool {
+        self.0 & 4 != 0
+    }
 }
 
 impl From<&Heartbeat> for Status {
@@ -147,7 +151,7 @@
         Self(
             claims.collect(),
             heartbeat.busy_targets.clone(),
-            Flags::new(heartbeat.is_stopping, heartbeat.knows_targets),
+            Flags::new(heartbeat.is_stopping, heartbeat.knows_targets, heartbeat.reads_losses),
             heartbeat.config_version,
             heartbeat.highest_token,
             heartbeat.token_suffix,
@@ -167,6 +171,7 @@
             load: routing::Load::default(),
             config_version: version,
             knows_targets: flags.second(),
+            reads_losses: flags.third(),
             highest_token: highest,
             token_suffix: suffix,
             next_in_ms: next,
@@ -270,7 +275,7 @@
             assignment.objective_in_ms,
             assignment.deadline_in_ms,
             assignment.width,
-            Flags::new(assignment.started, assignment.shared),
+            Flags::new(assignment.started, assignment.shared, false),
             assignment.echo,
             groups,
         )
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -115,10 +115,20 @@
             info!(log, "{}", name; "job" => %task.job, "task" => %task,
                 "after_ms" => millis(*after));
         }
-        Record::TaskStarted { task, run, target, cpu_millis, waited, expected, fastest_run } => {
+        Record::TaskStarted {
+            task,
+            run,
+            target,
+            cpu_millis,
+            waited,
+            expected,
+            fastest_run,
+            isolated,
+        } => {
             info!(log, "{}", name; "job" => %task.job, "task" => %task, "run" => run,
                 "target" => %target, "cpu_millis" => cpu_millis, "waited_ms" => millis(*waited),
-                "expected_ms" => millis(*expected), "best_ms" => millis(*fastest_run));
+                "expected_ms" => millis(*expected), "best_ms" => millis(*fastest_run),
+                "isolated" => isolated);
         }
         Record::TaskEnded { task, run, target, end, evidence, took } => {
             info!(log, "{}", name; "job" => %task.job, "task" => %task, "run" => run,
@@ -149,8 +159,9 @@
 fn write_change(log: &Logger, record: &Record) {
     let name = record.name();
     match record {
-        Record::TargetClaimed { target, token } => {
-            info!(log, "{}", name; "target" => %target, "token" => token.0);
+        Record::TargetClaimed { target, token, address, started_at_ms } => {
+            info!(log, "{}", name; "target" => %target, "token" => token.0,
+                "address" => %address, "target_began" => started_at_ms);
         }
         Record::TokenSuffixChanged { peer, before, after } => {
             warn!(log, "{}", name; "peer" => peer.as_deref(), "before" => %before, "after" => %after);
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -148,6 +148,8 @@
         expected: Duration,
         /// Expected run time on the steward's fastest target, free or not.
         fastest_run: Duration,
+        /// Whether it runs alone there, because a target was lost under it before.
+        isolated: bool,
     },
     /// An attempt of a task ended.
     TaskEnded {
@@ -191,6 +193,10 @@
         target: Target,
         /// Fencing token of the lease.
         token: Token,
+        /// Address of the target.
+        address: SocketAddr,
+        /// Unix time of the target's start, in milliseconds.
+        started_at_ms: u64,
     },
     /// A target rejected this host's fencing token, because another host claimed it with a higher one.
     TargetFenced {
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -184,10 +184,10 @@
     /// Releases all targets and empties the queue after this process was paused, since other
     /// stewards may have claimed the targets.
     pub fn release_targets(&mut self, output: &mut Output) {
-        for (target, tracker) in &mut self.trackers {
+        for tracker in self.trackers.values_mut() {
             let mut changes = Vec::new();
             tracker.release(End::Unresolved, Evidence::Paused, &mut changes);
-            output.losses.extend(changes.iter().filter_map(|change| loss(target, change)));
+            output.losses.extend(changes.iter().filter_map(|change| loss(&tracker.entry, change)));
             output.completions.extend(changes.into_iter().filter_map(completion));
         }
         self.return_queued(output);
@@ -213,13 +213,14 @@
             return;
         };
         let changes = tracker.handle_response(call, response, now);
+        let entry = tracker.entry.clone();
         if !changes.is_empty() || matches!(call.order, Order::Renew { .. }) {
             self.last_pass_at = None;
         }
         for change in changes {
             update_speeds(&call.target, &change, speeds, now);
             record(&call.target, &change, now, output);
-            output.losses.extend(loss(&call.target, &change));
+            output.losses.extend(loss(&entry, &change));
             if let Change::Ended { attempt, .. } = &change
                 && attempt.cancelled
             {
--- a/crates/fleet/src/steward/state/change.rs
+++ b/crates/fleet/src/steward/state/change.rs
@@ -6,6 +6,7 @@
 
 use super::placer::OVERDUE_FACTOR;
 use crate::crash::{Loss, Run, Verdict};
+use crate::directory::{self, Entry};
 use crate::job::{Completion, End};
 use crate::lease::{Attempt, Change, Evidence, Rejection};
 use crate::queue::QueuedTask;
@@ -50,7 +51,12 @@
             let (run, end, evidence) = (attempt.run, *end, *evidence);
             Record::TaskEnded { task: task.clone(), run, target, end, evidence, took }
         }
-        Change::Claimed(token) => Record::TargetClaimed { target, token: *token },
+        Change::Claimed { token, address, started_at_ms } => Record::TargetClaimed {
+            target,
+            token: *token,
+            address: *address,
+            started_at_ms: *started_at_ms,
+        },
         Change::Fenced(token) => Record::TargetFenced { target, token: *token },
         Change::Lost { evidence, since_renewal } => {
             Record::TargetLost { target, evidence: *evidence, since_renewal: *since_renewal }
@@ -77,7 +83,7 @@
 }
 
 /// The loss of a run, if the target has not told how it ended.
-pub(super) fn loss(target: &Target, change: &Change) -> Option<Loss> {
+pub(super) fn loss(entry: &Entry, change: &Change) -> Option<Loss> {
     let Change::Ended { task, attempt, evidence, .. } = change else {
         return None;
     };
@@ -88,9 +94,14 @@
             return None;
         }
     };
+    // A target that drains ends what runs on it when it leaves.
+    if entry.state == directory::State::Draining {
+        return None;
+    }
     let run = Run {
         task: task.clone(),
-        target: target.clone(),
+        target: entry.name.clone(),
+        address: entry.address,
         started_at_ms: attempt.started_at_ms,
         number: attempt.run,
     };
--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -8,6 +8,7 @@
 use super::Steward;
 use super::change::not_run;
 use super::placer::{Placement, Placer, fastest_factor};
+use crate::crash::{Ledger, Standing};
 use crate::job::{Completion, End, Reservation, Task};
 use crate::lease::{Attempt, Tracker};
 use crate::member::Membership;
@@ -51,8 +52,7 @@
     /// returns tasks that can no longer end in time or should wait elsewhere.
     pub fn dispatch(
         &mut self,
-        membership: &Membership,
-        speeds: &Estimator,
+        (membership, speeds, crashes): (&Membership, &Estimator, &Ledger),
         now: Instant,
         output: &mut Output,
     ) {
@@ -63,7 +63,7 @@
         self.last_pass_at = Some(now);
         self.return_infeasible(speeds, now, output);
         self.queue.sort(now);
-        let Pass { starts, grant_requests } = self.place_queued(membership, speeds, now);
+        let Pass { starts, grant_requests } = self.place_queued((membership, speeds, crashes), now);
         let mut started = HashSet::new();
         let mut jobs = HashSet::new();
         for (queued, placement) in starts {
@@ -78,31 +78,41 @@
             grant_requests.iter().map(|(_, reservation)| reservation.task.clone()).collect();
         self.queue.mark_requested(&requested, now);
         output.grant_requests.extend(grant_requests);
-        self.offload(membership, now, output);
+        self.offload(membership, crashes, now, output);
     }
 
     /// Finds targets for the queued tasks. Exclusive tasks are to start there; for shared ones a
     /// grant is to be requested.
-    fn place_queued(&self, membership: &Membership, speeds: &Estimator, now: Instant) -> Pass {
+    fn place_queued(
+        &self,
+        (membership, speeds, crashes): (&Membership, &Estimator, &Ledger),
+        now: Instant,
+    ) -> Pass {
         let pool =
             self.pool(&self.capacity(&self.usable(now), speeds, now), membership, speeds, now);
         let mut placer = Placer::new(&self.trackers, membership, speeds, pool, self.settings, now);
         let being_stopped = self.being_stopped();
         let mut pass = Pass::default();
-        // All tasks of a step have the same requirements, so one failure holds for the rest.
+        // All tasks of a step have the same requirements, so one failure holds for the rest, but for those
+        // that must run alone.
         let mut unplaced = HashSet::new();
         let mut blocked = HashSet::new();
         for queued in self.queue.iter() {
             if unplaced.len() >= MAX_UNPLACED_STEPS {
                 break;
             }
-            let step = (&queued.task.job, queued.task.step);
+            let isolated = match crashes.standing(&queued.task) {
+                Standing::Clear => false,
+                Standing::Suspect => true,
+                Standing::Pending | Standing::Deadly => continue,
+            };
+            let step = (&queued.task.job, queued.task.step, isolated);
             let is_unplaced = unplaced.contains(&step) || blocked.contains(&step);
             if is_unplaced || being_stopped.contains(&queued.task) {
                 continue;
             }
             // A task whose grant is pending keeps its slot occupied in this pass.
-            match (placer.place(queued), queued.binding) {
+            match (placer.place(queued, isolated), queued.binding) {
                 (Some(placement), Binding::Exclusive) => {
                     pass.starts.push((queued.clone(), placement))
                 }
@@ -136,7 +146,7 @@
         now: Instant,
         output: &mut Output,
     ) -> bool {
-        let Placement { target, expected, fastest_run } = placement;
+        let Placement { target, expected, fastest_run, isolated } = placement;
         let owner_heard_at = membership.last_word(&queued.owner, now).unwrap_or(now);
         let silence = now.duration_since(owner_heard_at);
         let is_heard =
@@ -158,6 +168,7 @@
         attempt.objective = queued.objective;
         attempt.deadline = queued.deadline;
         attempt.owner_heard_at = owner_heard_at;
+        attempt.isolated = isolated;
         output.records.push(Record::TaskStarted {
             task: queued.task.clone(),
             run: queued.run,
@@ -166,6 +177,7 @@
             waited: now.duration_since(queued.queued_at),
             expected,
             fastest_run,
+            isolated,
         });
         output.calls.push(tracker.start(&queued.task, queued.spec.clone(), attempt, now));
         true
@@ -174,7 +186,13 @@
     /// Returns tasks that should not wait here. These are short tasks for which another steward may
     /// have a free slot, long tasks (the owner then queues them at several stewards), and tasks
     /// whose grant request timed out.
-    fn offload(&mut self, membership: &Membership, now: Instant, output: &mut Output) {
+    fn offload(
+        &mut self,
+        membership: &Membership,
+        crashes: &Ledger,
+        now: Instant,
+        output: &mut Output,
+    ) {
         let being_stopped: HashSet<Task> = self.being_stopped().into_iter().cloned().collect();
         let elsewhere = membership.alive().filter(|peer| !peer.heartbeat.claims.is_empty());
         // Only half of the free slots are counted, since other stewards may see the same ones.
@@ -183,6 +201,8 @@
         let returned = self.queue.extract(|queued| match queued.binding {
             Binding::Shared => false,
             Binding::Requested(at) => now.duration_since(at) > GRANT_TIMEOUT,
+            // A target is being cleared for it here.
+            Binding::Exclusive if crashes.standing(&queued.task) != Standing::Clear => false,
             Binding::Exclusive if queued.is_long(now) => !being_stopped.contains(&queued.task),
             Binding::Exclusive => {
                 let offloads = now.duration_since(queued.queued_at) > OFFLOAD_AFTER && free > 0;
--- a/crates/fleet/src/steward/state/placer.rs
+++ b/crates/fleet/src/steward/state/placer.rs
@@ -29,6 +29,8 @@
     pub(super) expected: Duration,
     /// Expected run time on the fastest target, free or not.
     pub(super) fastest_run: Duration,
+    /// Whether the task must run alone there.
+    pub(super) isolated: bool,
 }
 
 /// Availability of one target during a pass.
@@ -89,8 +91,8 @@
     }
 
     /// Chooses a target for a task and reserves the task's resources there. Returns `None` if the
-    /// task should not start now.
-    pub(super) fn place(&mut self, queued: &QueuedTask) -> Option<Placement> {
+    /// task should not start now. An isolated task gets a target that runs nothing else.
+    pub(super) fn place(&mut self, queued: &QueuedTask, isolated: bool) -> Option<Placement> {
         let silence = self.silence(queued);
         let mut candidates = Vec::new();
         let mut fastest = Duration::MAX;
@@ -107,6 +109,9 @@
             else {
                 continue;
             };
+            if isolated && !availability.is_idle() {
+                continue;
+            }
             let is_held = availability.held_until.is_some_and(|until| expected > until);
             let is_allowed =
                 availability.allows_another(queued) && availability.allows_silence(silence);
@@ -121,7 +126,9 @@
         }
         let fast = self.fast(queued, &candidates, fastest);
         let Choice::Start(index) = choose(queued, &candidates, fast, self.now) else {
-            if queued.is_long(self.now) {
+            if isolated {
+                self.hold_idle_for(queued);
+            } else if queued.is_long(self.now) {
                 self.waiting += 1;
                 self.hold_for(queued, fast.fastest_run);
             }
@@ -129,16 +136,37 @@
         };
         let expected = self.expected(&self.targets[index], queued);
         let availability = &mut self.targets[index];
-        availability.free =
+        let free =
             availability.free.map(|free| free.saturating_sub(&queued.requirements.resources));
+        availability.free = free.filter(|_| !isolated);
         availability.placed.push(queued.task.clone());
         Some(Placement {
             target: availability.tracker.entry.name.clone(),
             expected,
             fastest_run: fast.fastest_run,
+            isolated,
         })
     }
 
+    /// Holds the target that is idle first for a task that must run alone.
+    fn hold_idle_for(&mut self, queued: &QueuedTask) {
+        let silence = self.silence(queued);
+        let can_take = |availability: &Availability<'_>| {
+            availability.held_until.is_none()
+                && !availability.is_idle()
+                && is_eligible(&availability.tracker.entry, queued)
+                && availability.allows_silence(silence)
+        };
+        let idle = self.targets.iter().enumerate();
+        let idle = idle.filter(|(_, availability)| can_take(availability));
+        let idle = idle.filter_map(|(index, availability)| {
+            Some((availability.time_until_idle(self.now)?, index))
+        });
+        if let Some((until, index)) = idle.min() {
+            self.targets[index].held_until = Some(until);
+        }
+    }
+
     /// Holds the fast target that first has enough resources for a long task. Otherwise smaller
     /// tasks would take each part of it that becomes free.
     fn hold_for(&mut self, queued: &QueuedTask, fastest_run: Duration) {
@@ -235,6 +263,18 @@
         free.covers(resources).then_some(after)
     }
 
+    /// Whether nothing runs on the target and nothing was placed there in this pass.
+    fn is_idle(&self) -> bool {
+        self.tracker.is_idle() && self.placed.is_empty()
+    }
+
+    /// Expected time until all runs have ended; `None` if no task may start on the target.
+    fn time_until_idle(&self, now: Instant) -> Option<Duration> {
+        self.free?;
+        let runs = self.tracker.attempts();
+        Some(runs.map(|(_, attempt)| end_times::remaining(attempt, now)).max().unwrap_or_default())
+    }
+
     /// Whether a task may start whose owner was heard this long ago.
     fn allows_silence(&self, silence: Duration) -> bool {
         self.max_silence.is_some_and(|max| silence <= max)
--- a/crates/fleet/src/steward/tests.rs
+++ b/crates/fleet/src/steward/tests.rs
@@ -7,6 +7,7 @@
 use coltsfootshunt_testkit::cases;
 
 use super::{Output, Settings, Steward};
+use crate::crash::Ledger;
 use crate::directory::{self, tests::entry};
 use crate::job::{Assignment, End, Grant, Id, Item, Requirements, Reservation, Resources};
 use crate::lease::{self, Call, Ended, Issuer, Order, Phase, Report, Response, Term, Token};
@@ -22,6 +23,7 @@
     membership: Membership,
     directory: directory::Directory,
     speeds: Estimator,
+    crashes: Ledger,
     issuer: Issuer,
     now: Instant,
     /// Number of the last end that a target reported.
@@ -38,7 +40,9 @@
         directory.replace((0..targets).map(|one| entry(&format!("t{one}"), "a")).collect(), now);
         let steward = Steward::new(Settings { term: TERM, remote_factor: 1.5 });
         let (speeds, issuer) = (Estimator::default(), Issuer::new(1));
-        let mut bench = Self { steward, membership, directory, speeds, issuer, now, ended: 0 };
+        let crashes = Ledger::default();
+        let mut bench =
+            Self { steward, membership, directory, speeds, crashes, issuer, now, ended: 0 };
         bench.steward.sync(&bench.directory, &bench.membership, now);
         for call in bench.maintain().calls {
             let report = Report { clock_ms: 1, started_at_ms: Some(1), ..Report::default() };
@@ -130,7 +134,8 @@
 
     fn dispatch_once(&mut self) -> Output {
         let mut output = Output::default();
-        self.steward.dispatch(&self.membership, &self.speeds, self.now, &mut output);
+        let known = (&self.membership, &self.speeds, &self.crashes);
+        self.steward.dispatch(known, self.now, &mut output);
         output
     }
 
