--- a/crates/entry/src/submission/open.rs
+++ b/crates/entry/src/submission/open.rs
@@ -11,6 +11,8 @@
 
 /// Requests that may wait for one answer; a further one displaces the oldest.
 pub const MAX_WAITERS: usize = 64;
+/// Lost attempts of one task after which it is not started again: it may crash its targets.
+const MAX_LOST_RUNS: u32 = 3;
 
 /// State of a task.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -41,8 +43,8 @@
     /// Whether the kind allows another attempt at a task that may have run.
     rerun_lost: bool,
     tasks: Vec<TaskState>,
-    /// For each task, whether an earlier attempt may have run.
-    lost_before: Vec<bool>,
+    /// For each task, the number of attempts that may have run and were lost with their target.
+    lost_runs: Vec<u32>,
     outputs: Vec<Option<Payload>>,
     /// Number of tasks in state [`TaskState::Sent`].
     sent: usize,
@@ -85,7 +87,7 @@
             trace: Trace::default(),
             rerun_lost,
             tasks: vec![TaskState::Waiting; count],
-            lost_before: vec![false; count],
+            lost_runs: vec![0; count],
             outputs: vec![None; count],
             sent: 0,
             succeeded: 0,
@@ -223,9 +225,10 @@
         if self.stop_reason.is_some() {
             return Transition::Continue;
         }
-        if is_lost && self.rerun_lost && may_retry() {
+        self.lost_runs[task] += u32::from(is_lost);
+        let is_deadly = self.lost_runs[task] >= MAX_LOST_RUNS;
+        if is_lost && self.rerun_lost && !is_deadly && may_retry() {
             self.tasks[task] = TaskState::Waiting;
-            self.lost_before[task] = true;
             return Transition::Retry;
         }
         self.stop_reason = Some(StopReason::Fault { task, fault });
@@ -262,7 +265,7 @@
             let list = match state {
                 TaskState::Ran => &mut breakdown.ran,
                 TaskState::Sent | TaskState::MayHaveRun => &mut breakdown.may_have_run,
-                TaskState::Waiting if self.lost_before[task] => &mut breakdown.may_have_run,
+                TaskState::Waiting if self.lost_runs[task] > 0 => &mut breakdown.may_have_run,
                 TaskState::Waiting => &mut breakdown.not_run,
             };
             list.push(task);
--- a/crates/entry/src/submission/tests.rs
+++ b/crates/entry/src/submission/tests.rs
@@ -74,6 +74,11 @@
     task_that_did_not_start_is_retried(false, &[(0, End::NotStarted), (0, output())], "open");
     lost_task_fails_the_job(false, &[(0, lost())], "failed");
     lost_task_is_rerun_if_the_kind_allows(true, &[(0, lost()), (0, output())], "open");
+    task_that_is_lost_on_each_target_is_given_up(
+        true,
+        &[(0, lost()), (0, lost()), (1, lost()), (0, lost())],
+        "failed",
+    );
     reported_error_is_not_retried(
         true,
         &[(0, End::Fault(Fault::Reported { detail: String::new() }))],
