--- a/crates/fleet/src/control/tests/mod.rs
+++ b/crates/fleet/src/control/tests/mod.rs
@@ -14,6 +14,7 @@
 mod partitions;
 mod restarts;
 mod safety;
+mod shrunk_targets;
 mod simulation;
 mod startup;
 mod target;
--- a/crates/fleet/src/control/tests/simulation/network.rs
+++ b/crates/fleet/src/control/tests/simulation/network.rs
@@ -159,6 +159,7 @@
             && has_started
         {
             *self.starts.entry(task.clone()).or_default() += 1;
+            self.check_capacity(&call.target);
             if self.record_start(task, &call.target) {
                 return self.deny_response(host, incarnation, call);
             }
