--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod lag;
 mod message;
 mod peers;
+mod relay;
 mod state;
 mod targets;
 mod thread;
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -109,6 +109,7 @@
                     targets.into_iter().filter(|(target, _)| !self.steward.has_target(target));
                 self.speeds.set_slowness(targets.collect(), now);
             }
+            Message::CurrentTargets(entries) => self.learn_targets(&from.host, entries),
             Message::Targets(entries) => {
                 if self.directory.seed(entries) {
                     let known = self.directory.iter().count();
@@ -202,6 +203,9 @@
                 let new_entries = self.reported_targets.filter_new(unreadable);
                 self.record_unreadable(new_entries);
                 self.directory.replace(entries, now);
+                if !is_stale {
+                    self.relay_targets();
+                }
                 let known = self.directory.iter().count();
                 if known != known_before || unreadable_count != self.unreadable_targets {
                     self.unreadable_targets = unreadable_count;
@@ -365,6 +369,7 @@
             config_version: self.config.version(),
             knows_targets: !self.directory.is_empty(),
             reads_losses: true,
+            lacks_store: self.is_store_lost,
             highest_token: self.issuer.highest(),
             token_suffix: Some(self.issuer.suffix()),
             next_in_ms: Some(CLOSE_INTERVAL.as_millis() as u32),
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -64,6 +64,8 @@
     pub(super) losses_per_tick: usize,
     /// Peers that have been sent the losses known before.
     pub(super) informed: BTreeSet<Host>,
+    /// Entries sent last to each steward that lacks the store.
+    pub(super) relayed: BTreeMap<Host, Vec<directory::Entry>>,
     pub(super) speeds: speed::Estimator,
     pub(super) issuer: Issuer,
     /// Addresses of hosts that this host knows of but does not hear.
@@ -122,6 +124,7 @@
             unshared_losses: VecDeque::new(),
             losses_per_tick: 0,
             informed: BTreeSet::new(),
+            relayed: BTreeMap::new(),
             speeds: speed::Estimator::default(),
             issuer: Issuer::new(settings.identity.incarnation),
             contacts,
--- a/crates/fleet/src/directory/targets.rs
+++ b/crates/fleet/src/directory/targets.rs
@@ -64,6 +64,18 @@
         is_first
     }
 
+    /// Replaces entries by those that a peer has read. Returns the number of those that differ.
+    pub fn update(&mut self, entries: Vec<Entry>) -> usize {
+        let mut changed = 0;
+        for entry in entries {
+            if self.get(&entry.name) != Some(&entry) {
+                changed += 1;
+                self.known.insert(entry.name.clone(), Known { entry, missing_since: None });
+            }
+        }
+        changed
+    }
+
     /// Returns all targets that count as present.
     pub fn iter(&self) -> impl Iterator<Item = &Entry> {
         self.known.values().map(|one| &one.entry)
--- a/crates/fleet/src/member/message.rs
+++ b/crates/fleet/src/member/message.rs
@@ -55,6 +55,9 @@
     /// Whether it reads messages on runs that were lost with their targets; earlier versions don't.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub reads_losses: bool,
+    /// Whether the store does not respond to it, so that it needs to be told of its targets.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub lacks_store: bool,
     /// Token above which it issues its next one; earlier versions don't send it.
     #[serde(default)]
     pub highest_token: Token,
--- a/crates/fleet/src/peer/message.rs
+++ b/crates/fleet/src/peer/message.rs
@@ -51,6 +51,8 @@
     Config(Arc<Document>),
     /// Targets that the sender knows.
     Targets(Vec<Entry>),
+    /// Present entries of the receiver's targets, for a steward that lacks the store.
+    CurrentTargets(Vec<Entry>),
     /// Run times learned from the sender's targets.
     #[serde(rename = "learned")]
     Speeds {
@@ -79,6 +81,7 @@
             | Self::ConfigRequest
             | Self::Config(_)
             | Self::Targets(_)
+            | Self::CurrentTargets(_)
             | Self::Speeds { .. } => false,
         }
     }
@@ -99,6 +102,7 @@
             Self::ConfigRequest => "config_request",
             Self::Config(_) => "config",
             Self::Targets(_) => "targets",
+            Self::CurrentTargets(_) => "current_targets",
             Self::Speeds { .. } => "speeds",
         }
     }
--- a/crates/fleet/src/peer/wire/short.rs
+++ b/crates/fleet/src/peer/wire/short.rs
@@ -45,7 +45,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct UnknownStatus;
 
-/// Up to three flags of one bit each.
+/// Flags of one bit each.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 struct Flags(u8);
 
@@ -128,20 +128,14 @@
 }
 
 impl Flags {
-    fn new(first: bool, second: bool, third: bool) -> Self {
-        Self(u8::from(first) | u8::from(second) << 1 | u8::from(third) << 2)
+    /// Flags whose first one is the lowest bit.
+    fn new<const N: usize>(flags: [bool; N]) -> Self {
+        Self(flags.iter().rev().fold(0, |bits, flag| bits << 1 | u8::from(*flag)))
     }
 
-    fn first(self) -> bool {
-        self.0 & 1 != 0
-    }
-
-    fn second(self) -> bool {
-        self.0 & 2 != 0
-    }
-
-    fn third(self) -> bool {
-        self.0 & 4 != 0
+    /// The flag at this position; `false` if the sender is of a version that lacks it.
+    fn get(self, position: usize) -> bool {
+        self.0 >> position & 1 != 0
     }
 }
 
@@ -151,7 +145,12 @@
         Self(
             claims.collect(),
             heartbeat.busy_targets.clone(),
-            Flags::new(heartbeat.is_stopping, heartbeat.knows_targets, heartbeat.reads_losses),
+            Flags::new([
+                heartbeat.is_stopping,
+                heartbeat.knows_targets,
+                heartbeat.reads_losses,
+                heartbeat.lacks_store,
+            ]),
             heartbeat.config_version,
             heartbeat.highest_token,
             heartbeat.token_suffix,
@@ -167,11 +166,12 @@
         Self {
             claims: claims.into_iter().map(|(zone, token)| Claim { zone, token }).collect(),
             busy_targets,
-            is_stopping: flags.first(),
+            is_stopping: flags.get(0),
             load: routing::Load::default(),
             config_version: version,
-            knows_targets: flags.second(),
-            reads_losses: flags.third(),
+            knows_targets: flags.get(1),
+            reads_losses: flags.get(2),
+            lacks_store: flags.get(3),
             highest_token: highest,
             token_suffix: suffix,
             next_in_ms: next,
@@ -275,7 +275,7 @@
             assignment.objective_in_ms,
             assignment.deadline_in_ms,
             assignment.width,
-            Flags::new(assignment.started, assignment.shared, false),
+            Flags::new([assignment.started, assignment.shared]),
             assignment.echo,
             groups,
         )
@@ -318,8 +318,8 @@
             objective_in_ms: objective,
             deadline_in_ms: deadline,
             width,
-            started: flags.first(),
-            shared: flags.second(),
+            started: flags.get(0),
+            shared: flags.get(1),
             echo,
         }
     }
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -221,6 +221,9 @@
         Record::TargetsChanged { known, unreadable } => {
             info!(log, "{}", name; "targets" => known, "unreadable" => unreadable);
         }
+        Record::TargetsRelayed { peer, changed } => {
+            info!(log, "{}", name; "from" => %peer, "targets" => changed);
+        }
         Record::EntryUnreadable { key, revision, reason } => {
             warn!(log, "{}", name; "key" => %truncate(key), "revision" => revision,
                 "reason" => %truncate(reason));
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -341,6 +341,13 @@
         /// Number of entries of the list that could not be decoded.
         unreadable: usize,
     },
+    /// A peer told this host what its targets say of themselves, since the store does not respond.
+    TargetsRelayed {
+        /// Peer that has read the entries.
+        peer: Host,
+        /// Number of entries that differ from those known here.
+        changed: usize,
+    },
     /// An entry of the store can't be decoded and is ignored.
     EntryUnreadable {
         /// Key of the entry.
--- a/crates/fleet/src/report/record/name.rs
+++ b/crates/fleet/src/report/record/name.rs
@@ -39,6 +39,7 @@
             Self::TrafficBehind { .. } => "traffic behind",
             Self::ConfigApplied { .. } => "configuration in force",
             Self::TargetsChanged { .. } => "targets known",
+            Self::TargetsRelayed { .. } => "targets relayed",
             Self::EntryUnreadable { .. } => "entry unreadable",
             Self::StoreLost { .. } => "store lost",
             Self::StoreRegained => "store regained",
