--- a/crates/entry/tests/hostile_clients.rs
+++ b/crates/entry/tests/hostile_clients.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use coltsfootshunt_platform_standin::process::{Cluster, Host};
+use coltsfootshunt_http::Method;
+use coltsfootshunt_platform_standin::process::{Cluster, Host, job};
 use coltsfootshunt_platform_standin::settings::Limits;
 use coltsfootshunt_testkit::{cases, wait_until};
+use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
@@ -113,12 +115,36 @@
     serve_ordinary_job(&cluster, &host, 2).await;
     assert!(!host.has_ended(), "the host has ended");
     let (memory, limit) = (host.peak_memory(), LIMITS.memory_mb << 20);
+    println!("{memory} bytes of memory and {most_descriptors} descriptors at most");
     assert!(memory <= limit, "{memory} bytes of memory, {limit} on the machine");
     let max_fds = usize::try_from(LIMITS.max_fds).unwrap();
     assert!(most_descriptors <= max_fds, "{most_descriptors} descriptors of {max_fds}");
     assert_eq!(cluster.invariants.violations(), Vec::<String>::new());
 }
 
+/// A job with a body of exactly the largest legal size.
+fn largest_job() -> String {
+    let body = job("cpu=9000 ms=20", 1, 9_000, 20).to_string();
+    let padding = " ".repeat(MAX_BODY_BYTES - body.len());
+    body + &padding
+}
+
+/// Guards against limits that a client within the documented ones meets.
+#[tokio::test]
+async fn a_single_body_of_the_largest_size_is_served() {
+    let _alone = ALONE.lock().await;
+    let cluster = Cluster::start(PROGRAM, FOLDER, &["a"], 2).await;
+    let mut host = cluster.host_with_limits("a-1", "a", LIMITS);
+    cluster.launch(&mut host);
+    cluster.wait_until_settled(&[&host]).await;
+    let path = "/cut/0000000000000001";
+    let answer = cluster.request(Method::POST, &host, path, &largest_job()).await;
+    assert_eq!(answer, Some((200, json!({ "state": "completed" }))));
+    let over = largest_job() + " ";
+    let answer = cluster.request(Method::POST, &host, path, &over).await;
+    assert_eq!(answer.map(|answer| answer.0), Some(413));
+}
+
 /// Runs the case on a runtime of several threads, so that the clients press at the same time.
 fn host_survives(attack: Attack) {
     let mut runtime = tokio::runtime::Builder::new_multi_thread();
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -237,6 +237,7 @@
             warn!(log, "{}", name; "reason" => %error)
         }
         Record::ConnectionFailed { error } => warn!(log, "{}", name; "reason" => %error),
+        Record::ClientRefused { reason } => warn!(log, "{}", name; "reason" => %reason),
         Record::ThreadPanicked(panic) => {
             error!(log, "{}", name; "thread" => %panic.thread, "reason" => %panic.message,
                 "place" => %panic.place);
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -384,6 +384,11 @@
         /// Error of the operating system.
         error: Arc<str>,
     },
+    /// A client was refused because of what all clients make the process hold.
+    ClientRefused {
+        /// Limit that was reached.
+        reason: Arc<str>,
+    },
     /// A thread of the process panicked. The process can't go on without its control thread.
     ThreadPanicked(Panic),
     /// A graceful shutdown began.
--- a/crates/fleet/src/report/record/name.rs
+++ b/crates/fleet/src/report/record/name.rs
@@ -47,6 +47,7 @@
             Self::ProcessStarted { .. } => "process began",
             Self::SettingsReloaded { .. } => "settings read",
             Self::ConnectionFailed { .. } => "connection not accepted",
+            Self::ClientRefused { .. } => "client refused",
             Self::ThreadPanicked(_) => "thread panicked",
             Self::Stopping => "stop began",
             Self::ProcessStopped { .. } => "process ends",
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,5 +1,7 @@
 //! HTTP/1.1 client for JSON requests. Its errors tell whether the server may have received the
-//! request.
+//! request. [`server`] serves clients that are not trusted.
+
+pub mod server;
 
 use std::net::SocketAddr;
 use std::time::Duration;
