--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -9,7 +9,7 @@
 use coltsfootshunt_entry::app::App;
 use coltsfootshunt_entry::log::{Json, Level, Log, Silent};
 use coltsfootshunt_entry::platform::{Http, accept};
-use coltsfootshunt_entry::settings::{Addresses, Drain, Policy, Settings};
+use coltsfootshunt_entry::settings::{Addresses, Clients, Drain, Policy, Settings};
 use coltsfootshunt_operator::{Configuration, Kind, Target, Team};
 use coltsfootshunt_standin::platform::Platform;
 use coltsfootshunt_standin::target;
@@ -158,6 +158,7 @@
         traffic_threads: 1,
         log: Level::Info,
         drain: Drain::default(),
+        clients: Clients::default(),
         submissions: Default::default(),
         policy: options.policy,
     }
--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -180,6 +180,10 @@
     /// The owner doesn't respond.
     #[display("the owner can't be reached")]
     OwnerUnreachable,
+    /// The entry did not read the request: it arrived too slowly, or the requests of all callers fill the memory
+    /// for them.
+    #[display("the entry did not read the request")]
+    Unread,
     /// The record of the submission was dropped after its retention period.
     #[display("the record of this submission is no longer kept")]
     TooOld,
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -10,12 +10,13 @@
 use axum::Router;
 use coltsfootshunt_core::clock::{Clock, System};
 use coltsfootshunt_core::submission::Incarnation;
+use coltsfootshunt_http::server::{Limits, Listener, Observer, Refusal};
 use derive_more::{Display, Error};
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
 use tokio::sync::{Mutex, watch};
 
-use crate::control::{self, Dependencies, Event, Executor, Handle, Setup};
+use crate::control::{self, Dependencies, Event, Executor, Handle, Record, Setup};
 use crate::drain::{Exit, Signal};
 use crate::front;
 use crate::log::Log;
@@ -27,6 +28,8 @@
 
 /// Longest time to finish writing responses after the control thread has ended.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Limits on the connections of operators and load balancers.
+const OPERATOR_LIMITS: Limits = Limits { connections: 256, body_bytes: 0 };
 
 /// Reason why an entry could not start.
 #[derive(Debug, Display, Error)]
@@ -95,7 +98,8 @@
         let identity = identity(&settings, addresses);
         let transport: Arc<dyn Transport> = Arc::new(Rpc::default());
         let (exit_sender, exit) = watch::channel(None);
-        let resources = Resources { clock, log: log(&identity), exit: exit_sender };
+        let log = log(&identity);
+        let resources = Resources { clock, log: Arc::clone(&log), exit: exit_sender };
         let control = spawn_control(&settings, &identity, resources, &transport)?;
         let peer_server = peer::serve(sockets.peers, control.clone())
             .map_err(|cause| Error::Listen { address: addresses.peers, cause })?;
@@ -111,8 +115,8 @@
         let caller_routes = front::caller_routes(control.clone(), transport);
         let operator_routes = front::operator_routes(control.clone(), metrics);
         let servers = Mutex::new(vec![
-            serve(sockets.callers, caller_routes, exit.clone()),
-            serve(sockets.operators, operator_routes, exit.clone()),
+            serve((sockets.callers, caller_routes, settings.clients.into()), exit.clone(), &log),
+            serve((sockets.operators, operator_routes, OPERATOR_LIMITS), exit.clone(), &log),
             shut_down_on_exit(peer_server, exit.clone()),
         ]);
         Ok(Self { incarnation: identity.incarnation, addresses, control, exit, servers })
@@ -219,21 +223,24 @@
 }
 
 fn serve(
-    listener: TcpListener,
-    routes: Router,
+    (socket, routes, limits): (TcpListener, Router, Limits),
     mut exit: watch::Receiver<Option<Exit>>,
+    log: &Arc<dyn Log>,
 ) -> tokio::task::JoinHandle<()> {
-    use axum::serve::ListenerExt;
-    let listener = listener.tap_io(|stream| {
-        // Nagle's algorithm would delay small responses until earlier data is acknowledged.
-        let _ = stream.set_nodelay(true);
-    });
-    tokio::spawn(async move {
-        let shutdown = async move {
-            let _ = exit.wait_for(Option::is_some).await;
-        };
-        let _ = axum::serve(listener, routes).with_graceful_shutdown(shutdown).await;
-    })
+    let observer = Arc::new(Refusals(Arc::clone(log)));
+    let listener = Listener { socket, routes, limits, header_timeout: None, observer };
+    tokio::spawn(listener.serve(async move {
+        let _ = exit.wait_for(Option::is_some).await;
+    }))
+}
+
+/// Logs what clients are denied.
+struct Refusals(Arc<dyn Log>);
+
+impl Observer for Refusals {
+    fn refused(&self, refusal: &Refusal) {
+        self.0.record(&Record::ClientRefused { refusal: refusal.clone() });
+    }
 }
 
 /// Shuts the server for peers down when the entry has ended.
--- a/crates/entry/src/control/record.rs
+++ b/crates/entry/src/control/record.rs
@@ -5,6 +5,7 @@
 use coltsfootshunt_core::name::{Host, Target};
 use coltsfootshunt_core::panic::Panic;
 use coltsfootshunt_core::submission::{Id, Incarnation};
+use coltsfootshunt_http::server;
 
 use crate::drain::Exit;
 
@@ -94,6 +95,11 @@
     },
     /// Task starts resumed after a pause, because a peer responded or the wait timed out.
     StartsResumed,
+    /// A client was refused because of what all clients make the process hold.
+    ClientRefused {
+        /// What it was refused.
+        refusal: server::Refusal,
+    },
     /// A thread of the process panicked. The process can't go on without its control thread.
     ThreadPanicked(Panic),
     /// A planned stop began.
--- a/crates/entry/src/front/callers.rs
+++ b/crates/entry/src/front/callers.rs
@@ -7,11 +7,11 @@
 use axum::extract::{Path, Query, State};
 use axum::response::Response;
 use axum::routing::{get, post};
-use axum::{Json, Router};
+use axum::{Extension, Router};
 use coltsfootshunt_core::answer::{Answer, Refusal, Uncertainty};
 use coltsfootshunt_core::job::{Draft, Job, MAX_BODY_BYTES, MAX_TIMEOUT};
 use coltsfootshunt_core::submission::Id;
-use futures_util::StreamExt;
+use coltsfootshunt_http::server::{BodyError, Connection, Content};
 use serde::Deserialize;
 
 use super::status::respond;
@@ -21,8 +21,10 @@
 
 /// Time beyond a job's timeout for which a request waits for the answer.
 const ANSWER_MARGIN: Duration = Duration::from_secs(2);
-/// Size of an oversized body, in bytes, at which reading stops and the connection is dropped.
-const MAX_DISCARDED_BYTES: usize = 64 << 20;
+/// Time limit for reading a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Limit of the body of a request for identifiers, in bytes.
+const MAX_IDENTIFIER_REQUEST_BYTES: usize = 1_024;
 /// Timeout of a request that does not wait for a job.
 const IMMEDIATE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -59,21 +61,31 @@
 
 async fn issue_identifiers(
     State(context): State<Context>,
-    Json(body): Json<IdentifierRequest>,
+    Extension(connection): Extension<Arc<Connection>>,
+    body: Body,
 ) -> Response {
-    let request = Request::IssueIdentifiers { count: body.count };
+    let body = read_body(&connection, body, MAX_IDENTIFIER_REQUEST_BYTES).await;
+    let request = body.and_then(|body| {
+        let request = serde_json::from_slice::<IdentifierRequest>(&body);
+        Ok(request.map_err(|error| malformed(&error))?)
+    });
+    let request = match request {
+        Ok(IdentifierRequest { count }) => Request::IssueIdentifiers { count },
+        Err(answer) => return respond(Reply::Answer(answer)),
+    };
     respond(context.request_locally(request, IMMEDIATE_TIMEOUT).await)
 }
 
 async fn submit(
     State(context): State<Context>,
+    Extension(connection): Extension<Arc<Connection>>,
     Path(id): Path<String>,
     Query(query): Query<WaitQuery>,
     body: Body,
 ) -> Response {
-    let (id, job) = match read_submission(&id, body).await {
+    let (id, job) = match read_submission(&connection, &id, body).await {
         Ok(submission) => submission,
-        Err(refusal) => return respond(refusal.into()),
+        Err(answer) => return respond(Reply::Answer(answer)),
     };
     let timeout = query.timeout(job.timeout + ANSWER_MARGIN);
     respond(context.dispatch(&id.clone(), Request::Submit { id, job }, timeout).await)
@@ -156,34 +168,28 @@
     }
 }
 
-async fn read_submission(id: &str, body: Body) -> Result<(Id, Job), Refusal> {
-    let body = read_body(body).await?;
+async fn read_submission(
+    connection: &Connection,
+    id: &str,
+    body: Body,
+) -> Result<(Id, Job), Answer> {
+    let body = read_body(connection, body, MAX_BODY_BYTES).await?;
     let id = parse_id(id)?;
     let draft: Draft = serde_json::from_slice(&body).map_err(|error| malformed(&error))?;
     let job = Job::try_from(draft).map_err(|error| malformed(&error))?;
     Ok((id, job))
 }
 
-/// Reads a body up to the limit. Reads and discards the rest of a larger one: a caller that is
-/// still sending when the connection closes would lose the refusal.
-async fn read_body(body: Body) -> Result<Vec<u8>, Refusal> {
-    let mut chunks = body.into_data_stream();
-    let mut bytes = Vec::new();
-    let mut received = 0;
-    while let Some(chunk) = chunks.next().await {
-        let chunk = chunk.map_err(|error| malformed(&error))?;
-        received += chunk.len();
-        if received > MAX_DISCARDED_BYTES {
-            break;
+/// Reads a body of up to `limit` bytes. A body that is not read says nothing about an earlier request with the
+/// same identifier.
+async fn read_body(connection: &Connection, body: Body, limit: usize) -> Result<Content, Answer> {
+    let content = connection.read_body(body, limit, BODY_TIMEOUT).await;
+    content.map_err(|error| match error {
+        BodyError::TooLarge { limit } => Refusal::BodyTooLarge { limit }.into(),
+        BodyError::Full { .. } | BodyError::Timeout | BodyError::Disconnected => {
+            Uncertainty::Unread.into()
         }
-        if received <= MAX_BODY_BYTES {
-            bytes.extend_from_slice(&chunk);
-        }
-    }
-    if received > MAX_BODY_BYTES {
-        return Err(Refusal::BodyTooLarge { limit: MAX_BODY_BYTES });
-    }
-    Ok(bytes)
+    })
 }
 
 fn parse_id(text: &str) -> Result<Id, Refusal> {
--- a/crates/entry/src/log/json.rs
+++ b/crates/entry/src/log/json.rs
@@ -139,6 +139,9 @@
             Record::StartsResumed => {
                 info!(log, "view is fresh after a pause");
             }
+            Record::ClientRefused { refusal } => {
+                warn!(log, "client refused"; "reason" => %refusal);
+            }
             Record::ThreadPanicked(panic) => {
                 error!(log, "thread panicked"; "thread" => %panic.thread,
                     "reason" => %panic.message, "place" => %panic.place);
@@ -174,6 +177,9 @@
         Record::TargetEjected { .. } => counter!("coltsfootshunt_ejections_total").increment(1),
         Record::PeerFailed { .. } => counter!("coltsfootshunt_peer_failures_total").increment(1),
         Record::ProcessPaused { .. } => counter!("coltsfootshunt_pauses_total").increment(1),
+        Record::ClientRefused { .. } => {
+            counter!("coltsfootshunt_clients_refused_total").increment(1);
+        }
         Record::ThreadPanicked(_) => counter!("coltsfootshunt_panics_total").increment(1),
         _ => {}
     }
--- a/crates/entry/src/settings/file.rs
+++ b/crates/entry/src/settings/file.rs
@@ -4,7 +4,9 @@
 use std::path::Path;
 use std::time::Duration;
 
+use coltsfootshunt_core::job::MAX_BODY_BYTES;
 use coltsfootshunt_core::name::{Host, Zone};
+use coltsfootshunt_http::server;
 use jsonc_parser::ast::{ObjectPropName, Value};
 use jsonc_parser::common::Ranged;
 use jsonc_parser::{CollectOptions, ParseOptions};
@@ -54,6 +56,9 @@
     /// Limits on the submissions that the entry keeps.
     #[serde(default)]
     pub submissions: Submissions,
+    /// Limits on what callers can make the entry hold before their submissions are accepted.
+    #[serde(default)]
+    pub clients: Clients,
     /// Policies that can be switched to a simple baseline, for comparison.
     #[serde(default)]
     pub policy: Policy,
@@ -135,6 +140,29 @@
     }
 }
 
+/// Limits on what callers can make the entry hold before their submissions are accepted.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Clients {
+    /// Maximum number of connections of callers, at least 1.
+    pub connections: usize,
+    /// Maximum size of all bodies that are being read, in bytes; at least the largest body.
+    pub body_bytes: usize,
+}
+
+impl Default for Clients {
+    fn default() -> Self {
+        let server::Limits { connections, body_bytes } = server::Limits::default();
+        Self { connections, body_bytes }
+    }
+}
+
+impl From<Clients> for server::Limits {
+    fn from(Clients { connections, body_bytes }: Clients) -> Self {
+        Self { connections, body_bytes }
+    }
+}
+
 /// Policies that can be switched to a simple baseline, for comparison.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -262,6 +290,12 @@
         if self.submissions.open == 0 {
             return Err(("submissions", "open must be at least 1"));
         }
+        if self.clients.connections == 0 {
+            return Err(("clients", "connections must be at least 1"));
+        }
+        if self.clients.body_bytes < MAX_BODY_BYTES {
+            return Err(("clients", "body_bytes must hold one body of the largest size"));
+        }
         Ok(())
     }
 }
--- a/crates/entry/src/settings/mod.rs
+++ b/crates/entry/src/settings/mod.rs
@@ -7,4 +7,4 @@
 mod tests;
 
 pub use error::Error;
-pub use file::{Addresses, Admission, Drain, Policy, QueueOrder, Settings, Sharing};
+pub use file::{Addresses, Admission, Clients, Drain, Policy, QueueOrder, Settings, Sharing};
--- a/crates/entry/src/settings/tests.rs
+++ b/crates/entry/src/settings/tests.rs
@@ -55,6 +55,18 @@
     unknown_field("\"platform\"", "\"platfrom\": 1, \"platform\"", "platfrom", "1");
     wrong_type("\"riga\"", "7", "zone", "7");
     out_of_range("\"zone\"", "\"weight\": 0, \"zone\"", "weight", "0");
+    no_connections(
+        "\"zone\"",
+        "\"clients\": { \"connections\": 0 }, \"zone\"",
+        "clients",
+        "0"
+    );
+    less_memory_than_one_body(
+        "\"zone\"",
+        "\"clients\": { \"body_bytes\": 4194303 }, \"zone\"",
+        "clients",
+        "4194303"
+    );
     stop_shorter_than_its_grace_time(
         "\"zone\"",
         "\"drain\": { \"deadline_ms\": 1 }, \"zone\"",
@@ -82,5 +94,5 @@
             documented += 1;
         }
     }
-    assert_eq!(documented, 19, "add a new option to the example and to docs/OPERATIONS.md");
+    assert_eq!(documented, 21, "add a new option to the example and to docs/OPERATIONS.md");
 }
--- a/crates/http/src/server/bodies.rs
+++ b/crates/http/src/server/bodies.rs
@@ -10,8 +10,10 @@
 const FREE_BYTES: usize = 16 << 10;
 /// Factor by which the memory for a body grows.
 const GROWTH: usize = 4;
-/// Size of an oversized body at which reading stops and the connection is dropped, in bytes.
-const MAX_DISCARDED_BYTES: usize = 8 << 20;
+/// Smallest size of an oversized body at which reading stops and the connection is dropped, in bytes.
+const MIN_DISCARDED_BYTES: usize = 8 << 20;
+/// The same as a multiple of the largest legal body.
+const DISCARDED_BODIES: usize = 4;
 
 /// Why a body was not read.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
@@ -150,7 +152,7 @@
                 self.fate = Fate::Discarded(BodyError::Full { limit });
             }
         }
-        self.received <= MAX_DISCARDED_BYTES
+        self.received <= self.limit.saturating_mul(DISCARDED_BODIES).max(MIN_DISCARDED_BYTES)
     }
 
     /// Returns the whole body.
--- a/crates/http/src/server/connections.rs
+++ b/crates/http/src/server/connections.rs
@@ -97,16 +97,14 @@
 
     /// Adds a connection, and evicts another one if there are too many. None if all others are busy.
     pub(super) fn open(self: &Arc<Self>) -> Option<Connection> {
-        let mut state = self.lock();
-        let is_full = state.entries.len() >= self.limits.connections;
-        if is_full {
-            let victim = state.victim().and_then(|id| state.remove(id));
-            let was_evicted = victim.is_some();
-            victim.into_iter().for_each(|entry| entry.evicted.notify_one());
+        if self.lock().entries.len() >= self.limits.connections {
             self.observer.refused(&Refusal::Connections { limit: self.limits.connections });
-            if !was_evicted {
-                return None;
-            }
+        }
+        let mut state = self.lock();
+        if state.entries.len() >= self.limits.connections {
+            let victim = state.victim()?;
+            let victim = state.remove(victim)?;
+            victim.evicted.notify_one();
         }
         state.last_id += 1;
         let (id, place) = (state.last_id, state.next_place());
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -227,6 +227,12 @@
         let _ = signal::kill(Pid::from_raw(pid), number);
     }
 
+    /// Number of the process.
+    #[must_use]
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// CPU time that the process has used, in user and kernel mode.
     ///
     /// # Panics
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -4,6 +4,7 @@
 mod cases;
 mod cluster;
 mod folder;
+pub mod process;
 mod wait;
 
 pub use cluster::{Cluster, Entry, Signal, job};
