--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -20,6 +20,9 @@
 
 /// Limit of open jobs per host; the memory for that many is far below that of the host.
 const MAX_OPEN_JOBS: usize = 4_000;
+/// Limit of the tasks of open jobs per host. A task takes about half a kilobyte at its owner and at its steward,
+/// which may have those of several hosts.
+const MAX_OPEN_TASKS: usize = 20_000;
 /// Time after which a caller that was refused for lack of a steward may retry.
 pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// How long before the caller's timeout a response must be ready: time for its way back, and a
@@ -84,7 +87,9 @@
         // Without a steward the job waits for the next one, unless this host is isolated.
         let outcome = if candidates.is_empty() && self.membership.is_isolated(now) {
             Some(refuse(Refusal::NoSteward))
-        } else if self.jobs.len() >= MAX_OPEN_JOBS {
+        } else if self.jobs.len() >= MAX_OPEN_JOBS
+            || self.jobs.task_count() + plan.task_count() > MAX_OPEN_TASKS
+        {
             Some(refuse(Refusal::Full))
         } else if self.crashes.deadly_task(&submission.id).is_some() {
             Some(Outcome::Failed)
--- a/crates/fleet/src/control/tests/mod.rs
+++ b/crates/fleet/src/control/tests/mod.rs
@@ -19,3 +19,4 @@
 mod startup;
 mod target;
 mod tokens;
+mod wide_jobs;
--- a/crates/fleet/src/job/registry.rs
+++ b/crates/fleet/src/job/registry.rs
@@ -16,6 +16,8 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     open: BTreeMap<Id, Open>,
+    /// Number of tasks of the open jobs.
+    tasks: usize,
     outcomes: BTreeMap<Id, (Outcome, Instant)>,
     last_generation: u64,
 }
@@ -27,6 +29,12 @@
         self.open.len()
     }
 
+    /// Number of tasks of the open jobs, whatever their state.
+    #[must_use]
+    pub fn task_count(&self) -> usize {
+        self.tasks
+    }
+
     /// Whether no job is open.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -55,6 +63,7 @@
         self.last_generation += 1;
         job.generation = self.last_generation;
         job.request_ids.push(request_id);
+        self.tasks += job.plan.task_count();
         self.open.insert(id, job);
     }
 
@@ -83,6 +92,7 @@
         now: Instant,
     ) -> Option<(Open, Vec<RequestId>)> {
         let mut job = self.open.remove(id)?;
+        self.tasks -= job.plan.task_count();
         if let Some(outcome @ (Outcome::Completed | Outcome::Failed)) = outcome {
             self.outcomes.insert(id.clone(), (outcome, now));
         }
