--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -45,7 +45,11 @@
             return;
         }
         match self.admit(submission, now) {
-            Ok(open) => {
+            Ok(mut open) => {
+                // An earlier submission of it was started.
+                let has_run = self.crashes.has_run(id);
+                open.started |= has_run;
+                open.may_have_started |= has_run;
                 self.jobs.open(id.clone(), request_id, open);
                 self.send_ready_tasks(id, now);
             }
--- a/crates/fleet/src/crash/ledger.rs
+++ b/crates/fleet/src/crash/ledger.rs
@@ -136,10 +136,20 @@
     /// A task of the job that crashes the targets that start it, if there is one.
     #[must_use]
     pub fn deadly_task(&self, job: &Id) -> Option<&Task> {
+        self.tasks_of(job).find(|task| self.standing(task) == Standing::Deadly)
+    }
+
+    /// Whether a run of the job was lost, so that the job has run.
+    #[must_use]
+    pub fn has_run(&self, job: &Id) -> bool {
+        self.tasks_of(job).next().is_some()
+    }
+
+    /// The job's tasks with lost runs.
+    fn tasks_of(&self, job: &Id) -> impl Iterator<Item = &Task> {
         let first = Task { job: job.clone(), step: 0, index: 0 };
         let tasks = self.losses.range(first..).map(|(task, _)| task);
-        let mut tasks = tasks.take_while(|task| task.job == *job);
-        tasks.find(|task| self.standing(task) == Standing::Deadly)
+        tasks.take_while(move |task| task.job == *job)
     }
 
     /// All losses.
