--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -7,6 +7,7 @@
 mod load;
 mod placer;
 mod pool;
+mod suspects;
 
 use std::collections::BTreeMap;
 use std::time::{Instant, SystemTime};
@@ -24,6 +25,7 @@
 
 use change::{completion, loss, not_run, record, update_speeds};
 use placer::is_hung;
+use suspects::Suspects;
 
 /// An attempt is recalled, to run elsewhere, only if more than this share of its expected run time
 /// is left before its deadline. The share is below 1 because predictions are medians.
@@ -37,6 +39,7 @@
     queue: Queue,
     /// Moving average of a task's CPU, in thousandths of a core; `None` before the first task.
     mean_cpu_millis: Option<f64>,
+    suspects: Suspects,
     /// Time of the last pass over the queue; `None` if something has changed since.
     last_pass_at: Option<Instant>,
 }
@@ -50,6 +53,7 @@
             trackers: BTreeMap::new(),
             queue: Queue::default(),
             mean_cpu_millis: None,
+            suspects: Suspects::default(),
             last_pass_at: None,
         }
     }
@@ -213,14 +217,15 @@
             return;
         };
         let changes = tracker.handle_response(call, response, now);
-        let entry = tracker.entry.clone();
+        let losses: Vec<_> = changes.iter().map(|change| loss(&tracker.entry, change)).collect();
         if !changes.is_empty() || matches!(call.order, Order::Renew { .. }) {
             self.last_pass_at = None;
         }
-        for change in changes {
+        for (change, loss) in changes.into_iter().zip(losses) {
             update_speeds(&call.target, &change, speeds, now);
             record(&call.target, &change, now, output);
-            output.losses.extend(loss(&entry, &change));
+            self.suspects.record(&change, loss.as_ref(), self.trackers.len(), now);
+            output.losses.extend(loss);
             if let Change::Ended { attempt, .. } = &change
                 && attempt.cancelled
             {
--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -93,6 +93,7 @@
         let mut placer = Placer::new(&self.trackers, membership, speeds, pool, self.settings, now);
         let being_stopped = self.being_stopped();
         let mut pass = Pass::default();
+        let mut allowance = self.suspects_allowed(now);
         // All tasks of a step have the same requirements, so one failure holds for the rest, but for those
         // that must run alone.
         let mut unplaced = HashSet::new();
@@ -103,8 +104,8 @@
             }
             let isolated = match crashes.standing(&queued.task) {
                 Standing::Clear => false,
-                Standing::Suspect => true,
-                Standing::Pending | Standing::Deadly => continue,
+                Standing::Suspect if allowance > 0 => true,
+                Standing::Suspect | Standing::Pending | Standing::Deadly => continue,
             };
             let step = (&queued.task.job, queued.task.step, isolated);
             let is_unplaced = unplaced.contains(&step) || blocked.contains(&step);
@@ -112,7 +113,11 @@
                 continue;
             }
             // A task whose grant is pending keeps its slot occupied in this pass.
-            match (placer.place(queued, isolated), queued.binding) {
+            let placement = placer.place(queued, isolated);
+            if isolated && placement.is_some() {
+                allowance -= 1;
+            }
+            match (placement, queued.binding) {
                 (Some(placement), Binding::Exclusive) => {
                     pass.starts.push((queued.clone(), placement))
                 }
--- a/crates/fleet/src/steward/tests.rs
+++ b/crates/fleet/src/steward/tests.rs
@@ -3,13 +3,13 @@
 
 use std::time::{Duration, Instant, SystemTime};
 
-use coltsfootshunt_core::name::{Host, Kind, Service, Zone};
+use coltsfootshunt_core::name::{Host, Kind, Service, Target, Zone};
 use coltsfootshunt_testkit::cases;
 
 use super::{Output, Settings, Steward};
-use crate::crash::Ledger;
+use crate::crash::{Ledger, Loss, Run, Verdict};
 use crate::directory::{self, tests::entry};
-use crate::job::{Assignment, End, Grant, Id, Item, Requirements, Reservation, Resources};
+use crate::job::{Assignment, End, Grant, Id, Item, Requirements, Reservation, Resources, Task};
 use crate::lease::{self, Call, Ended, Issuer, Order, Phase, Report, Response, Term, Token};
 use crate::member::tests::identity;
 use crate::member::{Claim, Heartbeat, Membership};
@@ -217,6 +217,50 @@
     within_the_capacity_of_targets(2, 7, 4);
 }
 
+/// A loss of a task's run on a target that is gone.
+fn loss_of(task: Task) -> Loss {
+    let target = Target::try_from("gone").unwrap();
+    let address = ([10, 0, 0, 9], 80).into();
+    let run = Run { task, target, address, started_at_ms: 1, number: 1 };
+    Loss { run, alone: false, verdict: Verdict::Crashed }
+}
+
+/// Guards against suspects that crash one target after the other faster than these restart. Few start at a time,
+/// and none while as many targets are down under them.
+fn few_suspects_start(targets: usize, started: usize) {
+    let mut bench = Bench::new(targets);
+    let assignment = assignment(1, 6);
+    let job = assignment.job.clone();
+    let patient = Assignment { objective_in_ms: 60_000, deadline_in_ms: 60_000, ..assignment };
+    bench.enqueue_assignment(patient, "owner");
+    for index in 0..6 {
+        bench.crashes.add(&loss_of(Task { job: job.clone(), step: 0, index }), bench.now);
+    }
+    assert_eq!(count_starts(&bench.dispatch()), started);
+    bench.now += Duration::from_millis(20);
+    assert_eq!(count_starts(&bench.dispatch()), 0, "they run");
+    // A later incarnation of each target answers a renewal and then a claim.
+    let restarted = Report { clock_ms: 1, started_at_ms: Some(2), ..Report::default() };
+    let mut losses = 0;
+    for _ in 0..2 {
+        bench.now += Duration::from_millis(20);
+        for call in bench.maintain().calls {
+            losses +=
+                bench.handle_response(&call, Response::Report(restarted.clone())).losses.len();
+        }
+    }
+    assert_eq!(losses, started);
+    bench.now += Duration::from_secs(3);
+    assert_eq!(count_starts(&bench.dispatch()), 0, "their targets are down");
+    bench.now += Duration::from_secs(2);
+    assert_eq!(count_starts(&bench.dispatch()), started);
+}
+
+cases! { few_suspects_start:
+    of_a_small_steward(4, 1);
+    of_a_large_steward(24, 3);
+}
+
 /// Queued tasks are returned while another steward has free slots.
 fn returns_tasks(waited_ms: u64, free: u32, returned: usize) {
     let mut bench = Bench::new(1);
