--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -10,7 +10,7 @@
 use axum::Router;
 use coltsfootshunt_core::clock::{Clock, System};
 use coltsfootshunt_core::submission::Incarnation;
-use coltsfootshunt_http::server::{Limits, Listener, Observer, Refusal};
+use coltsfootshunt_server::{Limits, Listener, Observer, Refusal};
 use derive_more::{Display, Error};
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
--- a/crates/entry/src/control/record.rs
+++ b/crates/entry/src/control/record.rs
@@ -5,7 +5,7 @@
 use coltsfootshunt_core::name::{Host, Target};
 use coltsfootshunt_core::panic::Panic;
 use coltsfootshunt_core::submission::{Id, Incarnation};
-use coltsfootshunt_http::server;
+use coltsfootshunt_server as server;
 
 use crate::drain::Exit;
 
--- a/crates/entry/src/front/callers.rs
+++ b/crates/entry/src/front/callers.rs
@@ -11,7 +11,7 @@
 use coltsfootshunt_core::answer::{Answer, Refusal, Uncertainty};
 use coltsfootshunt_core::job::{Draft, Job, MAX_BODY_BYTES, MAX_TIMEOUT};
 use coltsfootshunt_core::submission::Id;
-use coltsfootshunt_http::server::{BodyError, Connection, Content};
+use coltsfootshunt_server::{BodyError, Connection, Content};
 use serde::Deserialize;
 
 use super::status::respond;
--- a/crates/entry/src/settings/file.rs
+++ b/crates/entry/src/settings/file.rs
@@ -6,7 +6,7 @@
 
 use coltsfootshunt_core::job::MAX_BODY_BYTES;
 use coltsfootshunt_core::name::{Host, Zone};
-use coltsfootshunt_http::server;
+use coltsfootshunt_server as server;
 use jsonc_parser::ast::{ObjectPropName, Value};
 use jsonc_parser::common::Ranged;
 use jsonc_parser::{CollectOptions, ParseOptions};
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,7 +1,5 @@
 //! HTTP/1.1 client for JSON requests. Its errors tell whether the server may have received the
-//! request. [`server`] serves clients that are not trusted.
-
-pub mod server;
+//! request.
 
 use std::net::SocketAddr;
 use std::time::Duration;
