--- a/crates/fleet/src/control/crashes.rs
+++ b/crates/fleet/src/control/crashes.rs
@@ -7,6 +7,7 @@
 use coltsfootshunt_core::name::{Host, Target};
 
 use super::State;
+use super::cancels::MAX_CANCELLED_FOR_NEW_PEER;
 use crate::crash::{Loss, Run, Verdict};
 use crate::job::{Id, Outcome};
 use crate::lease::{Call, Phase, Report, Response};
@@ -104,10 +105,10 @@
         }
     }
 
-    /// Sends the known losses to peers that are new, and allows as many as usual until the next time.
+    /// Sends the known losses and cancelled jobs to peers that are new, and allows as many as usual until the next time.
     pub(super) fn inform_peers(&mut self) {
         self.losses_per_tick = MAX_LOSSES_PER_TICK;
-        if self.crashes.is_empty() {
+        if self.crashes.is_empty() && self.cancelled.is_empty() {
             self.informed.clear();
             self.unshared_losses.clear();
             return;
@@ -119,13 +120,17 @@
                 let counts = self.crashes.iter().filter(|loss| loss.verdict != Verdict::Survived);
                 let losses: Vec<Loss> = counts.take(MAX_LOSSES_FOR_NEW_PEER).collect();
                 self.send_losses(address, &losses);
+                let cancelled = self.cancelled.latest(MAX_CANCELLED_FOR_NEW_PEER);
+                if !cancelled.is_empty() {
+                    self.send(address, Message::Cancelled(cancelled));
+                }
             }
         }
     }
 
     /// Peers that can read messages on lost runs.
     fn loss_readers(&self) -> Vec<(Host, SocketAddr)> {
-        let readers = self.membership.alive().filter(|peer| peer.heartbeat.reads_losses);
+        let readers = self.membership.alive().filter(|peer| peer.heartbeat.shares_records);
         readers.map(|peer| (peer.identity.host.clone(), peer.identity.address)).collect()
     }
 
--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -38,6 +38,10 @@
 impl State {
     pub(super) fn submit(&mut self, request_id: RequestId, submission: &Submission, now: Instant) {
         let id = &submission.id;
+        if self.cancelled.contains(id) {
+            let response = Response::Outcome(Outcome::Cancelled);
+            return self.actions.push(Action::Respond(request_id, response));
+        }
         if let Some(outcome) = self.jobs.outcome(id) {
             return self.actions.push(Action::Respond(request_id, Response::Outcome(outcome)));
         }
@@ -217,14 +221,9 @@
         }
     }
 
-    /// Cancels a job. Returns whether it was known.
-    pub(super) fn cancel(&mut self, id: &Id, now: Instant) -> bool {
-        self.drop_job(id, now) || self.jobs.outcome(id).is_some()
-    }
-
     /// Closes a job without recording an outcome, and responds [`Outcome::Unknown`] to its callers.
     /// Returns whether the job was open.
-    fn drop_job(&mut self, id: &Id, now: Instant) -> bool {
+    pub(super) fn drop_job(&mut self, id: &Id, now: Instant) -> bool {
         let Some((open, request_ids)) = self.jobs.close(id, None, now) else {
             return false;
         };
--- a/crates/fleet/src/control/message.rs
+++ b/crates/fleet/src/control/message.rs
@@ -6,6 +6,7 @@
 use coltsfootshunt_core::name::Kind;
 use derive_more::Display;
 
+use crate::cancel::Verdict;
 use crate::config::Document;
 use crate::job::{Id, Outcome, RequestId, Submission};
 use crate::lease::{self, Call};
@@ -42,6 +43,8 @@
     Completed,
     /// It ended with [`Outcome::Failed`].
     Failed,
+    /// A caller cancelled it.
+    Cancelled,
 }
 
 /// Response to a [`Request`].
@@ -51,8 +54,8 @@
     Outcome(Outcome),
     /// Response to [`Request::JobState`]; `None` if the job is unknown.
     JobState(Option<JobState>),
-    /// Response to [`Request::Cancel`]: whether the job was known.
-    Cancelled(bool),
+    /// Response to [`Request::Cancel`]: what is known of the job.
+    Cancelled(Verdict),
     /// Response to [`Request::PendingJobs`]: the number of jobs.
     PendingJobs(usize),
     /// Response to [`Request::Deliver`].
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! through a [`Handle`].
 
 mod assignment;
+mod cancels;
 mod claims;
 mod crashes;
 mod executor;
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -84,6 +84,11 @@
                     self.task_ended(&from.host, &completion, now);
                 }
             }
+            Message::CancelJob(id) => self.cancel_for(&from.host, &id, now),
+            Message::JobCancelled(id, had_job) => {
+                self.cancel_replied(&from.host, &id, had_job);
+            }
+            Message::Cancelled(ids) => self.learn_cancelled(&ids, now),
             Message::Losses(losses) => self.learn_losses(&from.host, &losses, now),
             Message::ConfigRequest => {
                 if let Some(document) = self.config.document().cloned() {
@@ -271,6 +276,7 @@
     /// Drops a peer's tasks here, and gives up own jobs that have tasks at the peer.
     fn drop_peer(&mut self, host: &Host, now: Instant) {
         self.completions.remove(host);
+        self.cancels_lost(host);
         self.steward.drop_owner(host);
         self.give_up_jobs_at(host, now);
     }
@@ -368,7 +374,7 @@
             load: self.steward.load(&self.membership, &self.speeds, now),
             config_version: self.config.version(),
             knows_targets: !self.directory.is_empty(),
-            reads_losses: true,
+            shares_records: true,
             lacks_store: self.is_store_lost,
             highest_token: self.issuer.highest(),
             token_suffix: Some(self.issuer.suffix()),
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -9,6 +9,7 @@
 use coltsfootshunt_core::name::Host;
 
 use super::{Action, Event, JobState, Request, Response, Snapshot};
+use crate::cancel;
 use crate::config;
 use crate::crash;
 use crate::directory;
@@ -58,6 +59,8 @@
     pub(super) stalled: BTreeSet<Id>,
     pub(super) steward: Steward,
     pub(super) crashes: crash::Ledger,
+    /// Jobs that callers have cancelled.
+    pub(super) cancelled: cancel::Register,
     /// News of lost runs to send to all peers.
     pub(super) unshared_losses: VecDeque<crash::Loss>,
     /// Number of losses that may still be sent before the next periodic work.
@@ -121,6 +124,7 @@
             stalled: BTreeSet::new(),
             steward: Steward::new(settings.steward),
             crashes: crash::Ledger::default(),
+            cancelled: cancel::Register::default(),
             unshared_losses: VecDeque::new(),
             losses_per_tick: 0,
             informed: BTreeSet::new(),
@@ -210,6 +214,7 @@
         self.maintain_targets(now);
         self.maintain_jobs(now);
         self.expire_losses(now);
+        self.maintain_cancels(now);
         self.inform_peers();
         self.send_heartbeats(now);
     }
@@ -218,7 +223,7 @@
         let response = match request {
             Request::Submit(submission) => return self.submit(request_id, &submission, now),
             Request::JobState(id) => Response::JobState(self.job_state(&id)),
-            Request::Cancel(id) => Response::Cancelled(self.cancel(&id, now)),
+            Request::Cancel(id) => return self.cancel(&id, request_id, now),
             Request::PendingJobs(kind) => Response::PendingJobs(self.jobs.unstarted(&kind)),
             Request::Deliver(batch) if self.is_stale(&batch, now) => {
                 Response::Ack(Ack::SessionLost)
@@ -258,9 +263,13 @@
         if let Some(open) = self.jobs.get(id) {
             return Some(if open.may_have_started { JobState::Running } else { JobState::Queued });
         }
+        if self.cancelled.was_known(id) {
+            return Some(JobState::Cancelled);
+        }
         match self.jobs.outcome(id)? {
             Outcome::Completed => Some(JobState::Completed),
             Outcome::Failed => Some(JobState::Failed),
+            Outcome::Cancelled => Some(JobState::Cancelled),
             Outcome::Refused { .. } | Outcome::Unknown => None,
         }
     }
@@ -373,6 +382,8 @@
             "claims": claims,
             "isolated": self.membership.is_isolated(now),
             "configuration": self.config.version(),
+            "lost_runs": self.crashes.len(),
+            "cancelled_jobs": self.cancelled.len(),
             "targets_known": self.directory.iter().count(),
             "targets_read_ms_ago": self.directory.read_at().map(age),
             "open_jobs": self.jobs.len(),
--- a/crates/fleet/src/control/targets.rs
+++ b/crates/fleet/src/control/targets.rs
@@ -16,6 +16,11 @@
     /// Enqueues tasks from an owner, or returns them if this host is no steward.
     pub(super) fn enqueue_tasks(&mut self, from: &Host, assignment: Assignment, now: Instant) {
         let mut output = Output::default();
+        if self.cancelled.contains(&assignment.job) {
+            // The owner has not heard of the cancelling yet.
+            return_all(from, assignment, End::OutOfTime, &mut output);
+            return self.apply_output(output, now);
+        }
         if !self.membership.claims.is_empty() {
             self.steward.enqueue(
                 from,
@@ -27,19 +32,7 @@
             return self.apply_output(output, now);
         }
         // The owner has an outdated view of the stewards.
-        for item in assignment.tasks {
-            let task = Task { job: assignment.job.clone(), step: item.step, index: item.index };
-            let run = item.run.saturating_sub(1);
-            let Item { sequence, .. } = item;
-            let completion = Completion {
-                task,
-                generation: assignment.generation,
-                run,
-                sequence,
-                end: End::NotRun,
-            };
-            output.completions.push((from.clone(), completion));
-        }
+        return_all(from, assignment, End::NotRun, &mut output);
         self.apply_output(output, now);
     }
 
@@ -184,3 +177,15 @@
         }
     }
 }
+
+/// Returns all tasks of an assignment to their owner.
+fn return_all(owner: &Host, assignment: Assignment, end: End, output: &mut Output) {
+    let Assignment { job, generation, tasks, .. } = assignment;
+    output.completions.extend(tasks.into_iter().map(|item| {
+        let Item { step, index, run, sequence, .. } = item;
+        let task = Task { job: job.clone(), step, index };
+        // The run number was not used.
+        let run = run.saturating_sub(1);
+        (owner.clone(), Completion { task, generation, run, sequence, end })
+    }));
+}
--- a/crates/fleet/src/control/tests/mod.rs
+++ b/crates/fleet/src/control/tests/mod.rs
@@ -2,6 +2,7 @@
 //! faults.
 
 mod busy_stewards;
+mod cancels;
 mod common_work;
 mod deadly_tasks;
 mod delayed_words;
--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -1,6 +1,7 @@
 //! Deterministic simulation of hosts, targets, callers and the network between them, on one thread.
 
 mod callers;
+mod cancels;
 mod capacities;
 mod clock;
 mod crashes;
@@ -20,6 +21,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::target::{MAX_LEASE_MS, Target};
+use crate::cancel::Verdict;
 use crate::config::Document;
 use crate::config::tests::{document, route};
 use crate::control::{Action, Event, Request, Response, Settings, State};
@@ -216,6 +218,9 @@
     pub(super) max_sends: u32,
     document: Arc<Document>,
     crashes: crashes::Count,
+    open_cancels: BTreeMap<(usize, RequestId), Id>,
+    /// Answers to cancellations, in order.
+    cancel_answers: Vec<(Id, Verdict)>,
     /// Capacities that still count after they have shrunk, by target, with the time until which they do.
     former_capacities: BTreeMap<coltsfootshunt_core::name::Target, Vec<(u64, Resources)>>,
     /// Largest use of a target after the start of a task, in thousandths of a core.
@@ -284,6 +289,8 @@
             max_sends: MAX_SENDS,
             document: Arc::new(document(1, vec![route("cut", "/a/")])),
             crashes: crashes::Count::default(),
+            open_cancels: BTreeMap::new(),
+            cancel_answers: Vec::new(),
             former_capacities: BTreeMap::new(),
             peak_use: 0,
             hosts_without_store: BTreeSet::new(),
@@ -544,6 +551,11 @@
                     self.record_outcome(&id, Some(outcome));
                 }
             }
+            Action::Respond(request_id, Response::Cancelled(verdict)) => {
+                if let Some(id) = self.open_cancels.remove(&(host, request_id)) {
+                    self.cancel_answers.push((id, verdict));
+                }
+            }
             Action::Respond(request_id, Response::Ack(ack)) => {
                 self.acknowledge_batch(host, request_id, ack);
             }
--- a/crates/fleet/src/control/thread.rs
+++ b/crates/fleet/src/control/thread.rs
@@ -15,6 +15,7 @@
 
 use super::lag::Lag;
 use super::{Action, Event, Executor, JobState, Request, Response, Settings, Snapshot, State};
+use crate::cancel::Verdict;
 use crate::job::{Id, Outcome, RequestId, Submission};
 use crate::peer::{Ack, Batch};
 use crate::report::Record;
@@ -92,13 +93,13 @@
         }
     }
 
-    /// Cancels a job. Returns whether it was known.
+    /// Cancels a job at all hosts. Returns what is known of it.
     ///
     /// # Errors
     /// [`Closed`] if the thread has ended.
-    pub async fn cancel(&self, id: Id) -> Result<bool, Closed> {
+    pub async fn cancel(&self, id: Id) -> Result<Verdict, Closed> {
         match self.ask(self.request_id(), Request::Cancel(id)).await? {
-            Response::Cancelled(known) => Ok(known),
+            Response::Cancelled(verdict) => Ok(verdict),
             _ => Err(Closed),
         }
     }
--- a/crates/fleet/src/job/message.rs
+++ b/crates/fleet/src/job/message.rs
@@ -218,4 +218,6 @@
     },
     /// Some tasks have run or may have run; the job's end is not known, or the job was given up.
     Unknown,
+    /// A caller has cancelled the job, and nothing of it starts any more.
+    Cancelled,
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`store::Store`] and [`peer::Transport`].
 
 pub mod admission;
+pub mod cancel;
 pub mod config;
 pub mod control;
 pub mod crash;
--- a/crates/fleet/src/member/message.rs
+++ b/crates/fleet/src/member/message.rs
@@ -52,9 +52,9 @@
     pub config_version: u64,
     /// Whether it knows any target.
     pub knows_targets: bool,
-    /// Whether it reads messages on runs that were lost with their targets; earlier versions don't.
+    /// Whether it reads messages on lost runs and cancelled jobs; earlier versions don't.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub reads_losses: bool,
+    pub shares_records: bool,
     /// Whether the store does not respond to it, so that it needs to be told of its targets.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub lacks_store: bool,
--- a/crates/fleet/src/peer/message.rs
+++ b/crates/fleet/src/peer/message.rs
@@ -43,6 +43,12 @@
     /// Runs that were lost with their targets, or news of them.
     #[serde(rename = "lost")]
     Losses(Vec<Loss>),
+    /// A caller has cancelled a job through the sender: cancel it, and say whether it was there.
+    CancelJob(Id),
+    /// Answer to [`Self::CancelJob`]: whether the sender had the job.
+    JobCancelled(Id, bool),
+    /// Jobs that callers have cancelled before the receiver was found.
+    Cancelled(Vec<Id>),
     /// Asks for the configuration and the list of targets.
     #[serde(rename = "ask")]
     ConfigRequest,
@@ -75,7 +81,10 @@
             | Self::Withdraw(_)
             | Self::Cancel(..)
             | Self::Completed(..)
-            | Self::Losses(_) => true,
+            | Self::Losses(_)
+            | Self::CancelJob(_)
+            | Self::JobCancelled(..)
+            | Self::Cancelled(_) => true,
             Self::Heartbeat(_)
             | Self::Hosts(_)
             | Self::ConfigRequest
@@ -99,6 +108,9 @@
             Self::Cancel(..) => "cancel",
             Self::Completed(..) => "completed",
             Self::Losses(_) => "losses",
+            Self::CancelJob(_) => "cancel_job",
+            Self::JobCancelled(..) => "job_cancelled",
+            Self::Cancelled(_) => "cancelled",
             Self::ConfigRequest => "config_request",
             Self::Config(_) => "config",
             Self::Targets(_) => "targets",
--- a/crates/fleet/src/peer/wire/short.rs
+++ b/crates/fleet/src/peer/wire/short.rs
@@ -148,7 +148,7 @@
             Flags::new([
                 heartbeat.is_stopping,
                 heartbeat.knows_targets,
-                heartbeat.reads_losses,
+                heartbeat.shares_records,
                 heartbeat.lacks_store,
             ]),
             heartbeat.config_version,
@@ -170,7 +170,7 @@
             load: routing::Load::default(),
             config_version: version,
             knows_targets: flags.get(1),
-            reads_losses: flags.get(2),
+            shares_records: flags.get(2),
             lacks_store: flags.get(3),
             highest_token: highest,
             token_suffix: suffix,
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -140,6 +140,9 @@
                 "run" => run.number, "target" => %run.target, "target_began" => run.started_at_ms,
                 "alone" => alone, "verdict" => %verdict, "from" => peer.as_deref());
         }
+        Record::JobCancelled { job, is_known, asked } => {
+            info!(log, "{}", name; "job" => %job, "known" => is_known, "asked" => asked);
+        }
         Record::StartRejected { target, task, rejection } => {
             warn!(log, "{}", name; "job" => %task.job, "task" => %task, "target" => %target,
                 "reason" => %rejection);
@@ -228,6 +231,7 @@
             warn!(log, "{}", name; "key" => %truncate(key), "revision" => revision,
                 "reason" => %truncate(reason));
         }
+        Record::CancelledDropped { dropped } => warn!(log, "{}", name; "jobs" => dropped),
         Record::LossesDropped { dropped } => warn!(log, "{}", name; "losses" => dropped),
         Record::StoreLost { error } => warn!(log, "{}", name; "reason" => %error),
         Record::ProcessPaused { pause } => warn!(log, "{}", name; "gap_ms" => millis(*pause)),
@@ -298,6 +302,7 @@
         Outcome::Completed => "completed".to_owned(),
         Outcome::Failed => "failed".to_owned(),
         Outcome::Unknown => "unknown".to_owned(),
+        Outcome::Cancelled => "cancelled".to_owned(),
         Outcome::Refused { refusal, .. } => refusal.to_string(),
     }
 }
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -85,6 +85,20 @@
         /// Time since the job was accepted.
         after: Duration,
     },
+    /// A caller cancelled a job.
+    JobCancelled {
+        /// Identifier of the job.
+        job: Id,
+        /// Whether this host knew it.
+        is_known: bool,
+        /// Number of other hosts that were asked.
+        asked: usize,
+    },
+    /// Cancelled jobs are forgotten: there are more than are kept.
+    CancelledDropped {
+        /// Number of jobs that are forgotten.
+        dropped: usize,
+    },
     /// Tasks of a job were sent to a steward.
     TasksSent {
         /// Identifier of the job.
--- a/crates/fleet/src/report/record/name.rs
+++ b/crates/fleet/src/report/record/name.rs
@@ -11,6 +11,8 @@
             Self::JobAnswered { .. } => "job answered",
             Self::JobRefused { .. } => "job refused",
             Self::CallerLeft { .. } => "caller left",
+            Self::JobCancelled { .. } => "job cancelled",
+            Self::CancelledDropped { .. } => "cancelled jobs dropped",
             Self::TasksSent { .. } => "tasks sent",
             Self::JobReturned { .. } => "tasks given back",
             Self::TaskReturned { .. } => "task returned",
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -140,6 +140,20 @@
         }
     }
 
+    /// Cancels a job, whoever owns it. Returns whether it has tasks here.
+    pub fn cancel_job(&mut self, job: &Id) -> bool {
+        let queued = self.queue.extract(|queued| queued.task.job == *job);
+        let mut has_attempts = false;
+        for tracker in self.trackers.values_mut() {
+            has_attempts |= tracker.attempts().any(|(task, _)| task.job == *job);
+            tracker.cancel_where(|task, _| task.job == *job);
+        }
+        if has_attempts || !queued.is_empty() {
+            self.last_pass_at = None;
+        }
+        has_attempts || !queued.is_empty()
+    }
+
     /// Applies an owner's grants. Grants for tasks that are no longer queued here are returned as
     /// not run.
     pub fn apply_grants(
--- a/crates/model/src/dispatcher.rs
+++ b/crates/model/src/dispatcher.rs
@@ -317,7 +317,7 @@
         let answer = match outcome {
             Outcome::Completed => Answer::Completed(elapsed),
             Outcome::Refused { .. } => Answer::Refused(elapsed),
-            Outcome::Failed | Outcome::Unknown => Answer::Abandoned(elapsed),
+            Outcome::Failed | Outcome::Unknown | Outcome::Cancelled => Answer::Abandoned(elapsed),
         };
         self.answers[number].get_or_insert(answer);
     }
