--- a/crates/fleet/src/control/crashes.rs
+++ b/crates/fleet/src/control/crashes.rs
@@ -98,7 +98,7 @@
         }
         self.losses_per_tick -= budget;
         let news: Vec<Loss> = self.unshared_losses.drain(..budget).collect();
-        for (host, address) in self.loss_readers() {
+        for (host, address) in self.record_readers() {
             if self.informed.contains(&host) {
                 self.send_losses(address, &news);
             }
@@ -113,7 +113,7 @@
             self.unshared_losses.clear();
             return;
         }
-        let readers = self.loss_readers();
+        let readers = self.record_readers();
         self.informed.retain(|host| readers.iter().any(|(reader, _)| reader == host));
         for (host, address) in readers {
             if self.informed.insert(host) {
@@ -128,8 +128,8 @@
         }
     }
 
-    /// Peers that can read messages on lost runs.
-    fn loss_readers(&self) -> Vec<(Host, SocketAddr)> {
+    /// Peers that can read messages on lost runs, cancelled jobs and those that were given up.
+    pub(super) fn record_readers(&self) -> Vec<(Host, SocketAddr)> {
         let readers = self.membership.alive().filter(|peer| peer.heartbeat.shares_records);
         readers.map(|peer| (peer.identity.host.clone(), peer.identity.address)).collect()
     }
--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -45,7 +45,7 @@
         if let Some(outcome) = self.jobs.outcome(id) {
             return self.actions.push(Action::Respond(request_id, Response::Outcome(outcome)));
         }
-        if self.jobs.attach(id, request_id) {
+        if self.jobs.attach(id, request_id) || self.parks(request_id, submission, now) {
             return;
         }
         match self.admit(submission, now) {
@@ -199,14 +199,16 @@
         for request_id in request_ids {
             self.actions.push(Action::Respond(request_id, Response::Outcome(outcome)));
         }
-        self.cancel_tasks(id, &open);
+        self.cancel_tasks(id, &open, now);
     }
 
     /// Cancels the remaining tasks of a closed job at all of its stewards.
-    fn cancel_tasks(&mut self, id: &Id, open: &Open) {
+    fn cancel_tasks(&mut self, id: &Id, open: &Open, now: Instant) {
+        self.give_up_runs(id, open.stewards(), now);
         for host in open.stewards() {
             if host == self.membership.me().host {
                 self.steward.cancel(&host, id, open.generation);
+                self.runs_cancelled(id, now);
             } else if let Some(peer) = self.membership.peer(&host).filter(|peer| peer.is_alive) {
                 let address = peer.identity.address;
                 self.send(address, Message::Cancel(id.clone(), open.generation));
@@ -216,6 +218,7 @@
 
     /// Handles a caller's disconnect: drops the job unless another caller waits for it.
     pub(super) fn caller_left(&mut self, id: &Id, request_id: RequestId, now: Instant) {
+        self.repeats.leave(id, request_id);
         if self.jobs.detach(id, request_id) {
             self.drop_job(id, now);
         }
@@ -235,7 +238,7 @@
         for request_id in request_ids {
             self.actions.push(Action::Respond(request_id, Response::Outcome(Outcome::Unknown)));
         }
-        self.cancel_tasks(id, &open);
+        self.cancel_tasks(id, &open, now);
         true
     }
 
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod message;
 mod peers;
 mod relay;
+mod repeats;
 mod state;
 mod targets;
 mod thread;
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -77,6 +77,7 @@
             Message::Withdraw(reservations) => self.steward.withdraw(&from.host, &reservations),
             Message::Cancel(job, generation) => {
                 self.steward.cancel(&from.host, &job, generation);
+                self.runs_cancelled(&job, now);
             }
             Message::Completed(completions, load) => {
                 self.membership.set_load(&from.host, load);
@@ -89,6 +90,8 @@
                 self.cancel_replied(&from.host, &id, had_job);
             }
             Message::Cancelled(ids) => self.learn_cancelled(&ids, now),
+            Message::Unsettled(jobs) => self.learn_unsettled(jobs, now),
+            Message::Settled(jobs) => self.learn_settled(&from.host, &jobs, now),
             Message::Losses(losses) => self.learn_losses(&from.host, &losses, now),
             Message::ConfigRequest => {
                 if let Some(document) = self.config.document().cloned() {
@@ -277,7 +280,11 @@
     fn drop_peer(&mut self, host: &Host, now: Instant) {
         self.completions.remove(host);
         self.cancels_lost(host);
-        self.steward.drop_owner(host);
+        let me = self.membership.me().host.clone();
+        for id in self.steward.drop_owner(host) {
+            self.give_up_runs(&id, vec![me.clone()], now);
+            self.runs_cancelled(&id, now);
+        }
         self.give_up_jobs_at(host, now);
     }
 
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -17,6 +17,7 @@
 use crate::lease::Issuer;
 use crate::member::{Contacts, Identity, Membership, PEER_TIMEOUT};
 use crate::peer::{Ack, Batch, Inbox, Message, Receipt};
+use crate::repeat;
 use crate::report::Record;
 use crate::speed;
 use crate::steward::{self, Steward};
@@ -59,6 +60,14 @@
     pub(super) stalled: BTreeSet<Id>,
     pub(super) steward: Steward,
     pub(super) crashes: crash::Ledger,
+    /// Jobs that were given up while their runs were at work.
+    pub(super) repeats: repeat::Register,
+    /// Jobs that were given up, with their stewards, of which the peers have not been told.
+    pub(super) unsettled_news: Vec<(Id, Vec<Host>)>,
+    /// Jobs of which nothing runs here any more, of which the peers have not been told.
+    pub(super) settled_news: Vec<Id>,
+    /// Jobs of which cancelled attempts may run here.
+    pub(super) settling: BTreeSet<Id>,
     /// Jobs that callers have cancelled.
     pub(super) cancelled: cancel::Register,
     /// News of lost runs to send to all peers.
@@ -124,6 +133,10 @@
             stalled: BTreeSet::new(),
             steward: Steward::new(settings.steward),
             crashes: crash::Ledger::default(),
+            repeats: repeat::Register::new(settings.steward.term.resend_after),
+            unsettled_news: Vec::new(),
+            settled_news: Vec::new(),
+            settling: BTreeSet::new(),
             cancelled: cancel::Register::default(),
             unshared_losses: VecDeque::new(),
             losses_per_tick: 0,
@@ -203,6 +216,7 @@
         self.retry_stalled(now);
         self.start_tasks(now);
         self.share_losses();
+        self.share_runs();
         self.send_completions(now);
         self.publish(now);
         self.finish_stop(now);
@@ -215,6 +229,7 @@
         self.maintain_jobs(now);
         self.expire_losses(now);
         self.maintain_cancels(now);
+        self.maintain_repeats(now);
         self.inform_peers();
         self.send_heartbeats(now);
     }
@@ -293,8 +308,10 @@
             return;
         };
         let elapsed = now.duration_since(since);
-        let is_idle =
-            self.jobs.is_empty() && self.steward.is_idle() && elapsed >= MIN_STOP_DURATION;
+        let is_idle = self.jobs.is_empty()
+            && !self.repeats.has_parked()
+            && self.steward.is_idle()
+            && elapsed >= MIN_STOP_DURATION;
         if is_idle || elapsed >= self.settings.stop_timeout || self.must_exit {
             self.record(Record::ProcessStopped { open_jobs: self.jobs.len() });
             self.actions.push(Action::Exit);
@@ -307,6 +324,7 @@
         let now = self.clock.now();
         self.record(Record::ProcessPaused { pause: gap });
         self.give_up_all_jobs(now);
+        self.give_up_parked();
         let mut output = steward::Output::default();
         self.steward.release_targets(&mut output);
         self.add_losses(std::mem::take(&mut output.losses), now);
--- a/crates/fleet/src/control/targets.rs
+++ b/crates/fleet/src/control/targets.rs
@@ -48,6 +48,14 @@
         self.steward.handle_response(call, response, &mut self.speeds, now, &mut output);
         // The completions below depend on what the lost runs say of their tasks.
         self.add_losses(std::mem::take(&mut output.losses), now);
+        for (id, is_over) in std::mem::take(&mut output.cancelled) {
+            if is_over {
+                self.settle_runs(&id, now);
+            } else {
+                // Its lease ends by itself, and the others wait for that.
+                self.settling.remove(&id);
+            }
+        }
         if let Some(report) = report {
             self.judge_losses(&call.target, &report, now);
         }
--- a/crates/fleet/src/control/tests/mod.rs
+++ b/crates/fleet/src/control/tests/mod.rs
@@ -13,6 +13,7 @@
 mod lagging_owners;
 mod missing_entries;
 mod partitions;
+mod repeats;
 mod restarts;
 mod safety;
 mod shrunk_targets;
--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -44,7 +44,8 @@
 const HOSTS_PER_ZONE: usize = 2;
 const TARGETS_PER_ZONE: usize = 3;
 const TARGET_CPU_MILLIS: u64 = 32_000;
-/// Delay after which a caller without a definite outcome submits its job again.
+/// Delay after which a caller without a definite outcome submits its job again, by default and at the earliest by
+/// the platform's documentation.
 const RETRY_DELAY_MS: u64 = 1_300;
 /// Number of times that a caller submits a job without a definite outcome, by default.
 const MAX_SENDS: u32 = 3;
@@ -214,6 +215,8 @@
     hidden_targets: BTreeSet<coltsfootshunt_core::name::Target>,
     /// Host that callers submit to; `None` for a random one.
     caller_host: Option<usize>,
+    /// Delay after which a caller without a definite outcome submits its job again.
+    pub(super) retry_delay_ms: u64,
     /// Number of times that a caller submits a job without a definite outcome.
     pub(super) max_sends: u32,
     document: Arc<Document>,
@@ -286,6 +289,7 @@
             target_partitions: BTreeMap::new(),
             hidden_targets: BTreeSet::new(),
             caller_host: None,
+            retry_delay_ms: RETRY_DELAY_MS,
             max_sends: MAX_SENDS,
             document: Arc::new(document(1, vec![route("cut", "/a/")])),
             crashes: crashes::Count::default(),
--- a/crates/fleet/src/control/tests/simulation/callers.rs
+++ b/crates/fleet/src/control/tests/simulation/callers.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Caller, RETRY_DELAY_MS, SimEvent, Simulation};
+use super::{Caller, SimEvent, Simulation};
 use crate::config::Document;
 use crate::control::{Event, Request};
 use crate::job::{Id, Outcome, Plan, RequestId, Requirements, Resources, Step, Submission};
@@ -44,6 +44,13 @@
         id
     }
 
+    /// Makes the runs of a job take longer or shorter than declared.
+    pub(in crate::control::tests) fn set_run_ms(&mut self, id: &Id, run_ms: u64) {
+        if let Some(caller) = self.callers.get_mut(id) {
+            caller.run_ms = run_ms;
+        }
+    }
+
     /// Makes callers wait for this time from now on, by a new configuration.
     pub(in crate::control::tests) fn set_caller_timeout(&mut self, timeout: Duration) {
         let mut document = Document::clone(&self.document);
@@ -128,7 +135,7 @@
             );
         }
         if must_retry {
-            self.schedule(RETRY_DELAY_MS, SimEvent::Submit(id.clone()));
+            self.schedule(self.retry_delay_ms, SimEvent::Submit(id.clone()));
         }
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod peer;
 pub mod placement;
 pub mod queue;
+pub mod repeat;
 pub mod report;
 pub mod routing;
 pub mod speed;
--- a/crates/fleet/src/peer/message.rs
+++ b/crates/fleet/src/peer/message.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use coltsfootshunt_core::name::{Kind, Target};
+use coltsfootshunt_core::name::{Host, Kind, Target};
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
@@ -43,6 +43,10 @@
     /// Runs that were lost with their targets, or news of them.
     #[serde(rename = "lost")]
     Losses(Vec<Loss>),
+    /// Jobs that the sender gave up while these stewards had tasks of them.
+    Unsettled(Vec<(Id, Vec<Host>)>),
+    /// Jobs of which nothing runs at the sender's targets any more.
+    Settled(Vec<Id>),
     /// A caller has cancelled a job through the sender: cancel it, and say whether it was there.
     CancelJob(Id),
     /// Answer to [`Self::CancelJob`]: whether the sender had the job.
@@ -82,6 +86,8 @@
             | Self::Cancel(..)
             | Self::Completed(..)
             | Self::Losses(_)
+            | Self::Unsettled(_)
+            | Self::Settled(_)
             | Self::CancelJob(_)
             | Self::JobCancelled(..)
             | Self::Cancelled(_) => true,
@@ -108,6 +114,8 @@
             Self::Cancel(..) => "cancel",
             Self::Completed(..) => "completed",
             Self::Losses(_) => "losses",
+            Self::Unsettled(_) => "unsettled",
+            Self::Settled(_) => "settled",
             Self::CancelJob(_) => "cancel_job",
             Self::JobCancelled(..) => "job_cancelled",
             Self::Cancelled(_) => "cancelled",
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -140,6 +140,7 @@
                 "run" => run.number, "target" => %run.target, "target_began" => run.started_at_ms,
                 "alone" => alone, "verdict" => %verdict, "from" => peer.as_deref());
         }
+        Record::JobWaits { job } => info!(log, "{}", name; "job" => %job),
         Record::JobCancelled { job, is_known, asked } => {
             info!(log, "{}", name; "job" => %job, "known" => is_known, "asked" => asked);
         }
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -85,6 +85,11 @@
         /// Time since the job was accepted.
         after: Duration,
     },
+    /// A request waits, because runs of an earlier request of its job may be at work.
+    JobWaits {
+        /// Identifier of the job.
+        job: Id,
+    },
     /// A caller cancelled a job.
     JobCancelled {
         /// Identifier of the job.
--- a/crates/fleet/src/report/record/name.rs
+++ b/crates/fleet/src/report/record/name.rs
@@ -11,6 +11,7 @@
             Self::JobAnswered { .. } => "job answered",
             Self::JobRefused { .. } => "job refused",
             Self::CallerLeft { .. } => "caller left",
+            Self::JobWaits { .. } => "job waits",
             Self::JobCancelled { .. } => "job cancelled",
             Self::CancelledDropped { .. } => "cancelled jobs dropped",
             Self::TasksSent { .. } => "tasks sent",
--- a/crates/fleet/src/steward/message.rs
+++ b/crates/fleet/src/steward/message.rs
@@ -3,7 +3,7 @@
 use coltsfootshunt_core::name::Host;
 
 use crate::crash::Loss;
-use crate::job::{Completion, Reservation};
+use crate::job::{Completion, Id, Reservation};
 use crate::lease::{Call, Term};
 use crate::report::Record;
 
@@ -25,6 +25,8 @@
     pub grant_requests: Vec<(Host, Reservation)>,
     /// Completions to report, with the owners of the tasks.
     pub completions: Vec<(Host, Completion)>,
+    /// Jobs of which a cancelled attempt has ended, and whether it is certainly over.
+    pub cancelled: Vec<(Id, bool)>,
     /// Runs that were lost with their targets.
     pub losses: Vec<Loss>,
     /// Records to log and count.
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -9,7 +9,7 @@
 mod pool;
 mod suspects;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Instant, SystemTime};
 
 use coltsfootshunt_core::name::{Host, Target};
@@ -182,13 +182,24 @@
         self.queue.withdraw(owner, reservations);
     }
 
-    /// Cancels all tasks of an owner.
-    pub fn drop_owner(&mut self, owner: &Host) {
+    /// Cancels all tasks of an owner. Returns its jobs of which attempts may run.
+    pub fn drop_owner(&mut self, owner: &Host) -> BTreeSet<Id> {
         self.last_pass_at = None;
         self.queue.extract(|queued| queued.owner == *owner);
+        let mut jobs = BTreeSet::new();
         for tracker in self.trackers.values_mut() {
+            let own = tracker.attempts().filter(|(_, attempt)| attempt.owner == *owner);
+            jobs.extend(own.map(|(task, _)| task.job.clone()));
             tracker.cancel_where(|_, attempt| attempt.owner == *owner);
         }
+        jobs
+    }
+
+    /// Whether a cancelled attempt of a job may run here.
+    #[must_use]
+    pub fn has_cancelled(&self, job: &Id) -> bool {
+        let mut attempts = self.trackers.values().flat_map(Tracker::attempts);
+        attempts.any(|(task, attempt)| attempt.cancelled && task.job == *job)
     }
 
     /// Claims the targets of claimed zones again, because another process may use the tokens of this one.
@@ -240,9 +251,10 @@
             record(&call.target, &change, now, output);
             self.suspects.record(&change, loss.as_ref(), self.trackers.len(), now);
             output.losses.extend(loss);
-            if let Change::Ended { attempt, .. } = &change
+            if let Change::Ended { task, attempt, end, .. } = &change
                 && attempt.cancelled
             {
+                output.cancelled.push((task.job.clone(), *end != End::Unresolved));
                 continue;
             }
             output.completions.extend(completion(change));
