--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod cancels;
 mod claims;
 mod crashes;
+mod dump;
 mod executor;
 mod grants;
 mod jobs;
