--- a/crates/entry/src/submission/open.rs
+++ b/crates/entry/src/submission/open.rs
@@ -226,8 +226,8 @@
             return Transition::Continue;
         }
         self.lost_runs[task] += u32::from(is_lost);
-        let is_deadly = self.lost_runs[task] >= MAX_LOST_RUNS;
-        if is_lost && self.rerun_lost && !is_deadly && may_retry() {
+        let is_poison = self.lost_runs[task] >= MAX_LOST_RUNS;
+        if is_lost && self.rerun_lost && !is_poison && may_retry() {
             self.tasks[task] = TaskState::Waiting;
             return Transition::Retry;
         }
--- a/crates/fleet/src/control/assignment.rs
+++ b/crates/fleet/src/control/assignment.rs
@@ -26,7 +26,7 @@
         // These wait for news of the targets that were lost under them.
         ready.retain(|ready| {
             let task = Task { job: id.clone(), step: ready.step, index: ready.index };
-            !matches!(self.crashes.standing(&task), Standing::Pending | Standing::Deadly)
+            !matches!(self.crashes.standing(&task), Standing::Pending | Standing::Poison)
         });
         if ready.is_empty() {
             return;
--- a/crates/fleet/src/control/crashes.rs
+++ b/crates/fleet/src/control/crashes.rs
@@ -45,10 +45,10 @@
         self.reconsider_jobs(jobs, now);
     }
 
-    /// Gives up own jobs with a deadly task, and sends tasks that were held back.
+    /// Gives up own jobs with a poison task, and sends tasks that were held back.
     fn reconsider_jobs(&mut self, jobs: BTreeSet<Id>, now: Instant) {
         for id in jobs {
-            if self.crashes.deadly_task(&id).is_some() {
+            if self.crashes.poison_task(&id).is_some() {
                 self.close(&id, Outcome::Failed, "a task crashes its targets", now);
             } else {
                 self.send_ready_tasks(&id, now);
--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -99,7 +99,7 @@
             || self.jobs.task_count() + plan.task_count() > MAX_OPEN_TASKS
         {
             Some(refuse(Refusal::Full))
-        } else if self.crashes.deadly_task(&submission.id).is_some() {
+        } else if self.crashes.poison_task(&submission.id).is_some() {
             Some(Outcome::Failed)
         } else if !can_ever_fit(self.directory.iter(), &route.service, submission) {
             // A target that is gone may return. If none of those fits either, the job can never
--- a/crates/fleet/src/control/tests/mod.rs
+++ b/crates/fleet/src/control/tests/mod.rs
@@ -4,7 +4,6 @@
 mod busy_stewards;
 mod cancels;
 mod common_work;
-mod deadly_tasks;
 mod delayed_words;
 mod departures;
 mod evidence;
@@ -13,6 +12,7 @@
 mod lagging_owners;
 mod missing_entries;
 mod partitions;
+mod poison_tasks;
 mod repeats;
 mod restarts;
 mod safety;
--- a/crates/fleet/src/control/tests/deadly_tasks.rs
+++ b/crates/fleet/src/control/tests/poison_tasks.rs
@@ -10,16 +10,16 @@
 
 /// Time for which callers wait that see the end of a job whose targets restart after some seconds.
 const LONG_TIMEOUT: Duration = Duration::from_secs(12);
-/// Time from the start of a deadly task until its target crashes, in milliseconds.
+/// Time from the start of a poison task until its target crashes, in milliseconds.
 const CRASH_AFTER_MS: u64 = 20;
 
 fn task(job: &Id, index: u32) -> Task {
     Task { job: job.clone(), step: 0, index }
 }
 
-/// A simulation whose callers wait long and whose first job has a deadly task. With every second seed, targets
+/// A simulation whose callers wait long and whose first job has a poison task. With every second seed, targets
 /// are back under another name after a crash.
-fn with_deadly_job(seed: u64, width: u32, crash_after_ms: u64) -> (Simulation, Id) {
+fn with_poison_job(seed: u64, width: u32, crash_after_ms: u64) -> (Simulation, Id) {
     let mut sim = converged(seed);
     sim.set_caller_timeout(LONG_TIMEOUT);
     sim.max_sends = 5;
@@ -27,15 +27,15 @@
         sim.rename_crashed_targets();
     }
     let id = sim.submit(width, 9_000, 100);
-    sim.make_deadly(task(&id, 0), crash_after_ms);
+    sim.make_poison(task(&id, 0), crash_after_ms);
     (sim, id)
 }
 
 /// Guards against a task that crashes one target after the other: its lost runs counted like those of a
 /// target that is gone, and it started again elsewhere.
-fn deadly_task_crashes_few_targets(width: u32, crash_after_ms: u64, fault: fn(&mut Simulation)) {
+fn poison_task_crashes_few_targets(width: u32, crash_after_ms: u64, fault: fn(&mut Simulation)) {
     for seed in 1..=8 {
-        let (mut sim, id) = with_deadly_job(seed, width, crash_after_ms);
+        let (mut sim, id) = with_poison_job(seed, width, crash_after_ms);
         sim.run_for(1_700);
         fault(&mut sim);
         sim.run_for(40_000);
@@ -45,7 +45,7 @@
     }
 }
 
-cases! { deadly_task_crashes_few_targets:
+cases! { poison_task_crashes_few_targets:
     of_a_job_of_one_task(1, CRASH_AFTER_MS, |_| {});
     of_a_job_of_several_tasks(4, CRASH_AFTER_MS, |_| {});
     before_they_respond(1, 0, |_| {});
@@ -65,7 +65,7 @@
 
 /// Guards against a count of crashes that ends with a job's answer: the caller sends the job again, to any
 /// host.
-fn deadly_task_of_a_repeated_job_crashes_few_targets(crash_after_ms: u64) {
+fn poison_task_of_a_repeated_job_crashes_few_targets(crash_after_ms: u64) {
     for seed in 1..=8 {
         let mut sim = converged(seed);
         sim.max_sends = 10;
@@ -73,22 +73,22 @@
             sim.rename_crashed_targets();
         }
         let id = sim.submit(2, 9_000, 100);
-        sim.make_deadly(task(&id, 1), crash_after_ms);
+        sim.make_poison(task(&id, 1), crash_after_ms);
         sim.run_for(40_000);
         assert_eq!(sim.violations, Vec::<String>::new(), "seed {seed}");
         assert_eq!(sim.outcomes(&id).last(), Some(&Some(Outcome::Failed)), "seed {seed}");
     }
 }
 
-cases! { deadly_task_of_a_repeated_job_crashes_few_targets:
+cases! { poison_task_of_a_repeated_job_crashes_few_targets:
     after_they_respond(CRASH_AFTER_MS);
     before_they_respond(0);
 }
 
-/// Guards against a healthy job that fails because its tasks ran beside deadly ones: a crash doesn't show
+/// Guards against a healthy job that fails because its tasks ran beside poison ones: a crash doesn't show
 /// which of the target's tasks did it.
 #[test]
-fn neighbours_of_deadly_tasks_complete() {
+fn neighbours_of_poison_tasks_complete() {
     let mut lost = 0;
     for seed in 1..=8 {
         let mut sim = converged(seed);
@@ -97,7 +97,7 @@
         for round in 0..30 {
             let id = sim.submit(2, 9_000, 300);
             if round % 10 == 5 {
-                sim.make_deadly(task(&id, 0), CRASH_AFTER_MS);
+                sim.make_poison(task(&id, 0), CRASH_AFTER_MS);
             } else {
                 healthy.push(id);
             }
@@ -111,7 +111,7 @@
             assert!(!outcomes.contains(&Some(Outcome::Failed)), "seed {seed}, {id}: {outcomes:?}");
         }
     }
-    assert!(lost > 0, "no task ran beside a deadly one");
+    assert!(lost > 0, "no task ran beside a poison one");
 }
 
 /// Guards against a job that fails although its task is healthy: the targets under it were only out of
--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -515,7 +515,7 @@
                 let event = Event::Request(request_id, Request::Deliver(batch));
                 self.schedule(0, SimEvent::Host(to, incarnation, event));
             }
-            SimEvent::Crash(target) => self.crash_deadly(&target),
+            SimEvent::Crash(target) => self.crash_poisoned(&target),
             SimEvent::Heal(one, other) => self.set_partition(one, other, false),
             SimEvent::Submit(id) => self.submit_attempt(&id),
             SimEvent::CallerTimeout(id, attempt) => {
--- a/crates/fleet/src/control/tests/simulation/crashes.rs
+++ b/crates/fleet/src/control/tests/simulation/crashes.rs
@@ -11,9 +11,9 @@
 
 /// Crashes under one task after which further starts are counted.
 const COUNTED_CRASHES: u32 = 3;
-/// Number of starts after [`COUNTED_CRASHES`] that breaks the rule on deadly tasks.
+/// Number of starts after [`COUNTED_CRASHES`] that breaks the rule on poison tasks.
 const FORBIDDEN_STARTS: u32 = 3;
-/// Time for which a target that crashed under a deadly task is down, in milliseconds.
+/// Time for which a target that crashed under a poison task is down, in milliseconds.
 const DOWN_MS: std::ops::Range<u64> = 2_000..4_000;
 
 /// Tasks that crash their targets, and the crashes under all tasks.
@@ -21,21 +21,21 @@
 pub(super) struct Count {
     /// Tasks that crash each target that starts them, with the time from the start to the crash in
     /// milliseconds. Those with a time of 0 crash the target before it responds.
-    deadly: BTreeMap<Task, u64>,
+    poison: BTreeMap<Task, u64>,
     /// Number of targets that have crashed while they ran the task.
     under: BTreeMap<Task, u32>,
     /// Starts of a task after [`COUNTED_CRASHES`].
     late_starts: BTreeMap<Task, u32>,
-    /// Whether targets that crashed under a deadly task are back under another name.
+    /// Whether targets that crashed under a poison task are back under another name.
     pub(super) are_renamed: bool,
-    /// Tasks that ran on a target when a deadly one crashed it.
+    /// Tasks that ran on a target when a poison one crashed it.
     neighbours: BTreeSet<Task>,
 }
 
 impl Simulation {
     /// Makes a task crash each target this long after its start there.
-    pub(in crate::control::tests) fn make_deadly(&mut self, task: Task, after_ms: u64) {
-        self.crashes.deadly.insert(task, after_ms);
+    pub(in crate::control::tests) fn make_poison(&mut self, task: Task, after_ms: u64) {
+        self.crashes.poison.insert(task, after_ms);
     }
 
     /// Number of targets that have crashed while they ran the task.
@@ -43,7 +43,7 @@
         self.crashes.under.get(task).copied().unwrap_or_default()
     }
 
-    /// Number of tasks that were lost because a deadly one crashed their target.
+    /// Number of tasks that were lost because a poison one crashed their target.
     pub(in crate::control::tests) fn lost_neighbours(&self) -> usize {
         self.crashes.neighbours.len()
     }
@@ -58,16 +58,16 @@
         }
     }
 
-    /// Crashes a target if it still runs a deadly task.
-    pub(super) fn crash_deadly(&mut self, name: &Target) {
+    /// Crashes a target if it still runs a poison task.
+    pub(super) fn crash_poisoned(&mut self, name: &Target) {
         let Some(target) = self.targets.get(name) else {
             return;
         };
-        let is_deadly = |task: &&Task| self.crashes.deadly.contains_key(*task);
+        let is_poison = |task: &&Task| self.crashes.poison.contains_key(*task);
         let running: Vec<&Task> = target.running.keys().collect();
-        if running.iter().any(is_deadly) {
+        if running.iter().any(is_poison) {
             let neighbours =
-                running.iter().filter(|task| !is_deadly(task)).map(|task| (*task).clone());
+                running.iter().filter(|task| !is_poison(task)).map(|task| (*task).clone());
             let neighbours: Vec<Task> = neighbours.collect();
             self.crashes.neighbours.extend(neighbours);
             let down_ms = self.rng.random_range(DOWN_MS);
@@ -82,7 +82,7 @@
         }
     }
 
-    /// Lets targets that crash under a deadly task come back under another name.
+    /// Lets targets that crash under a poison task come back under another name.
     pub(in crate::control::tests) fn rename_crashed_targets(&mut self) {
         self.crashes.are_renamed = true;
     }
@@ -95,7 +95,7 @@
         if is_up { Response::Rejected(Rejection::OtherIncarnation) } else { Response::NotSent }
     }
 
-    /// Counts the start of a task and lets it crash its target if it is deadly. Returns whether the target
+    /// Counts the start of a task and lets it crash its target if it is poison. Returns whether the target
     /// crashes before it responds.
     pub(super) fn record_start(&mut self, task: &Task, target: &Target) -> bool {
         if self.crashes_under(task) >= COUNTED_CRASHES {
@@ -108,10 +108,10 @@
                 self.violations.push(violation);
             }
         }
-        match self.crashes.deadly.get(task).copied() {
+        match self.crashes.poison.get(task).copied() {
             None => false,
             Some(0) => {
-                self.crash_deadly(target);
+                self.crash_poisoned(target);
                 true
             }
             Some(after_ms) => {
--- a/crates/fleet/src/crash/ledger.rs
+++ b/crates/fleet/src/crash/ledger.rs
@@ -28,7 +28,7 @@
     /// Too many targets were lost under it to start it again before they have been heard.
     Pending,
     /// It crashes the targets that start it.
-    Deadly,
+    Poison,
 }
 
 /// A loss, and when there was news of it.
@@ -126,7 +126,7 @@
         let crashed = runs.values().filter(|entry| entry.verdict == Verdict::Crashed).count();
         let open = runs.values().filter(|entry| entry.verdict == Verdict::Open).count();
         match (crashed, crashed + open) {
-            (MAX_LOST_TARGETS.., _) => Standing::Deadly,
+            (MAX_LOST_TARGETS.., _) => Standing::Poison,
             (_, MAX_LOST_TARGETS..) => Standing::Pending,
             (_, 1..) => Standing::Suspect,
             _ => Standing::Clear,
@@ -135,8 +135,8 @@
 
     /// A task of the job that crashes the targets that start it, if there is one.
     #[must_use]
-    pub fn deadly_task(&self, job: &Id) -> Option<&Task> {
-        self.tasks_of(job).find(|task| self.standing(task) == Standing::Deadly)
+    pub fn poison_task(&self, job: &Id) -> Option<&Task> {
+        self.tasks_of(job).find(|task| self.standing(task) == Standing::Poison)
     }
 
     /// Whether a run of the job was lost, so that the job has run.
--- a/crates/fleet/src/crash/tests.rs
+++ b/crates/fleet/src/crash/tests.rs
@@ -39,8 +39,8 @@
     }
     assert_eq!(ledger.standing(&task(0)), expected);
     assert_eq!(ledger.standing(&task(1)), Standing::Clear, "a sibling");
-    assert_eq!(ledger.deadly_task(&id(1)).is_some(), expected == Standing::Deadly);
-    assert_eq!(ledger.deadly_task(&id(2)), None);
+    assert_eq!(ledger.poison_task(&id(1)).is_some(), expected == Standing::Poison);
+    assert_eq!(ledger.poison_task(&id(2)), None);
 }
 
 cases! { standing_after:
@@ -52,8 +52,8 @@
     two_crashes_and_one_that_survived(&[Crashed, Crashed, Survived], Standing::Suspect);
     two_crashes_and_one_not_yet_heard(&[Crashed, Crashed, Open], Standing::Pending);
     three_not_yet_heard(&[Open, Open, Open], Standing::Pending);
-    three_crashes(&[Crashed, Crashed, Crashed], Standing::Deadly);
-    three_crashes_and_one_not_yet_heard(&[Crashed, Crashed, Crashed, Open], Standing::Deadly);
+    three_crashes(&[Crashed, Crashed, Crashed], Standing::Poison);
+    three_crashes_and_one_not_yet_heard(&[Crashed, Crashed, Crashed, Open], Standing::Poison);
 }
 
 /// What the report of a target at the address of a lost run says of it.
--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -105,7 +105,7 @@
             let isolated = match crashes.standing(&queued.task) {
                 Standing::Clear => false,
                 Standing::Suspect if allowance > 0 => true,
-                Standing::Suspect | Standing::Pending | Standing::Deadly => continue,
+                Standing::Suspect | Standing::Pending | Standing::Poison => continue,
             };
             let step = (&queued.task.job, queued.task.step, isolated);
             let is_unplaced = unplaced.contains(&step) || blocked.contains(&step);
--- a/crates/server/src/bodies.rs
+++ b/crates/server/src/bodies.rs
@@ -60,14 +60,14 @@
 }
 
 /// What happens to the bytes of a body that arrive.
-enum Fate {
+enum Disposal {
     Kept(Content),
     Discarded(BodyError),
 }
 
 /// A body while it arrives.
 pub(super) struct Reader {
-    fate: Fate,
+    disposal: Disposal,
     /// Largest size that the body may have, in bytes.
     limit: usize,
     /// Memory that the body will need, as far as it is known.
@@ -132,24 +132,24 @@
     /// Prepares to read a body of at most `limit` bytes. `announced` is its size, if the client tells it.
     pub(super) fn new(bodies: &Bodies, announced: Option<u64>, limit: usize) -> Self {
         let announced = announced.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
-        let fate = if announced.is_some_and(|bytes| bytes > limit) {
-            Fate::Discarded(BodyError::TooLarge { limit })
+        let disposal = if announced.is_some_and(|bytes| bytes > limit) {
+            Disposal::Discarded(BodyError::TooLarge { limit })
         } else {
             let reservation = Reservation { bodies: bodies.clone(), bytes: 0 };
-            Fate::Kept(Content { bytes: Vec::new(), reservation })
+            Disposal::Kept(Content { bytes: Vec::new(), reservation })
         };
-        Self { fate, limit, expected: announced.unwrap_or(limit), received: 0 }
+        Self { disposal, limit, expected: announced.unwrap_or(limit), received: 0 }
     }
 
     /// Takes bytes that have arrived. Returns whether to read on.
     pub(super) fn push(&mut self, data: &[u8]) -> bool {
         self.received = self.received.saturating_add(data.len());
-        if let Fate::Kept(content) = &mut self.fate {
+        if let Disposal::Kept(content) = &mut self.disposal {
             if self.received > self.limit {
-                self.fate = Fate::Discarded(BodyError::TooLarge { limit: self.limit });
+                self.disposal = Disposal::Discarded(BodyError::TooLarge { limit: self.limit });
             } else if !content.push(data, self.expected) {
                 let limit = content.reservation.bodies.limit;
-                self.fate = Fate::Discarded(BodyError::Full { limit });
+                self.disposal = Disposal::Discarded(BodyError::Full { limit });
             }
         }
         self.received <= self.limit.saturating_mul(DISCARDED_BODIES).max(MIN_DISCARDED_BYTES)
@@ -157,9 +157,9 @@
 
     /// Returns the whole body.
     pub(super) fn finish(self) -> Result<Content, BodyError> {
-        match self.fate {
-            Fate::Kept(content) => Ok(content),
-            Fate::Discarded(error) => Err(error),
+        match self.disposal {
+            Disposal::Kept(content) => Ok(content),
+            Disposal::Discarded(error) => Err(error),
         }
     }
 }
