--- a/review/cases-2/src/cancelled.rs
+++ b/review/cases-2/src/cancelled.rs
@@ -83,9 +83,9 @@
 /// A host is killed and starts again after many jobs were cancelled, a quarter of all. The requests of some arrive
 /// once more, at that host.
 pub async fn one_killed(record: &Record, trouble: bool) -> Result<Verdict, Failure> {
-    /// Jobs in two periods of 5.5 s each.
+    /// Jobs in 5.5 s.
     const JOBS: usize = 3_300;
-    const INTERVAL: Duration = Duration::from_micros(3_333);
+    const INTERVAL: Duration = Duration::from_micros(1_666);
     let mut fleet = Fleet::start((&["solo", "kudus", "semarang"], 1, 6), CPU, record).await?;
     let client = Client::new(record);
     let fronts: Vec<_> = fleet.hosts.iter().map(|host| host.front).collect();
