--- a/review/cases-2/src/cancelled.rs
+++ b/review/cases-2/src/cancelled.rs
@@ -12,15 +12,15 @@
 
 const ZONES: [&str; 2] = ["solo", "kudus"];
 /// CPU of a worker, in thousandths of a core.
-const CPU: u64 = 32_000;
+const CPU: u64 = 24_000;
 /// `cancel_ms` of the settings.
 const CANCEL_TIME: Duration = Duration::from_millis(3_000);
 /// `contactMs` of the settings.
 const CONTACT_TIME: Duration = Duration::from_millis(3_000);
 /// A job that is at work for most of the time that its client waits.
-const LONG: Work = Work { tasks: 2, cpu_millis: 7_000, run_ms: 700 };
+const LONG: Work = Work { tasks: 2, cpu_millis: 6_800, run_ms: 700 };
 /// A short job.
-const SHORT: Work = Work { tasks: 1, cpu_millis: 7_000, run_ms: 51 };
+const SHORT: Work = Work { tasks: 1, cpu_millis: 6_800, run_ms: 51 };
 
 /// A job that was cancelled, and when that was acknowledged.
 struct Cancelled {
--- a/review/cases-2/src/capacity.rs
+++ b/review/cases-2/src/capacity.rs
@@ -12,12 +12,12 @@
 
 const ZONES: [&str; 2] = ["solo", "kudus"];
 /// CPU of the larger kind of worker, in thousandths of a core.
-const LARGE: u64 = 48_000;
+const LARGE: u64 = 24_000;
 /// CPU of the smaller kind.
-const SMALL: u64 = 32_000;
-/// A job like the widest of the sites' kinds: eight tasks of 14 cores, of which a small worker holds two and a large
+const SMALL: u64 = 16_000;
+/// A job like the widest of the sites' kinds: eight tasks of 6.8 cores, of which a small worker holds two and a large
 /// one three.
-const WIDE: Work = Work { tasks: 8, cpu_millis: 14_000, run_ms: 51 };
+const WIDE: Work = Work { tasks: 8, cpu_millis: 6_800, run_ms: 51 };
 
 /// The store is down for four seconds, twice. Meanwhile a worker crashes and starts again, smaller. Jobs come all the
 /// time.
@@ -68,7 +68,7 @@
 /// Another writer writes entries under the name of a worker. They lack the start time and the sequence that a
 /// worker's own entries bear, and name more capacity than the worker has.
 pub async fn foreign_entry(record: &Record, trouble: bool) -> Result<Verdict, Failure> {
-    const FOREIGN: u64 = 64_000;
+    const FOREIGN: u64 = 32_000;
     let fleet = Fleet::start((&ZONES, 2, 4), LARGE, record).await?;
     let client = Client::new(record);
     let fronts: Vec<_> = fleet.hosts.iter().map(|host| host.front).collect();
--- a/review/cases-2/src/worker.rs
+++ b/review/cases-2/src/worker.rs
@@ -1,7 +1,7 @@
 //! Stand-in for a worker, as the platform's pages describe it. It can crash and start again under its name, at the
 //! same address and with another capacity.
 //!
-//! The `spec` of a job sets the CPU and the run time of its tasks, as in `cpu=14000 ms=51`.
+//! The `spec` of a job sets the CPU and the run time of its tasks, as in `cpu=6800 ms=51`.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -144,7 +144,7 @@
             "service": SERVICE, "address": self.address, "zone": self.zone, "version": "v1",
             "slots": 8, "state": "ready", "remainingColdMs": 0,
             "labels": ["a", format!("{}-r1", self.zone)],
-            "capacity": { "cpu": cpu_millis, "memMb": 131_072, "gpu": 0 },
+            "capacity": { "cpu": cpu_millis, "memMb": 32_768, "gpu": 0 },
         });
         self.store.put_target(&self.name, &entry);
         self.record.note(format!("another writer writes an entry of {}", self.name));
@@ -185,7 +185,7 @@
                 "service": SERVICE, "address": self.address, "zone": self.zone, "version": "v1",
                 "slots": 8, "state": "ready", "remainingColdMs": 0, "sequence": sequence,
                 "born": started_at_ms, "labels": ["a", format!("{}-r1", self.zone)],
-                "capacity": { "cpu": cpu_millis, "memMb": 131_072, "gpu": 0 },
+                "capacity": { "cpu": cpu_millis, "memMb": 32_768, "gpu": 0 },
             });
             if (self.store_serves)() {
                 self.store.put_target(&self.name, &entry);
@@ -305,7 +305,7 @@
     wait_ms: u64,
 }
 
-/// A number in a `spec`, as in `cpu=14000`; 0 if there is none under that name.
+/// A number in a `spec`, as in `cpu=6800`; 0 if there is none under that name.
 fn spec_number(spec: &str, name: &str) -> u64 {
     let mut words = spec.split(' ').filter_map(|word| word.split_once('='));
     let value = words.find(|(key, _)| *key == name).map(|(_, value)| value);
