feat(density): zones with more targets than one steward can serve

Policies for such zones need one place that says which they are. Heartbeats say whether a host reads the messages on such zones, so that a process of the previous version is never sent one.

No decision changes yet. Tests: density, member and peer of the fleet package.

--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -1,5 +1,6 @@
 //! Peers: membership, heartbeats and messages.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -297,9 +298,13 @@
             }
             self.drop_lost_peer(&host, false, "it was not heard", now);
         }
-        let mut zones: Vec<Zone> = self.directory.iter().map(|entry| entry.zone.clone()).collect();
-        zones.sort();
-        zones.dedup();
+        let mut targets: BTreeMap<Zone, usize> = BTreeMap::new();
+        for entry in self.directory.iter() {
+            *targets.entry(entry.zone.clone()).or_default() += 1;
+        }
+        let max_cpu_millis = self.membership.max_cpu_millis();
+        self.dense_zones.update(&targets, max_cpu_millis, now);
+        let zones: Vec<Zone> = targets.into_keys().collect();
         self.membership.update_zones(zones.iter().cloned(), now);
         self.maintain_claims(&zones, now);
     }
@@ -382,6 +387,7 @@
             config_version: self.config.version(),
             knows_targets: !self.directory.is_empty(),
             shares_records: true,
+            reads_zones: true,
             lacks_store: self.is_store_lost,
             highest_token: self.issuer.highest(),
             token_suffix: Some(self.issuer.suffix()),
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -12,6 +12,7 @@
 use crate::cancel;
 use crate::config;
 use crate::crash;
+use crate::density;
 use crate::directory;
 use crate::job::{self, Completion, Id, Outcome, RequestId};
 use crate::lease::Issuer;
@@ -54,6 +55,7 @@
     pub(super) inbox: Inbox,
     pub(super) config: config::Current,
     pub(super) directory: directory::Directory,
+    pub(super) dense_zones: density::Zones,
     pub(super) jobs: job::Registry,
     pub(super) classifier: job::Classifier,
     /// Jobs with tasks for which no steward was available.
@@ -128,6 +130,7 @@
             inbox: Inbox::default(),
             config: config::Current::default(),
             directory: directory::Directory::default(),
+            dense_zones: density::Zones::default(),
             jobs: job::Registry::default(),
             classifier: job::Classifier::default(),
             stalled: BTreeSet::new(),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod control;
 pub mod crash;
+pub mod density;
 pub mod directory;
 pub mod job;
 pub mod lease;
--- a/crates/fleet/src/member/membership.rs
+++ b/crates/fleet/src/member/membership.rs
@@ -115,6 +115,13 @@
         self.peers.values()
     }
 
+    /// Largest share of the processor of a host that was ever heard, or of this one, in thousandths of a core.
+    #[must_use]
+    pub fn max_cpu_millis(&self) -> u32 {
+        let peers = self.peers.values().map(|peer| peer.identity.cpu_millis);
+        peers.fold(self.me.cpu_millis, u32::max)
+    }
+
     /// Peers that are alive.
     pub fn alive(&self) -> impl Iterator<Item = &Peer> {
         self.peers.values().filter(|peer| peer.is_alive)
--- a/crates/fleet/src/member/message.rs
+++ b/crates/fleet/src/member/message.rs
@@ -55,6 +55,9 @@
     /// Whether it reads messages on lost runs and cancelled jobs; earlier versions don't.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub shares_records: bool,
+    /// Whether it reads messages on evacuated and shared zones; earlier versions don't.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub reads_zones: bool,
     /// Whether the store does not respond to it, so that it needs to be told of its targets.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub lacks_store: bool,
