--- a/crates/fleet/src/placement/choice.rs
+++ b/crates/fleet/src/placement/choice.rs
@@ -6,7 +6,7 @@
 use crate::queue::QueuedTask;
 
 /// Expected run times within this factor of the best one count as equal.
-const EQUAL_FACTOR: f64 = 1.1;
+pub(super) const EQUAL_FACTOR: f64 = 1.1;
 /// A target is fast if its run times are within this factor of the fastest target's.
 const FAST_FACTOR: f64 = 1.25;
 /// Share of the fast targets' capacity that is reserved for tasks that need a fast target.
@@ -53,7 +53,12 @@
 /// Whether a target is fast, given the expected run times on it and on the fastest target.
 #[must_use]
 pub fn is_fast(expected: Duration, fastest_run: Duration) -> bool {
-    expected <= fastest_run.mul_f64(FAST_FACTOR)
+    expected <= fast_limit(fastest_run)
+}
+
+/// Longest expected run time on a fast target.
+pub(super) fn fast_limit(fastest_run: Duration) -> Duration {
+    fastest_run.mul_f64(FAST_FACTOR)
 }
 
 /// Whether a task should wait for a fast target although another target could start it now: even
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -11,6 +11,7 @@
 //! there.
 
 mod choice;
+mod shortlist;
 
 #[cfg(test)]
 mod tests;
@@ -18,3 +19,4 @@
 pub use choice::{
     Candidate, Choice, FastTargets, MIN_CHANCE_GAIN, MIN_PROBABILITY, choose, is_fast, wants_fast,
 };
+pub use shortlist::{Limit, Rated, Scale, shortlist};
--- a/crates/fleet/src/routing/ends.rs
+++ b/crates/fleet/src/routing/ends.rs
@@ -15,6 +15,21 @@
     times: Vec<Duration>,
 }
 
+/// Expected time until a slot is free for a task that is queued behind `others`, given the number of runs, the time
+/// until the last of them ends, and the time until each ends, in order. See [`EndTimes::wait_after`].
+pub(crate) fn wait_for_end(
+    others: usize,
+    count: usize,
+    last: Option<Duration>,
+    nth: impl FnOnce(usize) -> Duration,
+) -> Duration {
+    let Some(last) = last.filter(|_| count > 0) else {
+        return DEFAULT_WAIT;
+    };
+    let rounds = u32::try_from(others / count).unwrap_or(u32::MAX);
+    last.saturating_mul(rounds).saturating_add(nth(others % count))
+}
+
 impl FromIterator<Duration> for EndTimes {
     fn from_iter<T: IntoIterator<Item = Duration>>(times: T) -> Self {
         let mut sorted: Vec<Duration> = times.into_iter().collect();
@@ -28,12 +43,9 @@
     /// free is taken to be occupied again for as long as the longest of the runs.
     #[must_use]
     pub fn wait_after(&self, others: usize) -> Duration {
-        let Some(last) = self.times.last() else {
-            return DEFAULT_WAIT;
-        };
-        let rounds = u32::try_from(others / self.times.len()).unwrap_or(u32::MAX);
-        let next = self.times[others % self.times.len()];
-        last.saturating_mul(rounds).saturating_add(next)
+        wait_for_end(others, self.times.len(), self.times.last().copied(), |index| {
+            self.times[index]
+        })
     }
 
     /// The times, the earliest first.
--- a/crates/fleet/src/routing/mod.rs
+++ b/crates/fleet/src/routing/mod.rs
@@ -14,6 +14,7 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use ends::wait_for_end;
 pub use ends::{EndTimes, MAX_END_TIMES};
 pub use load::{
     Candidate, Load, MAX_RESERVATIONS, Profile, assign, assign_fast, choose_stewards,
--- a/crates/fleet/src/speed/estimator.rs
+++ b/crates/fleet/src/speed/estimator.rs
@@ -99,6 +99,13 @@
         self.scores.get(target).map_or(0.0, |score| score.decayed(now).slowness)
     }
 
+    /// Returns [`Self::slowness`] and [`Self::is_failing`].
+    #[must_use]
+    pub fn score_of(&self, target: &Target, now: Instant) -> (f64, bool) {
+        let score = self.scores.get(target).map(|score| score.decayed(now));
+        score.map_or((0.0, false), |score| (score.slowness, score.failures > FAILING_THRESHOLD))
+    }
+
     /// Whether the target's failure rate is above the threshold.
     #[must_use]
     pub fn is_failing(&self, target: &Target, now: Instant) -> bool {
--- a/crates/fleet/src/steward/mod.rs
+++ b/crates/fleet/src/steward/mod.rs
@@ -3,6 +3,9 @@
 mod message;
 mod state;
 
+#[cfg(test)]
+#[allow(dead_code, reason = "the comparison does not use all entry points")]
+mod reference;
 #[cfg(test)]
 mod tests;
 
--- /dev/null
+++ b/crates/fleet/src/steward/reference.rs
@@ -0,0 +1,327 @@
+//! The steward as it was before its sums were kept: each event draws them anew over all targets. The new
+//! code is compared with it.
+
+mod change;
+mod dispatch;
+mod end_times;
+mod intake;
+mod load;
+mod placer;
+mod pool;
+mod queue;
+mod suspects;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Instant, SystemTime};
+
+use coltsfootshunt_core::name::{Host, Target};
+
+use super::{Output, Settings};
+use crate::directory;
+use crate::job::{Completion, End, Grant, Id, Reservation};
+use crate::lease::{Attempt, Call, Change, Evidence, Issuer, Order, Phase, Response, Tracker};
+use crate::member::Membership;
+use crate::report::Record;
+use crate::speed::Estimator;
+
+use change::{completion, loss, not_run, record, update_speeds};
+use placer::is_hung;
+use queue::Queue;
+use suspects::Suspects;
+
+/// An attempt is recalled, to run elsewhere, only if more than this share of its expected run time
+/// is left before its deadline. The share is below 1 because predictions are medians.
+const RECALL_RUN_SHARE: f64 = 0.6;
+
+/// The targets that a host gives orders to, and the queue of tasks for them.
+#[derive(Debug)]
+pub struct Steward {
+    settings: Settings,
+    trackers: BTreeMap<Target, Tracker>,
+    queue: Queue,
+    /// Moving average of a task's CPU, in thousandths of a core; `None` before the first task.
+    mean_cpu_millis: Option<f64>,
+    suspects: Suspects,
+    /// Time of the last pass over the queue; `None` if something has changed since.
+    last_pass_at: Option<Instant>,
+}
+
+impl Steward {
+    /// Creates a steward with no targets and an empty queue.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            trackers: BTreeMap::new(),
+            queue: Queue::default(),
+            mean_cpu_millis: None,
+            suspects: Suspects::default(),
+            last_pass_at: None,
+        }
+    }
+
+    /// Whether the queue is empty and all targets are idle.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.trackers.values().all(Tracker::is_idle)
+    }
+
+    /// All targets, by name.
+    pub fn trackers(&self) -> impl Iterator<Item = &Tracker> {
+        self.trackers.values()
+    }
+
+    /// The state of a target to which this host gives orders, if it does.
+    #[must_use]
+    pub fn tracker(&self, target: &Target) -> Option<&Tracker> {
+        self.trackers.get(target)
+    }
+
+    /// Whether this host gives orders to a target.
+    #[must_use]
+    pub fn has_target(&self, target: &Target) -> bool {
+        self.trackers.contains_key(target)
+    }
+
+    /// Owners of queued and running tasks, some of them repeatedly. The owner of a cancelled task no longer
+    /// waits for it.
+    pub fn owners(&self) -> impl Iterator<Item = Host> {
+        let queued = self.queue.iter().map(|queued| queued.owner.clone());
+        let attempts = self.trackers.values().flat_map(Tracker::attempts);
+        let attempts = attempts.filter(|(_, attempt)| !attempt.cancelled);
+        queued.chain(attempts.map(|(_, attempt)| attempt.owner.clone()))
+    }
+
+    /// Number of queued tasks.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Targets that still run tasks in zones that this host does not claim.
+    #[must_use]
+    pub fn busy_unclaimed(&self, membership: &Membership) -> Vec<Target> {
+        let is_busy_unclaimed =
+            |tracker: &&Tracker| !membership.has_claim(&tracker.entry.zone) && !tracker.is_idle();
+        self.trackers
+            .values()
+            .filter(is_busy_unclaimed)
+            .map(|tracker| tracker.entry.name.clone())
+            .collect()
+    }
+
+    /// Adds the directory's targets in claimed zones and removes all others. A target with running
+    /// tasks is kept until it is idle.
+    pub fn sync(
+        &mut self,
+        directory: &directory::Directory,
+        membership: &Membership,
+        now: Instant,
+    ) {
+        let term = self.settings.term;
+        for entry in directory.iter().filter(|entry| membership.has_claim(&entry.zone)) {
+            let tracker = self.trackers.entry(entry.name.clone());
+            let tracker = tracker.or_insert_with(|| Tracker::new(entry.clone(), term, now));
+            tracker.update(entry, directory.read_at());
+        }
+        self.trackers.retain(|name, tracker| {
+            let is_claimed =
+                membership.has_claim(&tracker.entry.zone) && directory.get(name).is_some();
+            is_claimed || !tracker.is_idle()
+        });
+    }
+
+    /// Cancels one generation of a job: its queued tasks are removed, and its attempts are stopped.
+    pub fn cancel(&mut self, owner: &Host, job: &Id, generation: u64) {
+        self.last_pass_at = None;
+        self.queue.cancel(owner, job, generation);
+        for tracker in self.trackers.values_mut() {
+            tracker.cancel_where(|task, attempt| {
+                attempt.owner == *owner && task.job == *job && attempt.generation == generation
+            });
+        }
+    }
+
+    /// Cancels a job, whoever owns it. Returns whether it has tasks here.
+    pub fn cancel_job(&mut self, job: &Id) -> bool {
+        let queued = self.queue.extract(|queued| queued.task.job == *job);
+        let mut has_attempts = false;
+        for tracker in self.trackers.values_mut() {
+            has_attempts |= tracker.attempts().any(|(task, _)| task.job == *job);
+            tracker.cancel_where(|task, _| task.job == *job);
+        }
+        if has_attempts || !queued.is_empty() {
+            self.last_pass_at = None;
+        }
+        has_attempts || !queued.is_empty()
+    }
+
+    /// Applies an owner's grants. Grants for tasks that are no longer queued here are returned as
+    /// not run.
+    pub fn apply_grants(
+        &mut self,
+        owner: &Host,
+        grants: &[Grant],
+        now: Instant,
+        output: &mut Output,
+    ) {
+        self.last_pass_at = None;
+        for grant in grants {
+            let Grant { task, generation, sequence, run, .. } = grant.clone();
+            if let Some(after) = self.queue.grant(owner, grant, now) {
+                output.records.push(Record::TaskGranted { task, after });
+                continue;
+            }
+            let run = run.saturating_sub(1);
+            let completion = Completion { task, generation, run, sequence, end: End::NotRun };
+            output.completions.push((owner.clone(), completion));
+        }
+    }
+
+    /// Removes shared tasks that the owner has granted to other stewards.
+    pub fn withdraw(&mut self, owner: &Host, reservations: &[Reservation]) {
+        self.last_pass_at = None;
+        self.queue.withdraw(owner, reservations);
+    }
+
+    /// Cancels all tasks of an owner. Returns its jobs of which attempts may run.
+    pub fn drop_owner(&mut self, owner: &Host) -> BTreeSet<Id> {
+        self.last_pass_at = None;
+        self.queue.extract(|queued| queued.owner == *owner);
+        let mut jobs = BTreeSet::new();
+        for tracker in self.trackers.values_mut() {
+            let own = tracker.attempts().filter(|(_, attempt)| attempt.owner == *owner);
+            jobs.extend(own.map(|(task, _)| task.job.clone()));
+            tracker.cancel_where(|_, attempt| attempt.owner == *owner);
+        }
+        jobs
+    }
+
+    /// Whether a cancelled attempt of a job may run here.
+    #[must_use]
+    pub fn has_cancelled(&self, job: &Id) -> bool {
+        let mut attempts = self.trackers.values().flat_map(Tracker::attempts);
+        attempts.any(|(task, attempt)| attempt.cancelled && task.job == *job)
+    }
+
+    /// Claims the targets of claimed zones again, because another process may use the tokens of this one.
+    /// The targets of other zones get no new tasks and are left to their new steward.
+    pub fn void_tokens(&mut self, membership: &Membership) {
+        let trackers = self.trackers.values_mut();
+        let claimed = trackers.filter(|tracker| membership.has_claim(&tracker.entry.zone));
+        claimed.for_each(Tracker::void_token);
+    }
+
+    /// Releases all targets and empties the queue after this process was paused, since other
+    /// stewards may have claimed the targets.
+    pub fn release_targets(&mut self, output: &mut Output) {
+        for tracker in self.trackers.values_mut() {
+            let mut changes = Vec::new();
+            tracker.release(End::Unresolved, Evidence::Paused, &mut changes);
+            output.losses.extend(changes.iter().filter_map(|change| loss(&tracker.entry, change)));
+            output.completions.extend(changes.into_iter().filter_map(completion));
+        }
+        self.return_queued(output);
+    }
+
+    /// Returns all queued tasks to their owners as not run.
+    pub fn return_queued(&mut self, output: &mut Output) {
+        for queued in self.queue.extract(|_| true) {
+            output.completions.push(not_run(queued));
+        }
+    }
+
+    /// Handles a target's response to a call.
+    pub fn handle_response(
+        &mut self,
+        call: &Call,
+        response: Response,
+        speeds: &mut Estimator,
+        now: Instant,
+        output: &mut Output,
+    ) {
+        let Some(tracker) = self.trackers.get_mut(&call.target) else {
+            return;
+        };
+        let changes = tracker.handle_response(call, response, now);
+        let losses: Vec<_> = changes.iter().map(|change| loss(&tracker.entry, change)).collect();
+        if !changes.is_empty() || matches!(call.order, Order::Renew { .. }) {
+            self.last_pass_at = None;
+        }
+        for (change, loss) in changes.into_iter().zip(losses) {
+            update_speeds(&call.target, &change, speeds, now);
+            record(&call.target, &change, now, output);
+            self.suspects.record(&change, loss.as_ref(), self.trackers.len(), now);
+            output.losses.extend(loss);
+            if let Change::Ended { task, attempt, end, .. } = &change
+                && attempt.cancelled
+            {
+                output.cancelled.push((task.job.clone(), *end != End::Unresolved));
+                continue;
+            }
+            output.completions.extend(completion(change));
+        }
+    }
+
+    /// Claims available targets, renews leases, and stops attempts that are cancelled or whose
+    /// target hangs.
+    pub fn maintain(
+        &mut self,
+        membership: &Membership,
+        speeds: &mut Estimator,
+        issuer: &mut Issuer,
+        (wall, now): (SystemTime, Instant),
+        output: &mut Output,
+    ) {
+        let names: Vec<Target> = self.trackers.keys().cloned().collect();
+        for name in names {
+            self.recall_hung(&name, speeds, now, output);
+            self.maintain_target(&name, membership, issuer, (wall, now), output);
+        }
+    }
+
+    /// Claims one target, renews its lease and stops cancelled attempts, without checking whether
+    /// the target hangs.
+    pub fn maintain_target(
+        &mut self,
+        name: &Target,
+        membership: &Membership,
+        issuer: &mut Issuer,
+        (wall, now): (SystemTime, Instant),
+        output: &mut Output,
+    ) {
+        let Some(tracker) = self.trackers.get_mut(name) else {
+            return;
+        };
+        tracker.refresh_owner_contact(|owner| membership.last_word(owner, now));
+        let is_claimed = membership.has_claim(&tracker.entry.zone);
+        let wanted = is_claimed || tracker.phase != Phase::Free;
+        if wanted && tracker.wants_claim(now) && !membership.is_busy_elsewhere(&tracker.entry.name)
+        {
+            output.calls.push(tracker.claim(issuer.next(wall), now));
+        }
+        output.calls.extend(tracker.due_stops(now));
+        output.calls.extend(tracker.next_renewal(now));
+    }
+
+    /// If a target hangs, recalls the attempts for which there is time left to run elsewhere.
+    fn recall_hung(
+        &mut self,
+        name: &Target,
+        speeds: &mut Estimator,
+        now: Instant,
+        output: &mut Output,
+    ) {
+        let Some(tracker) = self.trackers.get_mut(name).filter(|tracker| is_hung(tracker, now))
+        else {
+            return;
+        };
+        let in_time =
+            |attempt: &Attempt| now + attempt.expected.mul_f64(RECALL_RUN_SHARE) < attempt.deadline;
+        let recalled = tracker.recall_where(in_time);
+        if recalled > 0 {
+            speeds.record_hang(name, now);
+            output.records.push(Record::TargetStalled { target: name.clone(), recalled });
+        }
+    }
+}
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -2,14 +2,15 @@
 
 mod change;
 mod dispatch;
-mod end_times;
 mod intake;
 mod load;
+mod overdue;
 mod placer;
 mod pool;
 mod suspects;
+mod targets;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::{Instant, SystemTime};
 
 use coltsfootshunt_core::name::{Host, Target};
@@ -24,8 +25,9 @@
 use crate::speed::Estimator;
 
 use change::{completion, loss, not_run, record, update_speeds};
-use placer::is_hung;
+use overdue::is_hung;
 use suspects::Suspects;
+use targets::Targets;
 
 /// An attempt is recalled, to run elsewhere, only if more than this share of its expected run time
 /// is left before its deadline. The share is below 1 because predictions are medians.
@@ -35,7 +37,7 @@
 #[derive(Debug)]
 pub struct Steward {
     settings: Settings,
-    trackers: BTreeMap<Target, Tracker>,
+    targets: Targets,
     queue: Queue,
     /// Moving average of a task's CPU, in thousandths of a core; `None` before the first task.
     mean_cpu_millis: Option<f64>,
@@ -50,7 +52,7 @@
     pub fn new(settings: Settings) -> Self {
         Self {
             settings,
-            trackers: BTreeMap::new(),
+            targets: Targets::default(),
             queue: Queue::default(),
             mean_cpu_millis: None,
             suspects: Suspects::default(),
@@ -61,33 +63,31 @@
     /// Whether the queue is empty and all targets are idle.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.queue.is_empty() && self.trackers.values().all(Tracker::is_idle)
+        self.queue.is_empty() && self.targets.iter().all(Tracker::is_idle)
     }
 
     /// All targets, by name.
     pub fn trackers(&self) -> impl Iterator<Item = &Tracker> {
-        self.trackers.values()
+        self.targets.iter()
     }
 
     /// The state of a target to which this host gives orders, if it does.
     #[must_use]
     pub fn tracker(&self, target: &Target) -> Option<&Tracker> {
-        self.trackers.get(target)
+        self.targets.find(target).map(|row| self.targets.row(row))
     }
 
     /// Whether this host gives orders to a target.
     #[must_use]
     pub fn has_target(&self, target: &Target) -> bool {
-        self.trackers.contains_key(target)
+        self.targets.find(target).is_some()
     }
 
     /// Owners of queued and running tasks, some of them repeatedly. The owner of a cancelled task no longer
     /// waits for it.
     pub fn owners(&self) -> impl Iterator<Item = Host> {
         let queued = self.queue.iter().map(|queued| queued.owner.clone());
-        let attempts = self.trackers.values().flat_map(Tracker::attempts);
-        let attempts = attempts.filter(|(_, attempt)| !attempt.cancelled);
-        queued.chain(attempts.map(|(_, attempt)| attempt.owner.clone()))
+        queued.chain(self.targets.owners())
     }
 
     /// Number of queued tasks.
@@ -101,8 +101,8 @@
     pub fn busy_unclaimed(&self, membership: &Membership) -> Vec<Target> {
         let is_busy_unclaimed =
             |tracker: &&Tracker| !membership.has_claim(&tracker.entry.zone) && !tracker.is_idle();
-        self.trackers
-            .values()
+        self.targets
+            .iter()
             .filter(is_busy_unclaimed)
             .map(|tracker| tracker.entry.name.clone())
             .collect()
@@ -116,38 +116,22 @@
         membership: &Membership,
         now: Instant,
     ) {
-        let term = self.settings.term;
-        for entry in directory.iter().filter(|entry| membership.has_claim(&entry.zone)) {
-            let tracker = self.trackers.entry(entry.name.clone());
-            let tracker = tracker.or_insert_with(|| Tracker::new(entry.clone(), term, now));
-            tracker.update(entry, directory.read_at());
-        }
-        self.trackers.retain(|name, tracker| {
-            let is_claimed =
-                membership.has_claim(&tracker.entry.zone) && directory.get(name).is_some();
-            is_claimed || !tracker.is_idle()
-        });
+        self.targets.sync(directory, membership, self.settings.term, now);
     }
 
     /// Cancels one generation of a job: its queued tasks are removed, and its attempts are stopped.
     pub fn cancel(&mut self, owner: &Host, job: &Id, generation: u64) {
         self.last_pass_at = None;
         self.queue.cancel(owner, job, generation);
-        for tracker in self.trackers.values_mut() {
-            tracker.cancel_where(|task, attempt| {
-                attempt.owner == *owner && task.job == *job && attempt.generation == generation
-            });
-        }
+        self.targets.cancel_job(job, |_, attempt| {
+            attempt.owner == *owner && attempt.generation == generation
+        });
     }
 
     /// Cancels a job, whoever owns it. Returns whether it has tasks here.
     pub fn cancel_job(&mut self, job: &Id) -> bool {
         let queued = self.queue.extract(|queued| queued.task.job == *job);
-        let mut has_attempts = false;
-        for tracker in self.trackers.values_mut() {
-            has_attempts |= tracker.attempts().any(|(task, _)| task.job == *job);
-            tracker.cancel_where(|task, _| task.job == *job);
-        }
+        let has_attempts = self.targets.cancel_job(job, |_, _| true);
         if has_attempts || !queued.is_empty() {
             self.last_pass_at = None;
         }
@@ -186,26 +170,19 @@
     pub fn drop_owner(&mut self, owner: &Host) -> BTreeSet<Id> {
         self.last_pass_at = None;
         self.queue.extract(|queued| queued.owner == *owner);
-        let mut jobs = BTreeSet::new();
-        for tracker in self.trackers.values_mut() {
-            let own = tracker.attempts().filter(|(_, attempt)| attempt.owner == *owner);
-            jobs.extend(own.map(|(task, _)| task.job.clone()));
-            tracker.cancel_where(|_, attempt| attempt.owner == *owner);
-        }
-        jobs
+        self.targets.cancel_owner(owner).into_iter().collect()
     }
 
     /// Whether a cancelled attempt of a job may run here.
     #[must_use]
     pub fn has_cancelled(&self, job: &Id) -> bool {
-        let mut attempts = self.trackers.values().flat_map(Tracker::attempts);
-        attempts.any(|(task, attempt)| attempt.cancelled && task.job == *job)
+        self.targets.has_cancelled(job)
     }
 
     /// Claims the targets of claimed zones again, because another process may use the tokens of this one.
     /// The targets of other zones get no new tasks and are left to their new steward.
     pub fn void_tokens(&mut self, membership: &Membership) {
-        let trackers = self.trackers.values_mut();
+        let trackers = self.targets.change_all();
         let claimed = trackers.filter(|tracker| membership.has_claim(&tracker.entry.zone));
         claimed.for_each(Tracker::void_token);
     }
@@ -213,7 +190,7 @@
     /// Releases all targets and empties the queue after this process was paused, since other
     /// stewards may have claimed the targets.
     pub fn release_targets(&mut self, output: &mut Output) {
-        for tracker in self.trackers.values_mut() {
+        for tracker in self.targets.change_all() {
             let mut changes = Vec::new();
             tracker.release(End::Unresolved, Evidence::Paused, &mut changes);
             output.losses.extend(changes.iter().filter_map(|change| loss(&tracker.entry, change)));
@@ -238,18 +215,21 @@
         now: Instant,
         output: &mut Output,
     ) {
-        let Some(tracker) = self.trackers.get_mut(&call.target) else {
+        let Some(row) = self.targets.find(&call.target) else {
             return;
         };
-        let changes = tracker.handle_response(call, response, now);
-        let losses: Vec<_> = changes.iter().map(|change| loss(&tracker.entry, change)).collect();
+        let changes =
+            self.targets.change(row, now, |tracker| tracker.handle_response(call, response, now));
+        let entry = &self.targets.row(row).entry;
+        let losses: Vec<_> = changes.iter().map(|change| loss(entry, change)).collect();
+        let has_changes = !changes.is_empty();
         if !changes.is_empty() || matches!(call.order, Order::Renew { .. }) {
             self.last_pass_at = None;
         }
         for (change, loss) in changes.into_iter().zip(losses) {
             update_speeds(&call.target, &change, speeds, now);
             record(&call.target, &change, now, output);
-            self.suspects.record(&change, loss.as_ref(), self.trackers.len(), now);
+            self.suspects.record(&change, loss.as_ref(), self.targets.len(), now);
             output.losses.extend(loss);
             if let Change::Ended { task, attempt, end, .. } = &change
                 && attempt.cancelled
@@ -259,6 +239,9 @@
             }
             output.completions.extend(completion(change));
         }
+        if has_changes {
+            self.targets.update_score(row, speeds, now);
+        }
     }
 
     /// Claims available targets, renews leases, and stops attempts that are cancelled or whose
@@ -271,11 +254,11 @@
         (wall, now): (SystemTime, Instant),
         output: &mut Output,
     ) {
-        let names: Vec<Target> = self.trackers.keys().cloned().collect();
-        for name in names {
-            self.recall_hung(&name, speeds, now, output);
-            self.maintain_target(&name, membership, issuer, (wall, now), output);
+        for tracker in self.targets.change_all() {
+            recall_hung(tracker, speeds, now, output);
+            maintain(tracker, membership, issuer, (wall, now), output);
         }
+        self.targets.refresh(membership, speeds, now);
     }
 
     /// Claims one target, renews its lease and stops cancelled attempts, without checking whether
@@ -288,38 +271,43 @@
         (wall, now): (SystemTime, Instant),
         output: &mut Output,
     ) {
-        let Some(tracker) = self.trackers.get_mut(name) else {
+        let Some(row) = self.targets.find(name) else {
             return;
         };
-        tracker.refresh_owner_contact(|owner| membership.last_word(owner, now));
-        let is_claimed = membership.has_claim(&tracker.entry.zone);
-        let wanted = is_claimed || tracker.phase != Phase::Free;
-        if wanted && tracker.wants_claim(now) && !membership.is_busy_elsewhere(&tracker.entry.name)
-        {
-            output.calls.push(tracker.claim(issuer.next(wall), now));
-        }
-        output.calls.extend(tracker.due_stops(now));
-        output.calls.extend(tracker.next_renewal(now));
+        self.targets.change(row, now, |tracker| {
+            maintain(tracker, membership, issuer, (wall, now), output);
+        });
     }
+}
 
-    /// If a target hangs, recalls the attempts for which there is time left to run elsewhere.
-    fn recall_hung(
-        &mut self,
-        name: &Target,
-        speeds: &mut Estimator,
-        now: Instant,
-        output: &mut Output,
-    ) {
-        let Some(tracker) = self.trackers.get_mut(name).filter(|tracker| is_hung(tracker, now))
-        else {
-            return;
-        };
-        let in_time =
-            |attempt: &Attempt| now + attempt.expected.mul_f64(RECALL_RUN_SHARE) < attempt.deadline;
-        let recalled = tracker.recall_where(in_time);
-        if recalled > 0 {
-            speeds.record_hang(name, now);
-            output.records.push(Record::TargetStalled { target: name.clone(), recalled });
-        }
+fn maintain(
+    tracker: &mut Tracker,
+    membership: &Membership,
+    issuer: &mut Issuer,
+    (wall, now): (SystemTime, Instant),
+    output: &mut Output,
+) {
+    tracker.refresh_owner_contact(|owner| membership.last_word(owner, now));
+    let is_claimed = membership.has_claim(&tracker.entry.zone);
+    let wanted = is_claimed || tracker.phase != Phase::Free;
+    if wanted && tracker.wants_claim(now) && !membership.is_busy_elsewhere(&tracker.entry.name) {
+        output.calls.push(tracker.claim(issuer.next(wall), now));
+    }
+    output.calls.extend(tracker.due_stops(now));
+    output.calls.extend(tracker.next_renewal(now));
+}
+
+/// If a target hangs, recalls the attempts for which there is time left to run elsewhere.
+fn recall_hung(tracker: &mut Tracker, speeds: &mut Estimator, now: Instant, output: &mut Output) {
+    if !is_hung(tracker, now) {
+        return;
+    }
+    let in_time =
+        |attempt: &Attempt| now + attempt.expected.mul_f64(RECALL_RUN_SHARE) < attempt.deadline;
+    let recalled = tracker.recall_where(in_time);
+    if recalled > 0 {
+        let target = tracker.entry.name.clone();
+        speeds.record_hang(&target, now);
+        output.records.push(Record::TargetStalled { target, recalled });
     }
 }
--- a/crates/fleet/src/steward/state/change.rs
+++ b/crates/fleet/src/steward/state/change.rs
@@ -4,7 +4,7 @@
 
 use coltsfootshunt_core::name::{Host, Target};
 
-use super::placer::OVERDUE_FACTOR;
+use super::overdue::OVERDUE_FACTOR;
 use crate::crash::{Loss, Run, Verdict};
 use crate::directory::{self, Entry};
 use crate::job::{Completion, End};
--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -7,9 +7,11 @@
 
 use super::Steward;
 use super::change::not_run;
-use super::placer::{Placement, Placer, fastest_factor};
+use super::placer::{Placement, Placer};
+use super::pool::FastPool;
 use crate::crash::{Ledger, Standing};
-use crate::job::{Completion, End, Reservation, Task};
+use crate::directory;
+use crate::job::{Completion, End, Reservation, Resources};
 use crate::lease::{Attempt, Tracker};
 use crate::member::Membership;
 use crate::placement::MIN_PROBABILITY;
@@ -61,7 +63,8 @@
             return;
         }
         self.last_pass_at = Some(now);
-        self.return_infeasible(speeds, now, output);
+        self.targets.ensure(membership, speeds, now);
+        self.return_infeasible((membership, speeds), now, output);
         self.queue.sort(now);
         let Pass { starts, grant_requests } = self.place_queued((membership, speeds, crashes), now);
         let mut started = HashSet::new();
@@ -78,7 +81,7 @@
             grant_requests.iter().map(|(_, reservation)| reservation.task.clone()).collect();
         self.queue.mark_requested(&requested, now);
         output.grant_requests.extend(grant_requests);
-        self.offload(membership, crashes, now, output);
+        self.offload((membership, speeds, crashes), now, output);
     }
 
     /// Finds targets for the queued tasks. Exclusive tasks are to start there; for shared ones a
@@ -88,12 +91,12 @@
         (membership, speeds, crashes): (&Membership, &Estimator, &Ledger),
         now: Instant,
     ) -> Pass {
+        let kept = self.targets.kept(membership, speeds, now);
         let pool =
-            self.pool(&self.capacity(&self.usable(now), speeds, now), membership, speeds, now);
-        let mut placer = Placer::new(&self.trackers, membership, speeds, pool, self.settings, now);
-        let being_stopped = self.being_stopped();
+            FastPool::new(&kept, &kept.capacity(false, self.mean_cpu_millis), membership, now);
+        let mut placer = Placer::new((&self.targets, &kept), membership, pool, self.settings, now);
         let mut pass = Pass::default();
-        let mut allowance = self.suspects_allowed(now);
+        let mut allowance = self.suspects_allowed(&kept, now);
         // All tasks of a step have the same requirements, so one failure holds for the rest, but for those
         // that must run alone.
         let mut unplaced = HashSet::new();
@@ -109,7 +112,7 @@
             };
             let step = (&queued.task.job, queued.task.step, isolated);
             let is_unplaced = unplaced.contains(&step) || blocked.contains(&step);
-            if is_unplaced || being_stopped.contains(&queued.task) {
+            if is_unplaced || kept.sums().is_being_stopped(&queued.task) {
                 continue;
             }
             // A task whose grant is pending keeps its slot occupied in this pass.
@@ -135,14 +138,8 @@
         pass
     }
 
-    /// Tasks of which an earlier attempt is still being stopped.
-    fn being_stopped(&self) -> HashSet<&Task> {
-        let attempts = self.trackers.values().flat_map(Tracker::attempts);
-        attempts.filter(|(_, attempt)| attempt.cancelled).map(|(task, _)| task).collect()
-    }
-
     /// Starts a task, unless an earlier start of this pass has extended the target's lease too far for
-    /// it. Returns whether it was started.
+    /// it, or the target has changed since its values were updated. Returns whether it was started.
     fn start(
         &mut self,
         queued: &QueuedTask,
@@ -151,14 +148,17 @@
         now: Instant,
         output: &mut Output,
     ) -> bool {
-        let Placement { target, expected, fastest_run, isolated } = placement;
+        let Placement { target, row, expected, fastest_run, isolated } = placement;
         let owner_heard_at = membership.last_word(&queued.owner, now).unwrap_or(now);
         let silence = now.duration_since(owner_heard_at);
-        let is_heard =
-            |tracker: &&mut Tracker| tracker.max_silence(now).is_some_and(|max| silence <= max);
-        let Some(tracker) = self.trackers.get_mut(&target).filter(is_heard) else {
+        let resources = &queued.requirements.resources;
+        let tracker = self.targets.row(row);
+        if !membership.has_claim(&tracker.entry.zone)
+            || !may_start(tracker, resources, isolated, now)
+            || tracker.max_silence(now).is_none_or(|max| silence > max)
+        {
             return false;
-        };
+        }
         let mut attempt = Attempt::new(
             queued.owner.clone(),
             queued.kind.clone(),
@@ -184,7 +184,11 @@
             fastest_run,
             isolated,
         });
-        output.calls.push(tracker.start(&queued.task, queued.spec.clone(), attempt, now));
+        let spec = queued.spec.clone();
+        output.calls.push(
+            self.targets
+                .change(row, now, |tracker| tracker.start(&queued.task, spec, attempt, now)),
+        );
         true
     }
 
@@ -193,12 +197,12 @@
     /// whose grant request timed out.
     fn offload(
         &mut self,
-        membership: &Membership,
-        crashes: &Ledger,
+        (membership, speeds, crashes): (&Membership, &Estimator, &Ledger),
         now: Instant,
         output: &mut Output,
     ) {
-        let being_stopped: HashSet<Task> = self.being_stopped().into_iter().cloned().collect();
+        let kept = self.targets.kept(membership, speeds, now);
+        let sums = kept.sums();
         let elsewhere = membership.alive().filter(|peer| !peer.heartbeat.claims.is_empty());
         // Only half of the free slots are counted, since other stewards may see the same ones.
         let mut free =
@@ -208,7 +212,7 @@
             Binding::Requested(at) => now.duration_since(at) > GRANT_TIMEOUT,
             // A target is being cleared for it here.
             Binding::Exclusive if crashes.standing(&queued.task) != Standing::Clear => false,
-            Binding::Exclusive if queued.is_long(now) => !being_stopped.contains(&queued.task),
+            Binding::Exclusive if queued.is_long(now) => !sums.is_being_stopped(&queued.task),
             Binding::Exclusive => {
                 let offloads = now.duration_since(queued.queued_at) > OFFLOAD_AFTER && free > 0;
                 free -= u64::from(offloads);
@@ -223,8 +227,13 @@
 
     /// Returns tasks that would end after the caller's deadline even on the fastest target, and
     /// tasks of jobs that have waited until they are late without a start.
-    fn return_infeasible(&mut self, speeds: &Estimator, now: Instant, output: &mut Output) {
-        let fastest = fastest_factor(&self.trackers, speeds, now);
+    fn return_infeasible(
+        &mut self,
+        (membership, speeds): (&Membership, &Estimator),
+        now: Instant,
+        output: &mut Output,
+    ) {
+        let fastest = self.targets.kept(membership, speeds, now).sums().fastest_factor();
         let end = |queued: &QueuedTask| {
             let probability = queued.probability_in_time(
                 queued.average_run.mul_f64(fastest),
@@ -248,6 +257,13 @@
     }
 }
 
+/// Whether the tracker allows the start of a task with these resources.
+fn may_start(tracker: &Tracker, resources: &Resources, isolated: bool, now: Instant) -> bool {
+    tracker.entry.state == directory::State::Ready
+        && tracker.available(now).is_some_and(|free| free.covers(resources))
+        && (!isolated || tracker.is_idle())
+}
+
 /// Returns a queued task to its owner.
 fn return_task(queued: QueuedTask, end: End, now: Instant, output: &mut Output) {
     output.records.push(Record::TaskReturned {
--- a/crates/fleet/src/steward/state/intake.rs
+++ b/crates/fleet/src/steward/state/intake.rs
@@ -6,7 +6,6 @@
 
 use super::Steward;
 use super::change::not_run;
-use super::placer::{fastest_factor, median_factor};
 use crate::job::{Assignment, Completion, End, Item, Task};
 use crate::member::Membership;
 use crate::queue::{Binding, QueuedTask};
@@ -32,11 +31,21 @@
         output: &mut Output,
     ) {
         self.last_pass_at = None;
+        self.targets.ensure(membership, speeds, now);
         self.remove_superseded(owner, &assignment, output);
         let job = assignment.job.clone();
         let started = assignment.started;
-        let tasks = self.queued_tasks(owner, assignment, speeds, now);
-        let overload = if started { None } else { self.overload(&tasks, membership, speeds, now) };
+        let factors = {
+            let kept = self.targets.kept(membership, speeds, now);
+            (kept.sums().fastest_factor(), kept.sums().median_factor())
+        };
+        let tasks = self.queued_tasks(owner, assignment, (speeds, factors), now);
+        let overload = if started {
+            None
+        } else {
+            let kept = self.targets.kept(membership, speeds, now);
+            self.overload(&tasks, &kept, membership, now)
+        };
         let Some((wait, slack)) = overload else {
             tasks.into_iter().for_each(|queued| self.queue.push(queued));
             return;
@@ -52,13 +61,11 @@
         &mut self,
         owner: &Host,
         assignment: Assignment,
-        speeds: &Estimator,
+        (speeds, (fastest, median)): (&Estimator, (f64, f64)),
         now: Instant,
     ) -> Vec<QueuedTask> {
         let objective = offset(now, assignment.objective_in_ms);
         let deadline = offset(now, assignment.deadline_in_ms);
-        let fastest = fastest_factor(&self.trackers, speeds, now);
-        let median = median_factor(&self.trackers, speeds, now);
         let mut tasks = Vec::with_capacity(assignment.tasks.len());
         for item in assignment.tasks {
             let task = Task { job: assignment.job.clone(), step: item.step, index: item.index };
@@ -112,11 +119,8 @@
             let (owner, completion) = not_run(queued);
             output.completions.push((owner, Completion { end: End::Unresolved, ..completion }));
         }
-        for tracker in self.trackers.values_mut() {
-            tracker.cancel_where(|task, attempt| {
-                task.job == assignment.job && is_other(&attempt.owner, attempt.generation)
-            });
-        }
+        self.targets
+            .cancel_job(&assignment.job, |_, attempt| is_other(&attempt.owner, attempt.generation));
     }
 }
 
--- a/crates/fleet/src/steward/state/placer.rs
+++ b/crates/fleet/src/steward/state/placer.rs
@@ -1,30 +1,23 @@
 //! Placement of queued tasks on a steward's targets.
 
-use std::collections::BTreeMap;
+use std::cell::Cell;
 use std::time::{Duration, Instant};
 
-use coltsfootshunt_core::name::Target;
+use coltsfootshunt_core::name::{Service, Target};
 
-use super::end_times;
 use super::pool::FastPool;
-use crate::directory::{self, Entry};
-use crate::job::{Resources, Task};
-use crate::lease::{Attempt, Tracker};
+use super::targets::{Class, Kept, Targets, Values, remaining};
+use crate::job::{Requirements, Resources, Task};
 use crate::member::Membership;
-use crate::placement::{Candidate, Choice, FastTargets, choose, is_fast};
+use crate::placement::{Choice, FastTargets, Limit, Rated, Scale, choose, is_fast, shortlist};
 use crate::queue::QueuedTask;
-use crate::speed::Estimator;
 use crate::steward::Settings;
 
-/// Multiple of its expected run time after which a run is overdue. About one in thirty healthy runs
-/// takes that long.
-pub(super) const OVERDUE_FACTOR: f64 = 3.0;
-/// Shortest time after which a run is overdue; short runs vary by the network round trip.
-pub(super) const MIN_OVERDUE: Duration = Duration::from_millis(120);
-
 /// The target on which a task is to start.
 pub(super) struct Placement {
     pub(super) target: Target,
+    /// Its row in the table of targets.
+    pub(super) row: usize,
     /// Expected run time on the target.
     pub(super) expected: Duration,
     /// Expected run time on the fastest target, free or not.
@@ -33,161 +26,241 @@
     pub(super) isolated: bool,
 }
 
-/// Availability of one target during a pass.
-struct Availability<'a> {
-    tracker: &'a Tracker,
+/// What a pass over the queue has changed of one target.
+struct Changed {
     /// Free resources; `None` if no task may start.
     free: Option<Resources>,
-    /// Ratio of its run times to those of an average target.
-    factor: f64,
-    suspect: bool,
     /// If the target is held for a queued long task, the expected time until it has enough free
     /// resources. Other tasks start there only if they are expected to end by then.
     held_until: Option<Duration>,
-    /// Longest silence of an owner whose tasks may start; `None` if no task may start.
-    max_silence: Option<Duration>,
     /// Tasks placed on the target during this pass.
     placed: Vec<Task>,
 }
 
+/// What the requirements of a task say of the targets. Tasks of one job mostly have equal ones.
+struct Profile {
+    service: Service,
+    requirements: Requirements,
+    /// For each class of targets the factor on run times there; `None` if the task can't run there.
+    factors: Vec<Option<f64>>,
+    /// Factor on its run time on the fastest target that is not suspect, free or not.
+    fastest: Option<f64>,
+}
+
 /// Places tasks during one pass over the queue and tracks the resources that they take.
 pub(super) struct Placer<'a> {
-    targets: Vec<Availability<'a>>,
+    targets: &'a Targets,
+    kept: &'a Kept,
     membership: &'a Membership,
     /// Slots on fast targets.
-    pool: FastPool,
+    pool: FastPool<'a>,
     /// Tasks that wait for a slot on a fast target.
     waiting: usize,
     settings: Settings,
     now: Instant,
+    changed: Vec<Changed>,
+    /// For each row the index in `changed` plus one, or 0.
+    changed_rows: Vec<u32>,
+    profile: Option<Profile>,
+    /// Targets with enough free resources for the last task.
+    rated: Vec<Rated>,
+    /// Whether some target that may get tasks allows no start, and the shortest owner's silence beyond
+    /// which another doesn't; `None` until it is needed.
+    silence_limit: Cell<Option<(bool, Duration)>>,
 }
 
 impl<'a> Placer<'a> {
     pub(super) fn new(
-        trackers: &'a BTreeMap<Target, Tracker>,
+        (targets, kept): (&'a Targets, &'a Kept),
         membership: &'a Membership,
-        speeds: &Estimator,
-        pool: FastPool,
+        pool: FastPool<'a>,
         settings: Settings,
         now: Instant,
     ) -> Self {
-        let is_usable = |tracker: &&Tracker| {
-            tracker.entry.state == directory::State::Ready
-                && membership.has_claim(&tracker.entry.zone)
-        };
-        let targets = trackers.values().filter(is_usable).map(|tracker| {
-            let name = &tracker.entry.name;
-            Availability {
-                tracker,
-                free: tracker.available(now),
-                factor: speeds.slowness(name, now).exp(),
-                suspect: speeds.is_failing(name, now) || is_stuck(tracker, now),
-                held_until: None,
-                max_silence: tracker.max_silence(now),
-                placed: Vec::new(),
-            }
-        });
-        Self { targets: targets.collect(), membership, pool, waiting: 0, settings, now }
+        Self {
+            targets,
+            kept,
+            membership,
+            pool,
+            waiting: 0,
+            settings,
+            now,
+            changed: Vec::new(),
+            changed_rows: vec![0; kept.values().len()],
+            profile: None,
+            rated: Vec::new(),
+            silence_limit: Cell::new(None),
+        }
     }
 
     /// Chooses a target for a task and reserves the task's resources there. Returns `None` if the
     /// task should not start now. An isolated task gets a target that runs nothing else.
     pub(super) fn place(&mut self, queued: &QueuedTask, isolated: bool) -> Option<Placement> {
-        let silence = self.silence(queued);
-        let mut candidates = Vec::new();
-        let mut fastest = Duration::MAX;
-        for (index, availability) in self.targets.iter().enumerate() {
-            if !is_eligible(&availability.tracker.entry, queued) {
-                continue;
-            }
-            let expected = self.expected(availability, queued);
-            if !availability.suspect {
-                fastest = fastest.min(expected);
-            }
-            let Some(free) =
-                availability.free.filter(|free| free.covers(&queued.requirements.resources))
-            else {
-                continue;
-            };
-            if isolated && !availability.is_idle() {
-                continue;
-            }
-            let is_held = availability.held_until.is_some_and(|until| expected > until);
-            let is_allowed =
-                availability.allows_another(queued) && availability.allows_silence(silence);
-            if is_allowed && !is_held {
-                candidates.push(Candidate { index, expected, free, suspect: availability.suspect });
-            }
-        }
-        if fastest == Duration::MAX {
+        self.update_profile(queued);
+        let profile = self.profile.take()?;
+        let placement = self.place_with(queued, isolated, &profile);
+        self.profile = Some(profile);
+        placement
+    }
+
+    fn place_with(
+        &mut self,
+        queued: &QueuedTask,
+        isolated: bool,
+        profile: &Profile,
+    ) -> Option<Placement> {
+        let scale = Scale::new(queued.average_run);
+        self.rate(queued, isolated, profile);
+        let fastest = profile.fastest.or_else(|| {
             // All targets are suspect, and a suspect target is better than none.
-            fastest = candidates.iter().map(|candidate| candidate.expected).min()?;
-            candidates.iter_mut().for_each(|candidate| candidate.suspect = false);
-        }
-        let fast = self.fast(queued, &candidates, fastest);
-        let Choice::Start(index) = choose(queued, &candidates, fast, self.now) else {
+            self.rated.iter_mut().for_each(|one| one.suspect = false);
+            self.rated.iter().map(|one| one.factor).min_by(f64::total_cmp)
+        })?;
+        let fastest_run = scale.run(fastest);
+        let fast = self.fast(queued, profile, (scale, fastest_run));
+        let candidates = shortlist(&self.rated, scale, fastest_run);
+        let Choice::Start(row) = choose(queued, &candidates, fast, self.now) else {
             if isolated {
-                self.hold_idle_for(queued);
+                self.hold_idle_for(queued, profile);
             } else if queued.is_long(self.now) {
                 self.waiting += 1;
-                self.hold_for(queued, fast.fastest_run);
+                self.hold_for(queued, profile, scale.fast_limit(fastest_run));
             }
             return None;
         };
-        let expected = self.expected(&self.targets[index], queued);
-        let availability = &mut self.targets[index];
-        let free =
-            availability.free.map(|free| free.saturating_sub(&queued.requirements.resources));
-        availability.free = free.filter(|_| !isolated);
-        availability.placed.push(queued.task.clone());
-        Some(Placement {
-            target: availability.tracker.entry.name.clone(),
-            expected,
-            fastest_run: fast.fastest_run,
-            isolated,
-        })
+        let expected = candidates.iter().find(|one| one.index == row).map(|one| one.expected)?;
+        let changed = self.change(row);
+        let free = changed.free.map(|free| free.saturating_sub(&queued.requirements.resources));
+        changed.free = free.filter(|_| !isolated);
+        changed.placed.push(queued.task.clone());
+        if isolated {
+            // The target is no longer among those that may get tasks.
+            self.silence_limit.set(None);
+        }
+        let target = self.targets.row(row).entry.name.clone();
+        Some(Placement { target, row, expected, fastest_run, isolated })
+    }
+
+    /// Computes what the task's requirements say of the targets, unless those of the last task were
+    /// equal.
+    fn update_profile(&mut self, queued: &QueuedTask) {
+        let same = |profile: &Profile| {
+            profile.service == queued.service && profile.requirements == queued.requirements
+        };
+        if self.profile.as_ref().is_some_and(same) {
+            return;
+        }
+        let rack = queued.requirements.preferred_rack.as_ref();
+        let factor = |class: &Class| {
+            let is_remote = rack.is_some_and(|rack| !class.labels.contains(rack));
+            let factor = if is_remote { self.settings.remote_factor } else { 1.0 };
+            is_eligible(class, queued).then_some(factor)
+        };
+        let factors: Vec<Option<f64>> = self.kept.classes().iter().map(factor).collect();
+        let fastest = factors.iter().enumerate().filter_map(|(class, factor)| {
+            Some(self.kept.sums().healthy(class).first()? * (*factor)?)
+        });
+        self.profile = Some(Profile {
+            service: queued.service.clone(),
+            requirements: queued.requirements.clone(),
+            fastest: fastest.min_by(f64::total_cmp),
+            factors,
+        });
+    }
+
+    /// Rates all targets on which the task could start now.
+    fn rate(&mut self, queued: &QueuedTask, isolated: bool, profile: &Profile) {
+        let silence = self.silence(queued);
+        let demand = &queued.requirements.resources;
+        let mut rated = std::mem::take(&mut self.rated);
+        rated.clear();
+        for index in self.kept.rooms().with(demand.cpu_millis) {
+            let values = &self.kept.values()[index];
+            let changed = self.changed(index);
+            let free = changed.map_or(values.free, |changed| changed.free);
+            let (Some(factor), Some(free)) = (profile.factors[values.class as usize], free) else {
+                continue;
+            };
+            let factor = values.factor() * factor;
+            let held_until = changed.and_then(|changed| changed.held_until);
+            let is_held =
+                held_until.is_some_and(|until| queued.average_run.mul_f64(factor) > until);
+            if free.covers(demand)
+                && (!isolated || self.is_idle(index))
+                && values.allows_silence(silence)
+                && !is_held
+                && self.allows_another(index, queued)
+            {
+                rated.push(Rated { index, factor, free, suspect: values.is_suspect() });
+            }
+        }
+        self.rated = rated;
+    }
+
+    /// What this pass has changed of a target.
+    fn changed(&self, row: usize) -> Option<&Changed> {
+        let index = self.changed_rows[row].checked_sub(1)?;
+        self.changed.get(index as usize)
+    }
+
+    fn change(&mut self, row: usize) -> &mut Changed {
+        if self.changed_rows[row] == 0 {
+            let free = self.kept.values()[row].free;
+            self.changed.push(Changed { free, held_until: None, placed: Vec::new() });
+            self.changed_rows[row] = self.changed.len() as u32;
+        }
+        &mut self.changed[self.changed_rows[row] as usize - 1]
+    }
+
+    fn is_held(&self, row: usize) -> bool {
+        self.changed(row).is_some_and(|changed| changed.held_until.is_some())
     }
 
     /// Holds the target that is idle first for a task that must run alone.
-    fn hold_idle_for(&mut self, queued: &QueuedTask) {
+    fn hold_idle_for(&mut self, queued: &QueuedTask, profile: &Profile) {
         let silence = self.silence(queued);
-        let can_take = |availability: &Availability<'_>| {
-            availability.held_until.is_none()
-                && !availability.is_idle()
-                && is_eligible(&availability.tracker.entry, queued)
-                && availability.allows_silence(silence)
+        let can_take = |(row, values): &(usize, &Values)| {
+            values.is_usable()
+                && !self.is_held(*row)
+                && !self.is_idle(*row)
+                && profile.factors[values.class as usize].is_some()
+                && values.allows_silence(silence)
         };
-        let idle = self.targets.iter().enumerate();
-        let idle = idle.filter(|(_, availability)| can_take(availability));
-        let idle = idle.filter_map(|(index, availability)| {
-            Some((availability.time_until_idle(self.now)?, index))
-        });
-        if let Some((until, index)) = idle.min() {
-            self.targets[index].held_until = Some(until);
+        let idle = self.kept.values().iter().enumerate().filter(can_take);
+        let idle = idle.filter_map(|(row, values)| Some((self.time_until_idle(row, values)?, row)));
+        if let Some((until, row)) = idle.min() {
+            self.change(row).held_until = Some(until);
         }
     }
 
     /// Holds the fast target that first has enough resources for a long task. Otherwise smaller
     /// tasks would take each part of it that becomes free.
-    fn hold_for(&mut self, queued: &QueuedTask, fastest_run: Duration) {
+    fn hold_for(&mut self, queued: &QueuedTask, profile: &Profile, fast: Limit) {
         let resources = &queued.requirements.resources;
         let silence = self.silence(queued);
-        let ready_in = |availability: &Availability<'_>| {
-            let is_fast_target =
-                !availability.suspect && is_fast(self.expected(availability, queued), fastest_run);
-            let is_unheld = availability.held_until.is_none()
-                && is_eligible(&availability.tracker.entry, queued);
-            if is_fast_target && is_unheld && availability.allows_silence(silence) {
-                availability.time_until_free(resources, self.now)
-            } else {
-                None
+        let mut first: Option<(Duration, usize)> = None;
+        for (row, values) in self.kept.values().iter().enumerate() {
+            let Some(factor) = profile.factors[values.class as usize] else {
+                continue;
+            };
+            let is_candidate = values.is_usable()
+                && !values.is_suspect()
+                && fast.includes(values.factor() * factor)
+                && !self.is_held(row)
+                && values.allows_silence(silence);
+            // Only a target where a run ends earlier can be ready earlier.
+            let is_earlier = |until: Duration| {
+                let free = self.free(row);
+                free.is_some_and(|free| free.covers(resources))
+                    || values.runs.iter().any(|run| run.remaining(self.now) < until)
+            };
+            if is_candidate && first.is_none_or(|(until, _)| is_earlier(until)) {
+                let ready = self.time_until_free(row, resources).map(|until| (until, row));
+                first = first.into_iter().chain(ready).min();
             }
-        };
-        let ready = self.targets.iter().enumerate();
-        let ready =
-            ready.filter_map(|(index, availability)| Some((ready_in(availability)?, index)));
-        if let Some((until, index)) = ready.min() {
-            self.targets[index].held_until = Some(until);
+        }
+        if let Some((until, row)) = first {
+            self.change(row).held_until = Some(until);
         }
     }
 
@@ -202,142 +275,99 @@
     /// Whether the task's owner has been silent for too long to start the task on some of the targets
     /// that may get new tasks.
     pub(super) fn is_owner_silent(&self, queued: &QueuedTask) -> bool {
-        let silence = self.silence(queued);
-        let mut open = self.targets.iter().filter(|availability| availability.free.is_some());
-        open.any(|availability| !availability.allows_silence(silence))
-    }
-
-    fn expected(&self, availability: &Availability<'_>, queued: &QueuedTask) -> Duration {
-        let rack = queued.requirements.preferred_rack.as_ref();
-        let is_remote = rack.is_some_and(|rack| !availability.tracker.entry.labels.contains(rack));
-        let factor = if is_remote { self.settings.remote_factor } else { 1.0 };
-        queued.average_run.mul_f64(availability.factor * factor)
+        let (allows_none, limit) = self.silence_limit.get().unwrap_or_else(|| {
+            let open = self.kept.values().iter().enumerate();
+            let open = open.filter(|(row, one)| one.is_usable() && self.free(*row).is_some());
+            open.fold((false, Duration::MAX), |(allows_none, limit), (_, one)| {
+                let max = one.max_silence;
+                (allows_none || max.is_none(), limit.min(max.unwrap_or(Duration::MAX)))
+            })
+        });
+        self.silence_limit.set(Some((allows_none, limit)));
+        allows_none || self.silence(queued) > limit
     }
 
     /// Capacity of the fast targets, counted in tasks of the size of `queued`.
     fn fast(
         &self,
         queued: &QueuedTask,
-        candidates: &[Candidate],
-        fastest_run: Duration,
+        profile: &Profile,
+        (scale, fastest_run): (Scale, Duration),
     ) -> FastTargets {
         let task_cpu_millis = queued.requirements.resources.cpu_millis.max(1);
-        let is_healthy = |availability: &&Availability<'_>| {
-            !availability.suspect && is_eligible(&availability.tracker.entry, queued)
-        };
-        let is_fast_target = |availability: &&Availability<'_>| {
-            is_fast(self.expected(availability, queued), fastest_run)
-        };
-        let slots = self.targets.iter().filter(is_healthy).filter(is_fast_target);
-        let free = candidates.iter().filter(|candidate| is_fast(candidate.expected, fastest_run));
+        let limit = scale.fast_limit(fastest_run);
+        let slots = self.kept.classes().iter().zip(&profile.factors).enumerate();
+        let slots = slots.filter_map(|(class, (Class { capacity, .. }, factor))| {
+            let factor = (*factor)?;
+            let healthy = self.kept.sums().healthy(class);
+            let is_fast_one = |one: &f64| is_fast(scale.run(one * factor), fastest_run);
+            let targets = healthy.partition_point(is_fast_one) as u64;
+            Some((capacity.cpu_millis / task_cpu_millis).saturating_mul(targets))
+        });
+        let free = self.rated.iter().filter(|one| limit.includes(one.factor));
         FastTargets {
             fastest_run,
             free_slots: free
-                .map(|candidate| candidate.free.cpu_millis / task_cpu_millis)
-                .fold(0, u64::saturating_add),
-            slots: slots
-                .map(|availability| {
-                    availability.tracker.entry.capacity.cpu_millis / task_cpu_millis
-                })
+                .map(|one| one.free.cpu_millis / task_cpu_millis)
                 .fold(0, u64::saturating_add),
+            slots: slots.fold(0, u64::saturating_add),
             wait: self.pool.wait(self.waiting),
         }
     }
-}
 
-impl Availability<'_> {
+    /// Free resources of a target; `None` if no task may start.
+    fn free(&self, row: usize) -> Option<Resources> {
+        self.changed(row).map_or(self.kept.values()[row].free, |changed| changed.free)
+    }
+
     /// Expected time until enough runs have ended to free these resources; `None` if they can't be
     /// freed or no task may start on the target.
-    fn time_until_free(&self, resources: &Resources, now: Instant) -> Option<Duration> {
-        let mut free = self.free?;
-        let mut runs: Vec<_> = self.tracker.attempts().collect();
-        runs.sort_by_key(|(_, attempt)| end_times::remaining(attempt, now));
+    fn time_until_free(&self, row: usize, resources: &Resources) -> Option<Duration> {
+        let mut free = self.free(row)?;
+        let mut runs: Vec<_> = self.targets.row(row).attempts().collect();
+        runs.sort_by_key(|(_, attempt)| remaining(attempt, self.now));
         let mut after = Duration::ZERO;
         for (_, attempt) in runs {
             if free.covers(resources) {
                 break;
             }
             free = free + attempt.resources;
-            after = end_times::remaining(attempt, now);
+            after = remaining(attempt, self.now);
         }
         free.covers(resources).then_some(after)
     }
 
     /// Whether nothing runs on the target and nothing was placed there in this pass.
-    fn is_idle(&self) -> bool {
-        self.tracker.is_idle() && self.placed.is_empty()
+    fn is_idle(&self, row: usize) -> bool {
+        self.kept.values()[row].is_idle
+            && self.changed(row).is_none_or(|changed| changed.placed.is_empty())
     }
 
     /// Expected time until all runs have ended; `None` if no task may start on the target.
-    fn time_until_idle(&self, now: Instant) -> Option<Duration> {
-        self.free?;
-        let runs = self.tracker.attempts();
-        Some(runs.map(|(_, attempt)| end_times::remaining(attempt, now)).max().unwrap_or_default())
-    }
-
-    /// Whether a task may start whose owner was heard this long ago.
-    fn allows_silence(&self, silence: Duration) -> bool {
-        self.max_silence.is_some_and(|max| silence <= max)
+    fn time_until_idle(&self, row: usize, values: &Values) -> Option<Duration> {
+        self.free(row)?;
+        let left = values.runs.iter().map(|run| run.remaining(self.now));
+        Some(left.max().unwrap_or_default())
     }
 
     /// Whether one more task of the step stays within the limit for one target.
-    fn allows_another(&self, queued: &QueuedTask) -> bool {
+    fn allows_another(&self, row: usize, queued: &QueuedTask) -> bool {
         let Some(limit) = queued.requirements.max_per_target else {
             return true;
         };
         let same_step = |task: &&Task| task.job == queued.task.job && task.step == queued.task.step;
-        let placed = self.placed.iter().filter(same_step).count();
-        self.tracker.count_in_step(&queued.task) as usize + placed < limit as usize
+        let placed = self.changed(row).map_or(&[][..], |changed| &changed.placed);
+        let placed = placed.iter().filter(same_step).count();
+        self.targets.row(row).count_in_step(&queued.task) as usize + placed < limit as usize
     }
 }
 
-fn is_eligible(entry: &Entry, queued: &QueuedTask) -> bool {
-    entry.service == queued.service
+fn is_eligible(class: &Class, queued: &QueuedTask) -> bool {
+    class.service == queued.service
         && queued
             .requirements
             .required_label
             .as_ref()
-            .is_none_or(|label| entry.labels.contains(label))
-        && entry.capacity.covers(&queued.requirements.resources)
-}
-
-fn is_overdue(attempt: &Attempt, now: Instant) -> bool {
-    let limit = attempt.expected.mul_f64(OVERDUE_FACTOR).max(MIN_OVERDUE);
-    now.duration_since(attempt.sent_at) > limit
-}
-
-/// Whether all of at least two runs on a target are overdue, so that it hangs or has slowed down.
-pub(super) fn is_stuck(tracker: &Tracker, now: Instant) -> bool {
-    let running = tracker.attempts().count();
-    let overdue = tracker.attempts().filter(|(_, attempt)| is_overdue(attempt, now)).count();
-    overdue >= 2 && overdue == running
-}
-
-/// Whether a target hangs: runs of two different jobs are overdue. Overdue runs of a single job
-/// don't count, since all its tasks may take long.
-pub(super) fn is_hung(tracker: &Tracker, now: Instant) -> bool {
-    let counts = |(_, attempt): &(&Task, &Attempt)| !attempt.recalled && is_overdue(attempt, now);
-    let mut jobs = tracker.attempts().filter(counts).map(|(task, _)| &task.job);
-    jobs.next().is_some_and(|first| jobs.any(|other| other != first))
-}
-
-/// Ratio of the run time on the median target to that on an average one.
-pub(super) fn median_factor(
-    trackers: &BTreeMap<Target, Tracker>,
-    speeds: &Estimator,
-    now: Instant,
-) -> f64 {
-    let mut slowness: Vec<f64> = trackers.keys().map(|name| speeds.slowness(name, now)).collect();
-    slowness.sort_by(f64::total_cmp);
-    slowness.get(slowness.len() / 2).copied().unwrap_or_default().exp()
-}
-
-/// Ratio of the run time on the fastest target to that on an average one; at most 1.
-pub(super) fn fastest_factor(
-    trackers: &BTreeMap<Target, Tracker>,
-    speeds: &Estimator,
-    now: Instant,
-) -> f64 {
-    let slowness = trackers.keys().map(|name| speeds.slowness(name, now));
-    slowness.fold(0.0, f64::min).exp()
+            .is_none_or(|label| class.labels.contains(label))
+        && class.capacity.covers(&queued.requirements.resources)
 }
--- a/crates/fleet/src/steward/state/suspects.rs
+++ b/crates/fleet/src/steward/state/suspects.rs
@@ -7,8 +7,9 @@
 use std::time::{Duration, Instant};
 
 use super::Steward;
+use super::targets::Kept;
 use crate::crash::Loss;
-use crate::lease::{Attempt, Change, Tracker};
+use crate::lease::Change;
 
 /// Part of a steward's targets that may be at risk at a time; at least one target may.
 const RISK_SHARE: usize = 8;
@@ -46,10 +47,8 @@
 
 impl Steward {
     /// Number of suspects that may start now.
-    pub(super) fn suspects_allowed(&self, now: Instant) -> usize {
-        let attempts = self.trackers.values().flat_map(Tracker::attempts);
-        let is_isolated = |(_, attempt): &(_, &Attempt)| attempt.isolated;
-        let at_risk = attempts.filter(is_isolated).count() + self.suspects.recent(now);
-        (self.trackers.len() / RISK_SHARE).max(1).saturating_sub(at_risk)
+    pub(super) fn suspects_allowed(&self, kept: &Kept, now: Instant) -> usize {
+        let at_risk = kept.sums().isolated() + self.suspects.recent(now);
+        (self.targets.len() / RISK_SHARE).max(1).saturating_sub(at_risk)
     }
 }
--- a/crates/fleet/src/steward/tests.rs
+++ b/crates/fleet/src/steward/tests.rs
@@ -1,5 +1,6 @@
 mod extreme_values;
 mod silent_owners;
+mod sums;
 
 use std::time::{Duration, Instant, SystemTime};
 
@@ -114,6 +115,8 @@
                 self.speeds.record_completion(&kind, name, (estimate, took), self.now);
             }
         }
+        // A steward takes up scores that it has not changed itself at the tick.
+        self.maintain();
     }
 
     /// Starts all tasks that can start. Owners grant all requests.
