feat(evacuation): zones that operators evacuate, in a register of what the store and peers tell

Operators need a zone without new tasks, also at hosts that the store turns away. A register keeps the store's set and the newest one of a peer, and the higher revision is in force. Stewards close the targets of these zones, return queued tasks that no other target can take, and report no slots; owners refuse jobs whose targets are all evacuated. Cold targets are limited to a multiple of the warm ones' starts. Off unless the settings ask for it.

--- a/crates/fleet/src/control/assignment.rs
+++ b/crates/fleet/src/control/assignment.rs
@@ -108,8 +108,9 @@
         }
     }
 
-    /// Refuses jobs that found no steward and can no longer end in time.
+    /// Refuses jobs that found no steward and can no longer end in time, or whose targets are all evacuated.
     pub(super) fn refuse_stalled(&mut self, now: Instant) {
+        self.refuse_evacuated(now);
         let is_infeasible = |open: &Open| {
             let forecast = self.speeds.forecast(&open.kind, open.plan.critical_path());
             let remaining = open.deadline.saturating_duration_since(now + RESPONSE_MARGIN);
--- a/crates/fleet/src/control/claims.rs
+++ b/crates/fleet/src/control/claims.rs
@@ -11,7 +11,7 @@
 
 /// Time for which a steward may have issued tokens that no peer has heard of: two heartbeat intervals.
 const UNREPORTED_TOKENS: Duration = Duration::from_millis(200);
-/// Longest time for which a host waits for the list of targets before it claims a zone.
+/// Longest time for which a host waits for the list of targets and the evacuated zones before it claims a zone.
 const MAX_TARGETS_WAIT: Duration = Duration::from_millis(1_500);
 
 impl State {
@@ -41,11 +41,12 @@
 
     /// Whether this host may claim zones now if it should. A host that was no steward may have read the list
     /// of targets long ago, and would start tasks on targets that have left since. It reads the list first,
-    /// unless the store does not respond.
+    /// unless the store does not respond. Likewise it waits for word of the evacuated zones.
     fn may_claim(&mut self, should_claim: bool, now: Instant) -> bool {
         let age = self.targets_read_at.map(|at| now.duration_since(at));
         let is_current = age.is_some_and(|age| age <= self.settings.max_targets_age);
-        if !should_claim || is_current || self.is_store_lost {
+        let has_targets = is_current || self.is_store_lost;
+        if !should_claim || has_targets && !self.lacks_evacuations() {
             self.awaits_targets_since = None;
             return should_claim;
         }
--- a/crates/fleet/src/control/dump.rs
+++ b/crates/fleet/src/control/dump.rs
@@ -25,6 +25,7 @@
             serde_json::json!({
                 "target": tracker.entry.name, "state": tracker.entry.state, "phase": format!("{:?}", tracker.phase),
                 "free": tracker.available(now), "attempts": tracker.attempts().count(),
+                "closed": tracker.is_closed(),
                 "slowness": self.speeds.slowness(&tracker.entry.name, now),
             })
         });
@@ -32,6 +33,8 @@
         serde_json::json!({
             "me": self.membership.me(),
             "claims": claims,
+            "evacuated_zones": self.evacuations.reported(),
+            "evacuations": self.evacuations.notice(),
             "isolated": self.membership.is_isolated(now),
             "configuration": self.config.version(),
             "lost_runs": self.crashes.len(),
--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -107,6 +107,8 @@
             let known = self.directory.iter().chain(self.directory.vanished());
             let may_return = can_ever_fit(known, &route.service, submission);
             Some(if may_return { refuse(Refusal::Infeasible) } else { Outcome::Failed })
+        } else if self.is_evacuated(&route.service, plan) {
+            Some(refuse(Refusal::NoSteward))
         } else {
             let run = forecast.scaled(fastest_factor(&candidates));
             admission::decide(&Estimate { waits, run, required_run, objective, timeout })
@@ -289,15 +291,7 @@
     submission: &Submission,
 ) -> bool {
     let serving: Vec<&Entry> = entries.filter(|entry| entry.service == *service).collect();
-    let fits = |requirements: &Requirements| {
-        serving.iter().any(|entry| {
-            entry.capacity.covers(&requirements.resources)
-                && requirements
-                    .required_label
-                    .as_ref()
-                    .is_none_or(|label| entry.labels.contains(label))
-        })
-    };
+    let fits = |requirements: &Requirements| serving.iter().any(|entry| entry.fits(requirements));
     serving.is_empty() || submission.plan.steps.iter().all(|step| fits(&step.requirements))
 }
 
--- a/crates/fleet/src/control/message.rs
+++ b/crates/fleet/src/control/message.rs
@@ -104,6 +104,8 @@
     pub knows_targets: bool,
     /// Whether the host waits for a new list of targets before it claims a zone.
     pub awaits_targets: bool,
+    /// Revision of a peer's notice on evacuated zones that the store is to be read in full for.
+    pub doubted_notice: Option<u64>,
 }
 
 /// Output of the control state.
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod claims;
 mod crashes;
 mod dump;
+mod evacuations;
 mod executor;
 mod grants;
 mod jobs;
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -119,6 +119,7 @@
                 self.speeds.set_slowness(targets.collect(), now);
             }
             Message::CurrentTargets(entries) => self.learn_targets(&from.host, entries),
+            Message::Evacuations(notice) => self.hear_evacuations(&from.host, &notice, now),
             Message::Targets(entries) => {
                 if self.directory.seed(entries) {
                     let known = self.directory.iter().count();
@@ -203,6 +204,7 @@
                     self.record(Record::ConfigApplied { version, source: "the store" });
                 }
             }
+            Update::Evacuations(reading) => self.read_evacuations(&reading, now),
             Update::Targets(Listing { entries, unreadable, is_stale }) => {
                 if !is_stale {
                     self.targets_read_at = Some(now);
@@ -241,7 +243,7 @@
         }
     }
 
-    fn record_unreadable(&mut self, unreadable: Vec<Unreadable>) {
+    pub(super) fn record_unreadable(&mut self, unreadable: Vec<Unreadable>) {
         for Unreadable { key, revision, reason } in unreadable {
             self.record(Record::EntryUnreadable { key, revision, reason });
         }
@@ -280,6 +282,7 @@
     /// Drops a peer's tasks here, and gives up own jobs that have tasks at the peer.
     fn drop_peer(&mut self, host: &Host, now: Instant) {
         self.completions.remove(host);
+        self.told_evacuations.remove(host);
         self.cancels_lost(host);
         let me = self.membership.me().host.clone();
         for id in self.steward.drop_owner(host) {
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -14,6 +14,7 @@
 use crate::crash;
 use crate::density;
 use crate::directory;
+use crate::evacuation;
 use crate::job::{self, Completion, Id, Outcome, RequestId};
 use crate::lease::Issuer;
 use crate::member::{Contacts, Identity, Membership, PEER_TIMEOUT};
@@ -45,6 +46,8 @@
     pub stop_timeout: Duration,
     /// Age of the list of targets above which this host reads it anew before it claims a zone.
     pub max_targets_age: Duration,
+    /// Evacuation of zones, and cold targets.
+    pub evacuation: evacuation::Settings,
 }
 
 /// Control state of a host.
@@ -56,6 +59,9 @@
     pub(super) config: config::Current,
     pub(super) directory: directory::Directory,
     pub(super) dense_zones: density::Zones,
+    pub(super) evacuations: evacuation::Register,
+    /// Peers that know the evacuated zones in this version of the register.
+    pub(super) told_evacuations: BTreeMap<Host, u64>,
     pub(super) jobs: job::Registry,
     pub(super) classifier: job::Classifier,
     /// Jobs with tasks for which no steward was available.
@@ -131,10 +137,12 @@
             config: config::Current::default(),
             directory: directory::Directory::default(),
             dense_zones: density::Zones::default(),
+            evacuations: evacuation::Register::default(),
+            told_evacuations: BTreeMap::new(),
             jobs: job::Registry::default(),
             classifier: job::Classifier::default(),
             stalled: BTreeSet::new(),
-            steward: Steward::new(settings.steward),
+            steward: Steward::new(settings.steward).with_cold_limit(settings.evacuation.cold_limit),
             crashes: crash::Ledger::default(),
             repeats: repeat::Register::new(settings.steward.term.resend_after),
             unsettled_news: Vec::new(),
@@ -228,6 +236,7 @@
 
     fn tick(&mut self, now: Instant) {
         self.maintain_peers(now);
+        self.maintain_evacuations(now);
         self.maintain_targets(now);
         self.maintain_jobs(now);
         self.expire_losses(now);
@@ -326,6 +335,7 @@
     fn handle_pause(&mut self, gap: Duration) {
         let now = self.clock.now();
         self.record(Record::ProcessPaused { pause: gap });
+        self.evacuations.set_outdated();
         self.give_up_all_jobs(now);
         self.give_up_parked();
         let mut output = steward::Output::default();
@@ -354,12 +364,13 @@
             is_steward: !self.membership.claims.is_empty(),
             knows_targets: !self.directory.is_empty(),
             awaits_targets: self.awaits_targets_since.is_some(),
+            doubted_notice: self.evacuations.doubted(),
         };
         let is_same = |a: &Snapshot, b: &Snapshot| {
             a.document.as_ref().map(|one| one.version) == b.document.as_ref().map(|one| one.version)
                 && (a.is_ready, a.is_closing_connections, a.is_steward, a.knows_targets)
                     == (b.is_ready, b.is_closing_connections, b.is_steward, b.knows_targets)
-                && a.awaits_targets == b.awaits_targets
+                && (a.awaits_targets, a.doubted_notice) == (b.awaits_targets, b.doubted_notice)
         };
         if !is_same(&snapshot, &self.snapshot) {
             self.snapshot = snapshot.clone();
--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -372,6 +372,7 @@
             steward: steward::Settings { term, remote_factor: 1.5 },
             stop_timeout: Duration::from_secs(5),
             max_targets_age: Duration::from_secs(1),
+        evacuation: crate::evacuation::Settings::default(),
         };
         let clock: Arc<dyn Clock> = Arc::clone(&one.clock) as _;
         one.state = Some(State::new(settings, clock));
--- a/crates/fleet/src/control/tests/startup.rs
+++ b/crates/fleet/src/control/tests/startup.rs
@@ -32,6 +32,7 @@
         steward: steward::Settings { term, remote_factor: 1.5 },
         stop_timeout: Duration::from_secs(5),
         max_targets_age: Duration::from_secs(1),
+        evacuation: crate::evacuation::Settings::default(),
     };
     let mut state = State::new(settings, Arc::clone(clock) as Arc<dyn Clock>);
     let document = Arc::new(document(1, vec![route("cut", "/a/")]));
--- a/crates/fleet/src/directory/message.rs
+++ b/crates/fleet/src/directory/message.rs
@@ -5,7 +5,7 @@
 use coltsfootshunt_core::name::{Label, Service, Target, Zone};
 use serde::{Deserialize, Serialize};
 
-use crate::job::Resources;
+use crate::job::{Requirements, Resources};
 
 /// Whether a target takes new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -38,4 +38,17 @@
     pub labels: Vec<Label>,
     /// Whether the target accepts new work.
     pub state: State,
+    /// Whether the target is slow after its start or an evacuation; `false` where that has no effect.
+    #[serde(default, rename = "cold", skip_serializing_if = "std::ops::Not::not")]
+    pub is_cold: bool,
+}
+
+impl Entry {
+    /// Whether a task with these requirements can run on the target while nothing else does.
+    #[must_use]
+    pub fn fits(&self, requirements: &Requirements) -> bool {
+        let label = requirements.required_label.as_ref();
+        self.capacity.covers(&requirements.resources)
+            && label.is_none_or(|label| self.labels.contains(label))
+    }
 }
--- a/crates/fleet/src/directory/tests.rs
+++ b/crates/fleet/src/directory/tests.rs
@@ -16,6 +16,7 @@
         capacity: Resources { cpu_millis: 32_000, memory_mb: 1_000, accelerators: 0 },
         labels: Vec::new(),
         state: State::Ready,
+        is_cold: false,
     }
 }
 
--- a/crates/fleet/src/job/open.rs
+++ b/crates/fleet/src/job/open.rs
@@ -207,6 +207,16 @@
         self.started || self.committed || self.tasks.iter().any(is_assigned)
     }
 
+    /// Whether nothing of the job has run and no steward has any of its tasks. No order of it was sent to a target
+    /// either.
+    #[must_use]
+    pub fn is_untouched(&self) -> bool {
+        let is_untouched = |entry: &TaskState| {
+            entry.attempts == 0 && matches!(entry.state, Progress::Unassigned | Progress::Late)
+        };
+        !self.started && self.tasks.iter().all(is_untouched)
+    }
+
     /// Whether any task is assigned to a steward alone.
     #[must_use]
     pub fn is_assigned_to(&self, host: &Host) -> bool {
--- a/crates/fleet/src/lease/tracker.rs
+++ b/crates/fleet/src/lease/tracker.rs
@@ -101,6 +101,10 @@
     pub entry: Entry,
     /// State of this host's claim on the target.
     pub phase: Phase,
+    /// Whether its zone is evacuated, so that nothing starts there.
+    pub is_evacuated: bool,
+    /// Whether it is cold and has had its share of starts.
+    pub is_over_cold_limit: bool,
     /// Attempts of this host that may run at the target.
     attempts: BTreeMap<Task, Attempt>,
     /// Attempts that other hosts started; the resources that they use are not known.
@@ -154,6 +158,8 @@
         Self {
             entry,
             phase: Phase::Free,
+            is_evacuated: false,
+            is_over_cold_limit: false,
             attempts: BTreeMap::new(),
             orphans: BTreeMap::new(),
             unreadable: Unreadable::default(),
@@ -206,6 +212,12 @@
         self.attempts.is_empty() && self.orphans.is_empty()
     }
 
+    /// Whether no task may start there whatever its lease and its room are.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.is_evacuated || self.is_over_cold_limit
+    }
+
     /// Whether an attempt of the task may run at the target.
     #[must_use]
     pub fn contains(&self, task: &Task) -> bool {
@@ -231,6 +243,7 @@
         let is_outdated = self.outdated_since.is_some();
         let is_reserved = self.attempts.values().any(|attempt| attempt.isolated);
         if !is_reliable
+            || self.is_closed()
             || is_reserved
             || is_outdated
             || is_expiring
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod crash;
 pub mod density;
 pub mod directory;
+pub mod evacuation;
 pub mod job;
 pub mod lease;
 pub mod member;
--- a/crates/fleet/src/peer/message.rs
+++ b/crates/fleet/src/peer/message.rs
@@ -11,6 +11,7 @@
 use crate::config::Document;
 use crate::crash::Loss;
 use crate::directory::Entry;
+use crate::evacuation::Notice;
 use crate::job::{Assignment, Completion, Grant, Id, Reservation};
 use crate::member::{Heartbeat, Identity};
 use crate::routing::Load;
@@ -63,6 +64,8 @@
     Targets(Vec<Entry>),
     /// Present entries of the receiver's targets, for a steward that lacks the store.
     CurrentTargets(Vec<Entry>),
+    /// Evacuated zones that the sender knows; only to peers whose heartbeat has `reads_zones`.
+    Evacuations(Notice),
     /// Run times learned from the sender's targets.
     #[serde(rename = "learned")]
     Speeds {
@@ -97,6 +100,7 @@
             | Self::Config(_)
             | Self::Targets(_)
             | Self::CurrentTargets(_)
+            | Self::Evacuations(_)
             | Self::Speeds { .. } => false,
         }
     }
@@ -123,6 +127,7 @@
             Self::Config(_) => "config",
             Self::Targets(_) => "targets",
             Self::CurrentTargets(_) => "current_targets",
+            Self::Evacuations(_) => "evacuations",
             Self::Speeds { .. } => "speeds",
         }
     }
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -152,6 +152,9 @@
             warn!(log, "{}", name; "job" => %task.job, "task" => %task, "target" => %target,
                 "token" => token.0);
         }
+        Record::TasksEvacuated { job, tasks } => {
+            info!(log, "{}", name; "job" => %job, "tasks" => tasks);
+        }
         Record::OrphanStopped { target, task } => {
             warn!(log, "{}", name; "job" => %task.job, "task" => %task, "target" => %target);
         }
@@ -232,6 +235,21 @@
             warn!(log, "{}", name; "key" => %truncate(key), "revision" => revision,
                 "reason" => %truncate(reason));
         }
+        Record::ZoneEvacuated { zone, revision, source, returned, evacuated } => {
+            info!(log, "{}", name; "of" => %zone, "revision" => revision, "from" => %source,
+                "returned" => returned, "evacuated" => evacuated);
+        }
+        Record::ZoneRestored { zone, revision, source, evacuated } => {
+            info!(log, "{}", name; "of" => %zone, "revision" => revision, "from" => %source,
+                "evacuated" => evacuated);
+        }
+        Record::ZoneUnknown { zone, revision } => {
+            warn!(log, "{}", name; "of" => %zone, "revision" => revision);
+        }
+        Record::NoticeIgnored { peer, reason, revision, zones } => {
+            warn!(log, "{}", name; "from" => %peer, "reason" => %reason, "revision" => revision,
+                "zones" => zones);
+        }
         Record::CancelledDropped { dropped } => warn!(log, "{}", name; "jobs" => dropped),
         Record::LossesDropped { dropped } => warn!(log, "{}", name; "losses" => dropped),
         Record::StoreLost { error } => warn!(log, "{}", name; "reason" => %error),
@@ -288,6 +306,13 @@
                 "alone" => loss.alone.to_string())
             .increment(1);
         }
+        Record::ZoneEvacuated { evacuated, .. } | Record::ZoneRestored { evacuated, .. } => {
+            metrics::gauge!("coltsfootshunt_evacuated_zones").set(*evacuated as f64);
+            counter!("coltsfootshunt_events_total", "event" => record.name()).increment(1);
+        }
+        Record::TasksEvacuated { tasks, .. } => {
+            counter!("coltsfootshunt_evacuated_tasks_returned_total").increment(*tasks as u64);
+        }
         Record::ConfigApplied { version, .. } => {
             metrics::gauge!("coltsfootshunt_configuration_version").set(*version as f64);
         }
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -11,6 +11,7 @@
 use coltsfootshunt_core::panic::Panic;
 
 use crate::crash::Loss;
+use crate::evacuation;
 use crate::job::{End, Id, Outcome, Size, Task};
 use crate::lease::{Evidence, Rejection, Suffix, Token, Unreadable};
 use crate::peer;
@@ -376,6 +377,55 @@
         /// Why it can't be decoded.
         reason: Arc<str>,
     },
+    /// A zone was evacuated: nothing starts on its targets.
+    ZoneEvacuated {
+        /// The zone.
+        zone: Zone,
+        /// Store revision at which the evacuated zones were read or last changed.
+        revision: u64,
+        /// Where it was learned.
+        source: evacuation::Source,
+        /// Number of queued tasks that were returned to their owners.
+        returned: usize,
+        /// Number of evacuated zones now.
+        evacuated: usize,
+    },
+    /// The evacuation of a zone was taken back.
+    ZoneRestored {
+        /// The zone.
+        zone: Zone,
+        /// Store revision at which the evacuated zones were read or last changed.
+        revision: u64,
+        /// Where it was learned.
+        source: evacuation::Source,
+        /// Number of evacuated zones now.
+        evacuated: usize,
+    },
+    /// A zone is to be evacuated that neither the settings nor any target names.
+    ZoneUnknown {
+        /// The zone.
+        zone: Zone,
+        /// Store revision at which the evacuated zones were read or last changed.
+        revision: u64,
+    },
+    /// A peer's notice on evacuated zones is ignored.
+    NoticeIgnored {
+        /// The peer.
+        peer: Host,
+        /// Why it is ignored.
+        reason: evacuation::ImplausibleNotice,
+        /// Store revision in the notice.
+        revision: u64,
+        /// Number of zones in the notice.
+        zones: usize,
+    },
+    /// Tasks were returned to their owner because no target that can take them is in a zone that is not evacuated.
+    TasksEvacuated {
+        /// Identifier of the job.
+        job: Id,
+        /// Number of tasks.
+        tasks: usize,
+    },
     /// Calls to the store fail.
     StoreLost {
         /// Error of the first failed call.
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -1,6 +1,7 @@
 //! State of a steward and its entry points.
 
 mod change;
+mod closed;
 mod dispatch;
 mod end_times;
 mod intake;
@@ -12,10 +13,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Instant, SystemTime};
 
-use coltsfootshunt_core::name::{Host, Target};
+use coltsfootshunt_core::name::{Host, Target, Zone};
 
 use super::{Output, Settings};
 use crate::directory;
+use crate::evacuation;
 use crate::job::{Completion, End, Grant, Id, Reservation};
 use crate::lease::{Attempt, Call, Change, Evidence, Issuer, Order, Phase, Response, Tracker};
 use crate::member::Membership;
@@ -42,6 +44,10 @@
     suspects: Suspects,
     /// Time of the last pass over the queue; `None` if something has changed since.
     last_pass_at: Option<Instant>,
+    /// Zones in which nothing starts.
+    evacuated: BTreeSet<Zone>,
+    /// Starts on cold targets; none if these are not limited.
+    cold_starts: Option<evacuation::Starts>,
 }
 
 impl Steward {
@@ -55,6 +61,8 @@
             mean_cpu_millis: None,
             suspects: Suspects::default(),
             last_pass_at: None,
+            evacuated: BTreeSet::new(),
+            cold_starts: None,
         }
     }
 
@@ -127,6 +135,7 @@
                 membership.has_claim(&tracker.entry.zone) && directory.get(name).is_some();
             is_claimed || !tracker.is_idle()
         });
+        self.update_closed();
     }
 
     /// Cancels one generation of a job: its queued tasks are removed, and its attempts are stopped.
--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -156,7 +156,9 @@
         let silence = now.duration_since(owner_heard_at);
         let is_heard =
             |tracker: &&mut Tracker| tracker.max_silence(now).is_some_and(|max| silence <= max);
-        let Some(tracker) = self.trackers.get_mut(&target).filter(is_heard) else {
+        let tracker = self.trackers.get_mut(&target).filter(is_heard);
+        // An earlier start of this pass may have used up what a cold target may get.
+        let Some(tracker) = tracker.filter(|tracker| !tracker.is_closed()) else {
             return false;
         };
         let mut attempt = Attempt::new(
@@ -185,6 +187,10 @@
             isolated,
         });
         output.calls.push(tracker.start(&queued.task, queued.spec.clone(), attempt, now));
+        if let Some(starts) = &mut self.cold_starts {
+            starts.record(&tracker.entry);
+            tracker.is_over_cold_limit = !starts.allows(&tracker.entry);
+        }
         true
     }
 
--- a/crates/fleet/src/steward/state/intake.rs
+++ b/crates/fleet/src/steward/state/intake.rs
@@ -6,6 +6,7 @@
 
 use super::Steward;
 use super::change::not_run;
+use super::closed::return_evacuated;
 use super::placer::{fastest_factor, median_factor};
 use crate::job::{Assignment, Completion, End, Item, Task};
 use crate::member::Membership;
@@ -33,6 +34,9 @@
     ) {
         self.last_pass_at = None;
         self.remove_superseded(owner, &assignment, output);
+        if self.is_evacuated(membership) {
+            return return_evacuated(owner, assignment, output);
+        }
         let job = assignment.job.clone();
         let started = assignment.started;
         let tasks = self.queued_tasks(owner, assignment, speeds, now);
--- a/crates/fleet/src/steward/state/placer.rs
+++ b/crates/fleet/src/steward/state/placer.rs
@@ -73,6 +73,7 @@
     ) -> Self {
         let is_usable = |tracker: &&Tracker| {
             tracker.entry.state == directory::State::Ready
+                && !tracker.is_closed()
                 && membership.has_claim(&tracker.entry.zone)
         };
         let targets = trackers.values().filter(is_usable).map(|tracker| {
@@ -291,7 +292,7 @@
     }
 }
 
-fn is_eligible(entry: &Entry, queued: &QueuedTask) -> bool {
+pub(super) fn is_eligible(entry: &Entry, queued: &QueuedTask) -> bool {
     entry.service == queued.service
         && queued
             .requirements
@@ -338,6 +339,7 @@
     speeds: &Estimator,
     now: Instant,
 ) -> f64 {
-    let slowness = trackers.keys().map(|name| speeds.slowness(name, now));
+    let open = trackers.iter().filter(|(_, tracker)| !tracker.is_closed());
+    let slowness = open.map(|(name, _)| speeds.slowness(name, now));
     slowness.fold(0.0, f64::min).exp()
 }
--- a/crates/fleet/src/store/agent.rs
+++ b/crates/fleet/src/store/agent.rs
@@ -8,6 +8,7 @@
 
 use super::{Change, Error, Listing, Replica, Store, Update};
 use crate::control::{Event, Handle};
+use crate::evacuation::Reading;
 use crate::member::Identity;
 
 /// Longest wait of one watch of the configuration. A dead connection is noticed only after it, so it
@@ -82,12 +83,21 @@
     async fn watch_config(self: Arc<Self>) {
         let mut revision_seen = 0;
         while !self.control.is_closed() {
+            // A watch may lag; a read in full tells whether a peer's notice is true.
+            let doubted = self.control.snapshot().doubted_notice;
+            if doubted.is_some() {
+                revision_seen = 0;
+            }
             match self
                 .report_availability(self.store.watch_config(revision_seen, MAX_WATCH_WAIT).await)
                 .await
             {
-                Ok(Change { document, unreadable, revision }) => {
+                Ok(Change { document, unreadable, revision, evacuations }) => {
                     revision_seen = revision;
+                    if let Some(reading) = evacuations {
+                        let checks = doubted.filter(|_| reading.is_complete);
+                        self.send(Update::Evacuations(Reading { checks, ..reading })).await;
+                    }
                     if let Some(unreadable) = unreadable {
                         self.send(Update::Unreadable(unreadable)).await;
                     }
--- a/crates/fleet/src/store/message.rs
+++ b/crates/fleet/src/store/message.rs
@@ -8,6 +8,7 @@
 
 use crate::config::Document;
 use crate::directory::Entry;
+use crate::evacuation::Reading;
 use crate::member::Identity;
 
 /// Error of a call to the store.
@@ -92,12 +93,15 @@
     pub unreadable: Option<Unreadable>,
     /// Revision of the store from which to continue; 0 if there is no configuration yet.
     pub revision: u64,
+    /// Evacuated zones, or what has changed of them; none where zones can't be evacuated.
+    pub evacuations: Option<Reading>,
 }
 
 /// Client of the platform's store.
 #[async_trait]
 pub trait Store: Send + Sync {
-    /// Waits up to `max_wait` for a change of the configuration after the store revision `known`.
+    /// Waits up to `max_wait` for a change of the configuration, or of the evacuated zones, after the store revision
+    /// `known`. Reads them without a wait if that is 0.
     async fn watch_config(&self, known: u64, max_wait: Duration) -> Result<Change, Error>;
 
     /// Reads all targets. With `stale`, the result may be seconds old.
@@ -128,6 +132,8 @@
 pub enum Update {
     /// A new configuration.
     Document(Arc<Document>),
+    /// Evacuated zones, or what has changed of them.
+    Evacuations(Reading),
     /// A complete listing of the targets.
     Targets(Listing<Entry>),
     /// A complete listing of the registered hosts.
--- a/crates/fleet/src/store/mod.rs
+++ b/crates/fleet/src/store/mod.rs
@@ -1,4 +1,4 @@
-//! The platform's store: the operators' configuration, the targets and the addresses of hosts. Jobs
+//! The platform's store: the operators' configuration, the evacuated zones, the targets and the addresses of hosts. Jobs
 //! never depend on it.
 
 mod agent;
--- a/crates/model/src/dispatcher.rs
+++ b/crates/model/src/dispatcher.rs
@@ -202,6 +202,7 @@
                 stop_timeout: WARM_UP,
                 // The model's hosts read the list once.
                 max_targets_age: Duration::MAX,
+                evacuation: coltsfootshunt_fleet::evacuation::Settings::default(),
             };
             let state = State::new(settings, Arc::clone(&clock) as Arc<dyn Clock>);
             simulation.hosts.push(Host { identity, state, sessions: BTreeMap::new() });
@@ -441,6 +442,7 @@
         },
         labels: Vec::new(),
         state: directory::State::Ready,
+        is_cold: false,
     };
     load.targets.iter().enumerate().map(entry).collect()
 }
