feat(evacuation): hosts read op/evacuate and their settings; simulated hosts, stewards and stand-ins

The core knew evacuations but nothing told it of them. The simulation lets operators evacuate zones and checks every start; the stand-in of the store learns the keys.

--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -7,11 +7,14 @@
 use coltsfootshunt_platform_standin::settings::configuration;
 use coltsfootshunt_platform_standin::store::{CONFIGURATION, Mode};
 use coltsfootshunt_platform_standin::target::{CPU_MILLIS, Entry};
+use coltsfootshunt_standin::relay::{Fault, Relay};
 use coltsfootshunt_testkit::{Signal, wait_until};
 use serde_json::json;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_coltsfootshunt-entry");
 const FOLDER: &str = env!("CARGO_TARGET_TMPDIR");
+/// Time within which nothing starts any more in an evacuated zone, in milliseconds.
+const EVACUATE_MS: u64 = 5_000;
 
 /// Starts two zones with two hosts each.
 async fn cluster() -> (Cluster, Vec<Host>) {
@@ -214,6 +217,99 @@
     assert!(started.clone().all(|line| line["target"] == "t-a-1"));
 }
 
+/// Starts two zones with two hosts each, whose zones can be evacuated. The first `cut_off` hosts reach the store
+/// through a relay each.
+async fn cluster_with_evacuation(cut_off: usize) -> (Cluster, Vec<Host>, Vec<Relay>) {
+    let mut cluster = Cluster::start(PROGRAM, FOLDER, &["a", "b"], 3).await;
+    cluster.evacuate_ms = Some(EVACUATE_MS);
+    let (mut hosts, mut relays): (Vec<Host>, Vec<Relay>) = Default::default();
+    for (number, (name, zone)) in
+        [("a-1", "a"), ("a-2", "a"), ("b-1", "b"), ("b-2", "b")].into_iter().enumerate()
+    {
+        let seeds: Vec<&Host> = hosts.iter().take(2).collect();
+        let store = if number < cut_off {
+            let mut relay = Relay::start().await.expect("a loopback port is free");
+            relay.forward_to(cluster.store.address);
+            relays.push(relay);
+            relays[number].address
+        } else {
+            cluster.store.address
+        };
+        let mut host = cluster.host_with_store(name, zone, &seeds, store);
+        cluster.launch(&mut host);
+        hosts.push(host);
+    }
+    cluster.wait_until_settled(&hosts.iter().collect::<Vec<_>>()).await;
+    (cluster, hosts, relays)
+}
+
+/// Submits jobs through all hosts that run, for a time.
+async fn submit_for(cluster: &Cluster, hosts: &[Host], first: u32, time: Duration) {
+    let until = tokio::time::Instant::now() + time;
+    let mut number = first;
+    while tokio::time::Instant::now() < until {
+        let running = hosts.iter().filter(|host| host.is_launched());
+        let jobs: Vec<(&Host, String)> = running
+            .map(|host| {
+                number += 1;
+                (host, id(number))
+            })
+            .collect();
+        join_all(jobs.iter().map(|(host, id)| cluster.submit(host, id, (2, 9_000, 40)))).await;
+    }
+}
+
+/// Guards against starts in an evacuated zone after the time limit, also after the change of its steward, and against
+/// a zone that is not used again.
+#[tokio::test]
+async fn nothing_starts_in_an_evacuated_zone_until_it_is_restored() {
+    let (cluster, mut hosts, _) = cluster_with_evacuation(0).await;
+    submit_for(&cluster, &hosts, 0, Duration::from_secs(1)).await;
+    let before = cluster.invariants.starts_at("t-a-");
+    assert!(before > 0, "the zone is used");
+    cluster.store.evacuate("a");
+    submit_for(&cluster, &hosts, 10_000, Duration::from_millis(EVACUATE_MS)).await;
+    let starts = cluster.invariants.starts_at("t-a-");
+    let old = steward(&cluster, &hosts, "a").await;
+    hosts[old].signal(Signal::Kill);
+    hosts[old].wait_for_exit().await;
+    submit_for(&cluster, &hosts, 20_000, Duration::from_secs(3)).await;
+    cluster.launch(&mut hosts[old]);
+    submit_for(&cluster, &hosts, 30_000, Duration::from_secs(3)).await;
+    assert_eq!(cluster.invariants.starts_at("t-a-"), starts);
+    let state = cluster.state(&hosts[old]).await.expect("the host responds");
+    assert_eq!(state["evacuated_zones"], json!(["a"]));
+    let metrics = cluster.metrics(&hosts[old]).await.expect("metrics are served");
+    assert!(metrics.contains("coltsfootshunt_evacuated_zones 1"), "{metrics}");
+    cluster.store.restore("a");
+    submit_for(&cluster, &hosts, 40_000, Duration::from_secs(2)).await;
+    assert!(cluster.invariants.starts_at("t-a-") > starts, "the zone is used again");
+    assert_eq!(cluster.invariants.violations(), Vec::<String>::new());
+}
+
+/// The stewards of the evacuated zone don't reach the store; the hosts of the other zone tell them.
+#[tokio::test]
+async fn peers_tell_of_evacuations_where_the_store_does_not_answer() {
+    let (cluster, hosts, relays) = cluster_with_evacuation(2).await;
+    relays.iter().for_each(|relay| relay.set_fault(Fault::Blackhole));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    cluster.store.evacuate("a");
+    submit_for(&cluster, &hosts, 0, Duration::from_millis(EVACUATE_MS)).await;
+    let starts = cluster.invariants.starts_at("t-a-");
+    submit_for(&cluster, &hosts, 10_000, Duration::from_secs(2)).await;
+    assert_eq!(cluster.invariants.starts_at("t-a-"), starts);
+    let line = |host: &Host| {
+        let lines = host.log_lines().into_iter();
+        lines.filter(|line| line["msg"] == "zone evacuated").collect::<Vec<_>>()
+    };
+    let lines: Vec<_> = hosts[..2].iter().flat_map(line).collect();
+    assert_eq!(lines.len(), 2, "{lines:?}");
+    assert!(lines.iter().all(|line| line["from"] == "a peer" && line["of"] == "a"), "{lines:?}");
+    cluster.store.restore("a");
+    submit_for(&cluster, &hosts, 20_000, Duration::from_secs(2)).await;
+    assert!(cluster.invariants.starts_at("t-a-") > starts, "the zone is used again");
+}
+
 /// A steward read the whole list of targets again and again, which filled a narrow link in bursts.
 #[tokio::test]
 async fn a_steward_reads_each_change_of_a_target_once() {
--- a/crates/entry/tests/soak_world/fault.rs
+++ b/crates/entry/tests/soak_world/fault.rs
@@ -7,7 +7,7 @@
 use coltsfootshunt_testkit::Signal;
 use rand::Rng;
 
-use super::Soak;
+use super::{Soak, ZONES};
 
 /// Range of the duration of a fault, in milliseconds. It includes durations below and above the
 /// terms of leases, the timeouts and the retry delays.
@@ -98,6 +98,22 @@
         }
     }
 
+    /// Evacuates a zone now and then, or restores it. One zone at a time, so that the other one takes jobs.
+    pub(crate) fn maybe_evacuate(&mut self) {
+        let zone = ZONES[self.evacuation_rng.random_range(0..ZONES.len())];
+        match (self.evacuation_rng.random_range(0..4), self.evacuated) {
+            (0, Some((evacuated, _))) => {
+                self.cluster.store.restore(evacuated);
+                self.evacuated = None;
+            }
+            (0 | 1, None) => {
+                self.cluster.store.evacuate(zone);
+                self.evacuated = Some((zone, Instant::now()));
+            }
+            _ => {}
+        }
+    }
+
     fn random_connection_fault(&mut self) -> Fault {
         match self.fault_rng.random_range(0..4) {
             0 => Fault::Delay(Duration::from_millis(self.fault_rng.random_range(20..2_500))),
--- a/crates/entry/tests/soak_world/mod.rs
+++ b/crates/entry/tests/soak_world/mod.rs
@@ -32,6 +32,11 @@
 /// Time after the end of all faults within which all hosts must complete jobs again. The platform's
 /// documentation requires it.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
+/// Time within which nothing starts any more in an evacuated zone, in milliseconds.
+const EVACUATE_MS: u64 = 5_000;
+/// Time after which a host that was started with a stable store must know the evacuated zones. The platform's
+/// documentation allows it.
+const CONNECTED_AFTER: Duration = Duration::from_secs(4);
 /// Limit of a response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 1 << 16;
 
@@ -48,6 +53,10 @@
     job_rng: StdRng,
     /// Random numbers for refused connections, which occur in addition to the other faults.
     refusal_rng: StdRng,
+    /// Random numbers for evacuations, which occur in addition to the faults.
+    evacuation_rng: StdRng,
+    /// Evacuated zone, and since when.
+    evacuated: Option<(&'static str, Instant)>,
     /// Faults in progress, with the times of their ends.
     faults: Vec<(Instant, FaultEnd)>,
     /// Whether each host's process was sent a signal to end, by index of the host.
@@ -74,7 +83,8 @@
     pub(crate) async fn start(seed: u64) -> Self {
         let mut target_relays = start_relays(ZONES.len() * TARGETS_PER_ZONE).await;
         let targets = (TARGETS_PER_ZONE, target_relays.as_mut_slice());
-        let cluster = Cluster::start_with_relays(PROGRAM, FOLDER, &ZONES, targets).await;
+        let mut cluster = Cluster::start_with_relays(PROGRAM, FOLDER, &ZONES, targets).await;
+        cluster.evacuate_ms = Some(EVACUATE_MS);
         let mut store_relays = start_relays(ZONES.len() * HOSTS_PER_ZONE).await;
         let mut hosts: Vec<Host> = Vec::new();
         for (number, relay) in store_relays.iter_mut().enumerate() {
@@ -100,6 +110,8 @@
             fault_rng: next(),
             job_rng: next(),
             refusal_rng: next(),
+            evacuation_rng: next(),
+            evacuated: None,
             faults: Vec::new(),
             version: 1,
             jobs: 0,
@@ -121,6 +133,7 @@
             self.submit_for(gap).await;
             self.cause_fault();
             self.maybe_refuse_connections();
+            self.maybe_evacuate();
         }
         self.submit_for(Duration::from_secs(1)).await;
     }
@@ -181,6 +194,7 @@
             self.violations
                 .push(format!("jobs complete again only after {:?}", recovered_at.elapsed()));
         }
+        self.check_evacuation(recovered_at).await;
         let mut violations = std::mem::take(&mut self.violations);
         for caller in self.callers.drain(..) {
             let job = caller.await.expect("a caller does not panic");
@@ -191,6 +205,29 @@
         violations
     }
 
+    /// Checks that nothing starts in the evacuated zone once all hosts must know of it, and that work starts there
+    /// again after it is restored.
+    async fn check_evacuation(&mut self, recovered_at: Instant) {
+        let Some((zone, since)) = self.evacuated.take() else {
+            return;
+        };
+        let limit = since + Duration::from_millis(EVACUATE_MS);
+        let limit = limit.max(recovered_at + CONNECTED_AFTER);
+        self.submit_for(limit.saturating_duration_since(Instant::now())).await;
+        let prefix = format!("t-{zone}-");
+        let starts = self.cluster.invariants.starts_at(&prefix);
+        self.submit_for(Duration::from_secs(2)).await;
+        let late = self.cluster.invariants.starts_at(&prefix) - starts;
+        if late > 0 {
+            self.violations.push(format!("{late} starts in zone {zone}, which is evacuated"));
+        }
+        self.cluster.store.restore(zone);
+        self.submit_for(Duration::from_secs(3)).await;
+        if self.cluster.invariants.starts_at(&prefix) == starts + late {
+            self.violations.push(format!("no start in zone {zone} after it was restored"));
+        }
+    }
+
     /// Waits until a host has the latest configuration and completes a job.
     async fn wait_until_job_completes(&mut self, number: usize) {
         let host = &self.hosts[number];
--- a/crates/fleet/src/control/evacuations.rs
+++ b/crates/fleet/src/control/evacuations.rs
@@ -25,7 +25,7 @@
         self.record_unreadable(unreadable);
         let known = self.known_zones();
         self.evacuations.read(reading, |zone| known.contains(zone), now);
-        self.apply_evacuations(now);
+        self.apply_evacuations(None, now);
     }
 
     /// Applies a peer's notice.
@@ -42,16 +42,14 @@
                 zones,
             });
         }
-        self.apply_evacuations(now);
-        if self.evacuations.is_known_to_sender(notice) {
-            self.told_evacuations.insert(from.clone(), self.evacuations.version());
-        }
+        let knows = self.evacuations.is_known_to_sender(notice);
+        self.apply_evacuations(Some(from).filter(|_| knows), now);
     }
 
     /// Reports zones that have become known, and tells peers that have not been told yet.
     pub(super) fn maintain_evacuations(&mut self, now: Instant) {
         if self.settings.evacuation.is_enabled {
-            self.apply_evacuations(now);
+            self.apply_evacuations(None, now);
             self.share_evacuations();
         }
     }
@@ -61,8 +59,9 @@
         self.settings.evacuation.is_enabled && !self.evacuations.is_informed()
     }
 
-    /// Opens and closes targets by the zones in force, reports the changes and tells the peers.
-    fn apply_evacuations(&mut self, now: Instant) {
+    /// Opens and closes targets by the zones in force, reports the changes and tells the peers. `knows` is the one
+    /// that has just told the same.
+    fn apply_evacuations(&mut self, knows: Option<&Host>, now: Instant) {
         let returned = self.close_zones(now);
         let known = if self.evacuations.is_empty() { BTreeSet::new() } else { self.known_zones() };
         let version = self.evacuations.version();
@@ -81,6 +80,9 @@
                 self.record(Record::ZoneUnknown { zone, revision });
             }
         }
+        if let Some(host) = knows {
+            self.told_evacuations.insert(host.clone(), self.evacuations.version());
+        }
         if self.evacuations.version() != version {
             self.share_evacuations();
             self.refuse_evacuated(now);
--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod crashes;
 mod delays;
+mod evacuations;
 mod network;
 mod partitions;
 mod tokens;
@@ -241,6 +242,8 @@
     /// stand-in of the platform.
     pub(super) answers_fenced_renewals: bool,
     tokens: Ledger,
+    /// Settings of hosts that start from now on, and the zones that operators have evacuated.
+    evacuations: evacuations::Operators,
     pub(super) violations: Vec<String>,
     /// Whether a task has run twice or a target was over its capacity; the first time is reported.
     has_unsafe_run: bool,
@@ -304,6 +307,7 @@
             shared_tokens: 0,
             answers_fenced_renewals: false,
             tokens: Ledger::default(),
+            evacuations: evacuations::Operators::default(),
             violations: Vec::new(),
             has_unsafe_run: false,
             is_traced: std::env::var_os("COLTSFOOTSHUNT_TRACE").is_some(),
@@ -372,7 +376,7 @@
             steward: steward::Settings { term, remote_factor: 1.5 },
             stop_timeout: Duration::from_secs(5),
             max_targets_age: Duration::from_secs(1),
-        evacuation: crate::evacuation::Settings::default(),
+            evacuation: self.evacuations.settings.clone(),
         };
         let clock: Arc<dyn Clock> = Arc::clone(&one.clock) as _;
         one.state = Some(State::new(settings, clock));
@@ -380,6 +384,7 @@
         let update = Update::Document(Arc::clone(&self.document));
         self.schedule(1, SimEvent::Host(host, incarnation, Event::Store(update)));
         self.read_targets(host);
+        self.read_evacuations(host);
         self.schedule(1, SimEvent::Wake(host, incarnation));
     }
 
@@ -615,6 +620,7 @@
             Action::Record(record) => {
                 self.fenced_calls += u32::from(matches!(record, Record::TargetFenced { .. }));
                 self.shared_tokens += u32::from(matches!(record, Record::TokenShared { .. }));
+                self.evacuations.record(&record);
             }
             Action::Respond(..) | Action::Publish(_) => {}
         }
--- a/crates/fleet/src/control/tests/simulation/capacities.rs
+++ b/crates/fleet/src/control/tests/simulation/capacities.rs
@@ -41,6 +41,7 @@
         }
         let incarnation = self.hosts[host].incarnation;
         self.schedule(0, SimEvent::Host(host, incarnation, Event::Store(update)));
+        self.read_evacuations(host);
     }
 
     /// Checks that the start of a task has not brought a target over its capacity.
--- a/crates/fleet/src/control/tests/simulation/network.rs
+++ b/crates/fleet/src/control/tests/simulation/network.rs
@@ -160,6 +160,7 @@
         {
             *self.starts.entry(task.clone()).or_default() += 1;
             self.check_capacity(&call.target);
+            self.check_evacuated(&call.target);
             if self.record_start(task, &call.target) {
                 return self.deny_response(host, incarnation, call);
             }
--- a/crates/fleet/src/control/tests/startup.rs
+++ b/crates/fleet/src/control/tests/startup.rs
@@ -11,6 +11,7 @@
 use crate::config::tests::{document, route};
 use crate::control::{Action, Event, Request, Response, Settings, State};
 use crate::directory;
+use crate::evacuation;
 use crate::job::{
     Id, Outcome, Plan, Refusal, RequestId, Requirements, Resources, Step, Submission,
 };
@@ -25,6 +26,11 @@
 
 /// A host that knows the configuration, but no peer and no target.
 pub(super) fn host_without_peers(clock: &Arc<ManualClock>) -> State {
+    host_with(clock, evacuation::Settings::default())
+}
+
+/// As above, with settings for the evacuation of zones.
+pub(super) fn host_with(clock: &Arc<ManualClock>, evacuation: evacuation::Settings) -> State {
     let term = Term { max: Duration::from_secs(1), resend_after: Duration::from_millis(1_300) };
     let settings = Settings {
         identity: identity("me", "a", 250),
@@ -32,7 +38,7 @@
         steward: steward::Settings { term, remote_factor: 1.5 },
         stop_timeout: Duration::from_secs(5),
         max_targets_age: Duration::from_secs(1),
-        evacuation: crate::evacuation::Settings::default(),
+        evacuation,
     };
     let mut state = State::new(settings, Arc::clone(clock) as Arc<dyn Clock>);
     let document = Arc::new(document(1, vec![route("cut", "/a/")]));
--- a/crates/fleet/src/evacuation/register.rs
+++ b/crates/fleet/src/evacuation/register.rs
@@ -192,7 +192,8 @@
     #[must_use]
     pub fn is_known_to_sender(&self, notice: &Notice) -> bool {
         self.view().is_some_and(|(view, _)| {
-            let is_same = view.zones.iter().map(|zone| &**zone).eq(notice.zones.iter().map(|zone| &**zone));
+            let is_same =
+                view.zones.iter().map(|zone| &**zone).eq(notice.zones.iter().map(|zone| &**zone));
             is_same && notice.revision >= view.revision
         })
     }
@@ -219,9 +220,7 @@
         let new: Vec<Zone> = new.collect();
         self.reported.retain(|zone| !restored.contains(zone));
         self.reported.extend(new.iter().cloned());
-        let change = |is_evacuated| {
-            move |zone| Transition { zone, is_evacuated, revision, source }
-        };
+        let change = |is_evacuated| move |zone| Transition { zone, is_evacuated, revision, source };
         let restored = restored.into_iter().map(change(false));
         restored.chain(new.into_iter().map(change(true))).collect()
     }
--- a/crates/fleet/src/evacuation/tests.rs
+++ b/crates/fleet/src/evacuation/tests.rs
@@ -23,7 +23,7 @@
     Pause(u64),
 }
 
-use Input::{Check, Full, Notice as Heard, Nothing, Pause, Put, Removed};
+use Input::{Check, Full, Nothing, Notice as Heard, Pause, Put, Removed};
 
 fn reading(is_complete: bool, revision: u64, changes: &[(&str, u64, bool)]) -> Reading {
     let change = |(name, revision, is_evacuated): &(&str, u64, bool)| Change {
--- a/crates/fleet/src/steward/state/closed.rs
+++ b/crates/fleet/src/steward/state/closed.rs
@@ -76,9 +76,8 @@
         let Some(starts) = &mut self.cold_starts else {
             return;
         };
-        let is_used = |tracker: &&Tracker| {
-            !tracker.is_evacuated && tracker.entry.state == State::Ready
-        };
+        let is_used =
+            |tracker: &&Tracker| !tracker.is_evacuated && tracker.entry.state == State::Ready;
         starts.update(self.trackers.values().filter(is_used).map(|tracker| &tracker.entry));
         for tracker in self.trackers.values_mut() {
             tracker.is_over_cold_limit = !starts.allows(&tracker.entry);
--- a/crates/fleet/src/steward/state/end_times.rs
+++ b/crates/fleet/src/steward/state/end_times.rs
@@ -25,7 +25,8 @@
     let is_usable = move |tracker: &&Tracker| {
         let name = &tracker.entry.name;
         let factor = Duration::from_secs_f64(speeds.slowness(name, now).exp());
-        let is_healthy = !tracker.is_closed() && !speeds.is_failing(name, now) && !is_stuck(tracker, now);
+        let is_healthy =
+            !tracker.is_closed() && !speeds.is_failing(name, now) && !is_stuck(tracker, now);
         is_healthy && tracker.entry.state == directory::State::Ready && is_fast(factor, fastest_run)
     };
     let running = trackers.values().filter(is_usable).flat_map(Tracker::attempts);
--- a/crates/fleet/src/steward/tests.rs
+++ b/crates/fleet/src/steward/tests.rs
@@ -1,3 +1,4 @@
+mod closed;
 mod extreme_values;
 mod silent_owners;
 
