--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -1,6 +1,7 @@
 //! State of a steward and its entry points.
 
 mod change;
+mod closed;
 mod dispatch;
 mod intake;
 mod load;
@@ -13,10 +14,11 @@
 use std::collections::BTreeSet;
 use std::time::{Instant, SystemTime};
 
-use coltsfootshunt_core::name::{Host, Target};
+use coltsfootshunt_core::name::{Host, Target, Zone};
 
 use super::{Output, Settings};
 use crate::directory;
+use crate::evacuation;
 use crate::job::{Completion, End, Grant, Id, Reservation};
 use crate::lease::{Attempt, Call, Change, Evidence, Issuer, Order, Phase, Response, Tracker};
 use crate::member::Membership;
@@ -44,6 +46,10 @@
     suspects: Suspects,
     /// Time of the last pass over the queue; `None` if something has changed since.
     last_pass_at: Option<Instant>,
+    /// Zones in which nothing starts.
+    evacuated: BTreeSet<Zone>,
+    /// Starts on cold targets; none if these are not limited.
+    cold_starts: Option<evacuation::Starts>,
 }
 
 impl Steward {
@@ -57,6 +63,8 @@
             mean_cpu_millis: None,
             suspects: Suspects::default(),
             last_pass_at: None,
+            evacuated: BTreeSet::new(),
+            cold_starts: None,
         }
     }
 
@@ -117,6 +125,7 @@
         now: Instant,
     ) {
         self.targets.sync(directory, membership, self.settings.term, now);
+        self.update_closed();
     }
 
     /// Cancels one generation of a job: its queued tasks are removed, and its attempts are stopped.
--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -189,6 +189,13 @@
             self.targets
                 .change(row, now, |tracker| tracker.start(&queued.task, spec, attempt, now)),
         );
+        if let Some(starts) = &mut self.cold_starts {
+            let entry = &self.targets.row(row).entry;
+            starts.record(entry);
+            let is_over_cold_limit = !starts.allows(entry);
+            self.targets
+                .change(row, now, |tracker| tracker.is_over_cold_limit = is_over_cold_limit);
+        }
         true
     }
 
--- a/crates/fleet/src/steward/state/intake.rs
+++ b/crates/fleet/src/steward/state/intake.rs
@@ -6,6 +6,7 @@
 
 use super::Steward;
 use super::change::not_run;
+use super::closed::return_evacuated;
 use crate::job::{Assignment, Completion, End, Item, Task};
 use crate::member::Membership;
 use crate::queue::{Binding, QueuedTask};
@@ -33,6 +34,9 @@
         self.last_pass_at = None;
         self.targets.ensure(membership, speeds, now);
         self.remove_superseded(owner, &assignment, output);
+        if self.is_evacuated(membership) {
+            return return_evacuated(owner, assignment, output);
+        }
         let job = assignment.job.clone();
         let started = assignment.started;
         let factors = {
--- a/crates/fleet/src/steward/state/targets.rs
+++ b/crates/fleet/src/steward/state/targets.rs
@@ -53,7 +53,7 @@
 
 impl Targets {
     /// All targets, by name.
-    pub(super) fn iter(&self) -> impl Iterator<Item = &Tracker> {
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Tracker> + Clone {
         self.trackers.iter()
     }
 
--- a/crates/fleet/src/steward/state/targets/values.rs
+++ b/crates/fleet/src/steward/state/targets/values.rs
@@ -73,7 +73,7 @@
     /// Whether its speed is that of the fastest target, or nearly so.
     pub(super) is_fast: bool,
     pub(super) is_stuck: bool,
-    /// Whether it accepts new work.
+    /// Whether it accepts new work and is not closed.
     pub(super) is_ready: bool,
     /// Whether this host claims its zone.
     pub(super) is_claimed: bool,
@@ -99,7 +99,7 @@
             score,
             is_fast: is_fast_factor(score.factor, fastest),
             is_stuck: is_stuck(tracker, now),
-            is_ready: tracker.entry.state == directory::State::Ready,
+            is_ready: tracker.entry.state == directory::State::Ready && !tracker.is_closed(),
             is_claimed,
             free: tracker.available(now),
             is_idle: tracker.is_idle(),
