fix(steward): free resources are asked of the tracker once a pass, and ends keep their order

A start for a silent owner shortens the target's lease, so asking again before each start kept back other tasks of the same job. An end that was added after its time left had become constant was out of order until the next tick, so a load report could leave out one of the eight earliest.

Change: dispatch asks the tracker for its free resources before the first start of a pass on the target, and each start takes its part. An end whose time left is constant goes to that list at once. Passes of the queue with nothing to mark or to remove are skipped, and a load report computes once whether a task is long.

--- a/crates/fleet/src/queue/tasks.rs
+++ b/crates/fleet/src/queue/tasks.rs
@@ -189,6 +189,20 @@
         });
     }
 
+    /// Number of tasks that should run on fast targets only, and number of others that only this steward may start.
+    #[must_use]
+    pub fn count_long_and_short(&self, now: Instant) -> (usize, usize) {
+        let (mut long, mut short) = (0, 0);
+        for queued in &self.tasks {
+            if queued.is_long(now) {
+                long += 1;
+            } else if queued.is_exclusive() {
+                short += 1;
+            }
+        }
+        (long, short)
+    }
+
     /// Number of tasks that should run on fast targets only.
     #[must_use]
     pub fn count_long(&self, now: Instant) -> usize {
@@ -197,6 +211,9 @@
 
     /// Marks the tasks of these jobs, given with their generations, as belonging to a started job.
     pub fn mark_started(&mut self, jobs: &HashSet<(Id, u64)>) {
+        if jobs.is_empty() {
+            return;
+        }
         for queued in self.tasks.iter_mut().filter(|queued| !queued.job_started) {
             queued.job_started = jobs.contains(&(queued.task.job.clone(), queued.generation));
         }
@@ -204,6 +221,9 @@
 
     /// Records that a grant was requested for these tasks.
     pub fn mark_requested(&mut self, requested: &HashSet<Task>, now: Instant) {
+        if requested.is_empty() {
+            return;
+        }
         for queued in self.tasks.iter_mut().filter(|queued| requested.contains(&queued.task)) {
             queued.binding = Binding::Requested(now);
         }
@@ -264,7 +284,9 @@
 
     /// Removes the given tasks.
     pub fn remove(&mut self, tasks: &HashSet<Task>) {
-        self.tasks.retain(|queued| !tasks.contains(&queued.task));
+        if !tasks.is_empty() {
+            self.tasks.retain(|queued| !tasks.contains(&queued.task));
+        }
     }
 
     /// Removes the tasks of one generation of an owner's job.
--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -1,6 +1,6 @@
 //! Starts queued tasks, and returns to their owners those that should not wait here.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use coltsfootshunt_core::name::Host;
@@ -10,9 +10,9 @@
 use super::placer::{Placement, Placer};
 use super::pool::FastPool;
 use crate::crash::{Ledger, Standing};
-use crate::directory;
+use crate::directory::{self, Entry};
 use crate::job::{Completion, End, Reservation, Resources};
-use crate::lease::{Attempt, Tracker};
+use crate::lease::Attempt;
 use crate::member::Membership;
 use crate::placement::MIN_PROBABILITY;
 use crate::queue::{Binding, QueuedTask};
@@ -69,8 +69,12 @@
         let Pass { starts, grant_requests } = self.place_queued((membership, speeds, crashes), now);
         let mut started = HashSet::new();
         let mut jobs = HashSet::new();
+        // Free resources of the targets of this pass, as their trackers state them before the first start.
+        let mut free = HashMap::new();
         for (queued, placement) in starts {
-            if self.start(&queued, placement, membership, now, output) {
+            let row = placement.row;
+            let free = free.entry(row).or_insert_with(|| self.free(row, membership, now));
+            if self.start(&queued, (placement, free), membership, now, output) {
                 jobs.insert((queued.task.job.clone(), queued.generation));
                 started.insert(queued.task.clone());
             }
@@ -138,12 +142,20 @@
         pass
     }
 
+    /// Free resources of a target by its tracker; `None` if no task may start.
+    fn free(&self, row: usize, membership: &Membership, now: Instant) -> Option<Resources> {
+        let tracker = self.targets.row(row);
+        let Entry { state, zone, .. } = &tracker.entry;
+        let is_usable = *state == directory::State::Ready && membership.has_claim(zone);
+        tracker.available(now).filter(|_| is_usable)
+    }
+
     /// Starts a task, unless an earlier start of this pass has extended the target's lease too far for
     /// it, or the target has changed since its values were updated. Returns whether it was started.
     fn start(
         &mut self,
         queued: &QueuedTask,
-        placement: Placement,
+        (placement, free): (Placement, &mut Option<Resources>),
         membership: &Membership,
         now: Instant,
         output: &mut Output,
@@ -151,14 +163,16 @@
         let Placement { target, row, expected, fastest_run, isolated } = placement;
         let owner_heard_at = membership.last_word(&queued.owner, now).unwrap_or(now);
         let silence = now.duration_since(owner_heard_at);
-        let resources = &queued.requirements.resources;
         let tracker = self.targets.row(row);
-        if !membership.has_claim(&tracker.entry.zone)
-            || !may_start(tracker, resources, isolated, now)
-            || tracker.max_silence(now).is_none_or(|max| silence > max)
-        {
+        let resources = &queued.requirements.resources;
+        let allows_silence = tracker.max_silence(now).is_some_and(|max| silence <= max);
+        let left = free.filter(|free| {
+            free.covers(resources) && allows_silence && (!isolated || tracker.is_idle())
+        });
+        let Some(left) = left else {
             return false;
-        }
+        };
+        *free = (!isolated).then(|| left.saturating_sub(resources));
         let mut attempt = Attempt::new(
             queued.owner.clone(),
             queued.kind.clone(),
@@ -257,13 +271,6 @@
     }
 }
 
-/// Whether the tracker allows the start of a task with these resources.
-fn may_start(tracker: &Tracker, resources: &Resources, isolated: bool, now: Instant) -> bool {
-    tracker.entry.state == directory::State::Ready
-        && tracker.available(now).is_some_and(|free| free.covers(resources))
-        && (!isolated || tracker.is_idle())
-}
-
 /// Returns a queued task to its owner.
 fn return_task(queued: QueuedTask, end: End, now: Instant, output: &mut Output) {
     output.records.push(Record::TaskReturned {
--- a/crates/fleet/src/steward/state/load.rs
+++ b/crates/fleet/src/steward/state/load.rs
@@ -69,9 +69,8 @@
         let capacity = kept.capacity(true, self.mean_cpu_millis);
         let sums = kept.sums();
         let count = |tasks: usize| u32::try_from(tasks).unwrap_or(u32::MAX);
-        let long = self.queue.count_long(now);
-        let short = count(self.queue.exclusive().filter(|queued| !queued.is_long(now)).count());
-        let long = count(long);
+        let (long, short) = self.queue.count_long_and_short(now);
+        let (long, short) = (count(long), count(short));
         // Free slots on fast targets are reserved for the long tasks that wait for them.
         let reserved = long.min(capacity.free_fast_slots);
         let ends: EndTimes = sums.fast_ends().times(now).take(MAX_END_TIMES).collect();
--- a/crates/fleet/src/steward/state/targets.rs
+++ b/crates/fleet/src/steward/state/targets.rs
@@ -153,6 +153,7 @@
     ) -> R {
         let result = change(&mut self.trackers[row]);
         if let Some(kept) = &mut self.kept {
+            kept.sums.advance(now);
             let fastest = kept.sums.fastest_factor();
             let values = kept.values[row].updated(&self.trackers[row], fastest, now);
             kept.replace(row, values);
--- a/crates/fleet/src/steward/state/targets/runs.rs
+++ b/crates/fleet/src/steward/state/targets/runs.rs
@@ -90,11 +90,17 @@
     settling: BTreeSet<(Instant, End, u32, Task)>,
     /// Ends whose time left stays the same, by that time.
     settled: BTreeSet<(Duration, End, u32, Task)>,
+    /// Time up to which ends have been moved.
+    advanced_to: Option<Instant>,
 }
 
 impl Ends {
     pub(super) fn insert(&mut self, row: u32, run: &Run) {
         let Run { end, task, .. } = run;
+        if self.advanced_to.is_some_and(|at| end.settles_at <= at) {
+            self.settled.insert((end.min_left, *end, row, task.clone()));
+            return;
+        }
         self.settling.insert((end.settles_at, *end, row, task.clone()));
         self.falling.insert((*end, row, task.clone()));
     }
@@ -110,6 +116,7 @@
 
     /// Moves the ends whose time left stays the same from now on.
     pub(super) fn advance(&mut self, now: Instant) {
+        self.advanced_to = self.advanced_to.max(Some(now));
         while self.settling.first().is_some_and(|(settles_at, ..)| *settles_at <= now) {
             let Some((_, end, row, task)) = self.settling.pop_first() else {
                 return;
