--- a/crates/fleet/src/steward/state/targets.rs
+++ b/crates/fleet/src/steward/state/targets.rs
@@ -241,7 +241,8 @@
         let (classes, rows) = Classes::of(trackers.iter().map(|tracker| &tracker.entry));
         let scores: Vec<Score> =
             trackers.iter().map(|tracker| Score::of(tracker, speeds, now)).collect();
-        let fastest = scores.iter().map(|score| score.slowness).fold(0.0, f64::min).exp();
+        let open = trackers.iter().zip(&scores).filter(|(tracker, _)| !tracker.is_evacuated);
+        let fastest = open.map(|(_, score)| score.slowness).fold(0.0, f64::min).exp();
         let values = trackers.iter().zip(rows).zip(scores).map(|((tracker, class), score)| {
             let is_claimed = is_claimed(&tracker.entry, membership);
             Values::new(tracker, (class, score, is_claimed), fastest, now)
--- a/crates/fleet/src/steward/state/targets/sums.rs
+++ b/crates/fleet/src/steward/state/targets/sums.rs
@@ -53,6 +53,8 @@
     claimed: Usable,
     /// Slowness of all targets, in ascending order.
     slowness: Vec<f64>,
+    /// Slowness of the targets of zones that are not evacuated, in ascending order.
+    open_slowness: Vec<f64>,
     /// Factors of the targets of each class that may get tasks, full or not, and are not suspect; in
     /// ascending order.
     healthy: Vec<Vec<f64>>,
@@ -75,6 +77,9 @@
         let mut sums = Self { healthy: vec![Vec::new(); classes], ..Self::default() };
         for (row, one) in values.iter().enumerate() {
             sums.slowness.push(one.score.slowness);
+            if !one.is_evacuated {
+                sums.open_slowness.push(one.score.slowness);
+            }
             if is_healthy(one) {
                 sums.healthy[one.class as usize].push(one.factor());
             }
@@ -82,6 +87,7 @@
             sums.change_runs(row as u32, None, Some(one));
         }
         sums.slowness.sort_by(f64::total_cmp);
+        sums.open_slowness.sort_by(f64::total_cmp);
         sums.healthy.iter_mut().for_each(|factors| factors.sort_by(f64::total_cmp));
         sums.fast_ends.advance(now);
         sums
@@ -92,6 +98,10 @@
         if old.score.slowness != new.score.slowness {
             remove_sorted(&mut self.slowness, old.score.slowness);
             insert_sorted(&mut self.slowness, new.score.slowness);
+            if !new.is_evacuated {
+                remove_sorted(&mut self.open_slowness, old.score.slowness);
+                insert_sorted(&mut self.open_slowness, new.score.slowness);
+            }
         }
         if (is_healthy(old), old.factor()) != (is_healthy(new), new.factor()) {
             let factors = &mut self.healthy[old.class as usize];
@@ -226,7 +236,7 @@
 
     /// Ratio of the run time on the fastest target to that on an average one; at most 1.
     pub(in super::super) fn fastest_factor(&self) -> f64 {
-        self.slowness.first().copied().unwrap_or_default().min(0.0).exp()
+        self.open_slowness.first().copied().unwrap_or_default().min(0.0).exp()
     }
 
     /// Ratio of the run time on the median target to that on an average one.
--- a/crates/fleet/src/steward/state/targets/values.rs
+++ b/crates/fleet/src/steward/state/targets/values.rs
@@ -75,6 +75,8 @@
     pub(super) is_stuck: bool,
     /// Whether it accepts new work and is not closed.
     pub(super) is_ready: bool,
+    /// Whether its zone is evacuated. It stays so until the values of all targets are updated.
+    pub(super) is_evacuated: bool,
     /// Whether this host claims its zone.
     pub(super) is_claimed: bool,
     /// Free resources; `None` if no task may start.
@@ -100,6 +102,7 @@
             is_fast: is_fast_factor(score.factor, fastest),
             is_stuck: is_stuck(tracker, now),
             is_ready: tracker.entry.state == directory::State::Ready && !tracker.is_closed(),
+            is_evacuated: tracker.is_evacuated,
             is_claimed,
             free: tracker.available(now),
             is_idle: tracker.is_idle(),
