--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -209,6 +209,7 @@
             let is_over_cold_limit = !starts.allows(entry);
             self.targets
                 .change(row, now, |tracker| tracker.is_over_cold_limit = is_over_cold_limit);
+            *free = free.filter(|_| !is_over_cold_limit);
         }
         true
     }
