fix(evacuation): a notice with a number out of range made its batch unreadable; test of doubted notices

A notice was decoded by way of a JSON value, which rejects numbers beyond a float, and with it the batch. It is taken as raw text and decoded apart.

--- a/crates/fleet/src/control/tests/departures.rs
+++ b/crates/fleet/src/control/tests/departures.rs
@@ -27,7 +27,7 @@
 /// Longer than the test, so that no job ends by its deadline.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(60);
 
-struct Unconnected;
+pub(super) struct Unconnected;
 
 #[async_trait]
 impl Client for Unconnected {
--- a/crates/fleet/src/control/tests/mod.rs
+++ b/crates/fleet/src/control/tests/mod.rs
@@ -6,6 +6,7 @@
 mod common_work;
 mod delayed_words;
 mod departures;
+mod doubted_notices;
 mod evacuations;
 mod evidence;
 mod extreme_values;
--- a/crates/fleet/src/evacuation/message.rs
+++ b/crates/fleet/src/evacuation/message.rs
@@ -5,7 +5,7 @@
 use coltsfootshunt_core::name::Zone;
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
+use serde_json::value::RawValue;
 
 use super::Limit;
 pub use crate::store::Unreadable;
@@ -49,7 +49,7 @@
 
 /// A host's set of evacuated zones, for its peers. It replaces an earlier one of the same host.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
-#[serde(from = "Value")]
+#[serde(from = "Box<RawValue>")]
 pub struct Notice {
     /// Revision of the store at which the set was read or last changed; 0 if the notice can't be read.
     pub revision: u64,
@@ -64,10 +64,10 @@
     zones: Vec<Arc<str>>,
 }
 
-impl From<Value> for Notice {
+impl From<Box<RawValue>> for Notice {
     /// A notice that can't be read must not make the other messages of its batch unreadable.
-    fn from(value: Value) -> Self {
-        let raw = serde_json::from_value(value).ok();
+    fn from(value: Box<RawValue>) -> Self {
+        let raw = serde_json::from_str(value.get()).ok();
         raw.map(|Raw { revision, zones }| Self { revision, zones }).unwrap_or_default()
     }
 }
--- a/crates/fleet/src/peer/tests/queue.rs
+++ b/crates/fleet/src/peer/tests/queue.rs
@@ -6,6 +6,7 @@
 use coltsfootshunt_testkit::cases;
 use tokio::time::Instant;
 
+use crate::evacuation::Notice;
 use crate::job::{Assignment, Grant, Id, Task};
 use crate::member::tests::identity;
 use crate::member::{Echo, Heartbeat};
@@ -32,6 +33,10 @@
     Message::Speeds { targets: Vec::new(), kinds: Vec::new() }
 }
 
+fn notice(revision: u64) -> Message {
+    Message::Evacuations(Notice { revision, zones: Vec::new() })
+}
+
 /// Kinds of the messages of each batch.
 fn batches(messages: &[Message], waited_ms: u64, expected: &[&[&str]]) {
     let start = Instant::now();
@@ -58,6 +63,7 @@
         &[&["cancel", "speeds"]],
     );
     only_the_last_heartbeat(&[heartbeat(1), heartbeat(2), heartbeat(3)], 0, &[&["heartbeat"]]);
+    only_the_last_notice(&[notice(1), notice(2), notice(3)], 0, &[&["evacuations"]]);
     only_the_last_list(&[hosts(1), hosts(2), hosts(3)], 0, &[&["hosts"]]);
 }
 
--- a/crates/fleet/src/peer/tests/versions.rs
+++ b/crates/fleet/src/peer/tests/versions.rs
@@ -2,6 +2,7 @@
 
 use coltsfootshunt_testkit::cases;
 
+use crate::evacuation::Notice;
 use crate::member::{Echo, Heartbeat};
 use crate::peer::Message;
 
@@ -62,3 +63,16 @@
     of_fractions("[0.5,1e300]");
     of_text("\"now\"");
 }
+
+/// A notice of another form must not make the batch unreadable that it comes with.
+fn reads_notice(text: &str, expected: &Notice) {
+    let message: Message = serde_json::from_str(text).unwrap();
+    assert!(matches!(message, Message::Evacuations(notice) if notice == *expected));
+}
+
+cases! { reads_notice:
+    of_this_version(r#"{"evacuations":{"revision":7,"zones":["a"]}}"#,
+        &Notice { revision: 7, zones: vec!["a".into()] });
+    of_another_form(r#"{"evacuations":["a"]}"#, &Notice::default());
+    with_a_revision_that_is_no_number(r#"{"evacuations":{"revision":1e400,"zones":[]}}"#, &Notice::default());
+}
