--- a/crates/fleet/benches/steward.rs
+++ b/crates/fleet/benches/steward.rs
@@ -206,6 +206,7 @@
         capacity: Resources { cpu_millis, memory_mb: 1_000, accelerators: 0 },
         labels: Vec::new(),
         state: directory::State::Ready,
+        is_cold: false,
     }
 }
 
