fix(directory): ignore entries without a start time once a target has one

Cause: an entry of another writer that lacks `born` replaced the target's own in the directory, with its capacity, service, zone and address, and tasks were started by them.

Change: an entry without a start time, for a target whose known or lately vanished entry has one, counts as missing: the known entry stays for the grace period. The same holds for entries from peers. Targets that never write a start time are as before. A record `entry ignored` tells of it once.

--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -211,7 +211,9 @@
                 let unreadable_count = unreadable.len();
                 let new_entries = self.reported_targets.filter_new(unreadable);
                 self.record_unreadable(new_entries);
-                self.directory.replace(entries, now);
+                for target in self.directory.replace(entries, now) {
+                    self.record(Record::EntryIgnored { target });
+                }
                 if !is_stale {
                     self.relay_targets();
                 }
--- a/crates/fleet/src/directory/targets.rs
+++ b/crates/fleet/src/directory/targets.rs
@@ -19,6 +19,14 @@
     entry: Entry,
     /// First read of the store without the entry; none if the last read had it.
     missing_since: Option<Instant>,
+    /// Whether the last read had an entry under its name that is another writer's.
+    is_overwritten: bool,
+}
+
+impl From<Entry> for Known {
+    fn from(entry: Entry) -> Self {
+        Self { entry, missing_since: None, is_overwritten: false }
+    }
 }
 
 /// The targets known to this host.
@@ -32,15 +40,25 @@
 }
 
 impl Directory {
-    /// Applies a complete read of the store.
-    pub fn replace(&mut self, entries: Vec<Entry>, now: Instant) {
+    /// Applies a complete read of the store. An entry of another writer counts as missing. Returns the
+    /// targets whose entries another writer has replaced since the last read.
+    pub fn replace(&mut self, entries: Vec<Entry>, now: Instant) -> Vec<Target> {
         self.read_at = Some(now);
         for one in self.known.values_mut() {
             one.missing_since = one.missing_since.or(Some(now));
         }
-        for entry in entries {
+        let (foreign, own): (Vec<_>, Vec<_>) =
+            entries.into_iter().partition(|entry| self.is_foreign(entry));
+        for entry in own {
             self.vanished.remove(&entry.name);
-            self.known.insert(entry.name.clone(), Known { entry, missing_since: None });
+            self.known.insert(entry.name.clone(), entry.into());
+        }
+        let mut overwritten = Vec::new();
+        for Entry { name, .. } in foreign {
+            let known = self.known.get_mut(&name);
+            if known.is_some_and(|one| !std::mem::replace(&mut one.is_overwritten, true)) {
+                overwritten.push(name);
+            }
         }
         let has_vanished = |since| now.duration_since(since) >= MISSING_GRACE;
         for one in self.known.values() {
@@ -50,6 +68,15 @@
         }
         self.known.retain(|_, one| !one.missing_since.is_some_and(has_vanished));
         self.vanished.retain(|_, (_, since)| now.duration_since(*since) < VANISHED_RETENTION);
+        overwritten
+    }
+
+    /// Whether an entry is another writer's. A target that writes its start time does so in each entry,
+    /// so one without it says nothing about that target. Some deployments' targets never write it.
+    fn is_foreign(&self, entry: &Entry) -> bool {
+        let vanished = self.vanished.get(&entry.name).map(|(entry, _)| entry);
+        let known = self.get(&entry.name).or(vanished);
+        entry.started_at_ms == 0 && known.is_some_and(|known| known.started_at_ms != 0)
     }
 
     /// Adds entries from a peer if this host knows no target and has not read the store itself.
@@ -58,7 +85,7 @@
         let is_first = self.read_at.is_none() && self.known.is_empty();
         if is_first {
             for entry in entries {
-                self.known.insert(entry.name.clone(), Known { entry, missing_since: None });
+                self.known.insert(entry.name.clone(), entry.into());
             }
         }
         is_first
@@ -68,9 +95,9 @@
     pub fn update(&mut self, entries: Vec<Entry>) -> usize {
         let mut changed = 0;
         for entry in entries {
-            if self.get(&entry.name) != Some(&entry) {
+            if self.get(&entry.name) != Some(&entry) && !self.is_foreign(&entry) {
                 changed += 1;
-                self.known.insert(entry.name.clone(), Known { entry, missing_since: None });
+                self.known.insert(entry.name.clone(), entry.into());
             }
         }
         changed
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -232,6 +232,7 @@
             warn!(log, "{}", name; "key" => %truncate(key), "revision" => revision,
                 "reason" => %truncate(reason));
         }
+        Record::EntryIgnored { target } => warn!(log, "{}", name; "target" => %target),
         Record::CancelledDropped { dropped } => warn!(log, "{}", name; "jobs" => dropped),
         Record::LossesDropped { dropped } => warn!(log, "{}", name; "losses" => dropped),
         Record::StoreLost { error } => warn!(log, "{}", name; "reason" => %error),
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -376,6 +376,11 @@
         /// Why it can't be decoded.
         reason: Arc<str>,
     },
+    /// An entry without a start time, unlike those that the target writes, is another writer's and is ignored.
+    EntryIgnored {
+        /// Target under whose name it stands.
+        target: Target,
+    },
     /// Calls to the store fail.
     StoreLost {
         /// Error of the first failed call.
--- a/crates/fleet/src/report/record/name.rs
+++ b/crates/fleet/src/report/record/name.rs
@@ -44,6 +44,7 @@
             Self::TargetsChanged { .. } => "targets known",
             Self::TargetsRelayed { .. } => "targets relayed",
             Self::EntryUnreadable { .. } => "entry unreadable",
+            Self::EntryIgnored { .. } => "entry ignored",
             Self::StoreLost { .. } => "store lost",
             Self::StoreRegained => "store regained",
             Self::ProcessPaused { .. } => "process was paused",
