fix(lease): use only entries of the incarnation that a target reports

Cause: one second after a target's new incarnation was first heard, the entry in the directory counted as its own, whatever start time it had. In an outage of the store that second passes without the target being able to write. A stale read, or another writer's start time, also replaced the capacity after the target's own entry was known.

Change: an entry counts if its start time is the one that the target reports; until then nothing starts there. Others lead to one claim, which goes to their address, and are ignored once it has contradicted them. For targets whose entries never had a start time, the entry counts 2 s (a target's interval of 1.5 s, and a read) after the first read that follows the report, instead of 1 s after the report. A record `entry awaited` tells which target waits. After an outage this costs at most the time until the target writes and the store is read; during one, nothing more than before.

Two cases of `starts_nothing_by_an_outdated_entry` required the fault (a late read with another start time, or none, counts) and are replaced by the opposite. `claims_target` now requires that nothing starts while the entry shown is not the target's.

--- a/crates/fleet/src/lease/tests/start_times.rs
+++ b/crates/fleet/src/lease/tests/start_times.rs
@@ -5,12 +5,13 @@
 use coltsfootshunt_testkit::cases;
 
 use super::{CLOCK, LEASE, TERM, TOKEN, claimed_tracker, ends, free_cpu, start_and_confirm};
+use crate::directory::Entry;
 use crate::directory::tests::entry;
 use crate::job::End;
 use crate::lease::{self, Call, Evidence, Order, Phase, Report, Response, Token, Tracker};
 
-/// Time after which a read of the directory shows the entry of an incarnation that has reported.
-const SETTLING_TIME: Duration = Duration::from_secs(1);
+/// Time between two reads of the directory after which an entry without a start time counts.
+const SETTLING_TIME: Duration = Duration::from_secs(2);
 
 fn report(started_at_ms: Option<u64>) -> Response {
     Response::Report(Report { clock_ms: CLOCK, started_at_ms, ..Report::default() })
@@ -28,8 +29,8 @@
 
 /// A directory entry with a start time that the target's report has contradicted led to a claim with
 /// every update, so that hardly anything could start there. Each step is the start time in the
-/// directory and the target's own, and whether the steward claims the target. Something can start once the
-/// directory was read a second after the claim, whatever it shows.
+/// directory and the target's own, and whether the steward claims the target. Something can start if the directory
+/// has shown the entry of the target's incarnation, or, without any start time there, after the settling time.
 fn claims_target(steps: &[(u64, Option<u64>, bool)]) {
     let begin = Instant::now();
     let mut first = entry("t", "a");
@@ -45,12 +46,18 @@
             tracker.handle_response(&claim, report(*own), now);
         }
         claims.push(is_claimed);
-        let later = now + SETTLING_TIME;
+        let read_at = now + Duration::from_millis(1);
+        update_by_read(&mut tracker, *listed, Some(read_at));
+        let later = read_at + SETTLING_TIME;
         update_by_read(&mut tracker, *listed, Some(later));
         if let Some(renewal) = tracker.next_renewal(later) {
             tracker.handle_response(&renewal, report(*own), later);
         }
-        assert!(free_cpu(&tracker, later).is_some(), "nothing can start in step {number}");
+        let is_shown = own.is_none_or(|own| {
+            let shown = steps[..=number].iter().map(|step| step.0);
+            shown.clone().any(|listed| listed == own) || shown.sum::<u64>() == 0
+        });
+        assert_eq!(free_cpu(&tracker, later).is_some(), is_shown, "step {number}");
     }
     assert_eq!(claims, steps.iter().map(|step| step.2).collect::<Vec<_>>());
 }
@@ -180,8 +187,71 @@
     without_a_read(&[], false);
     of_a_read_that_began_before(&[(1, 0), (1, 50), (1, 999)], false);
     but_by_its_own_entry(&[(1, 0), (2, 50)], true);
-    but_by_a_late_read_that_shows_another_start_time(&[(1, 0), (9, 1_000)], true);
-    but_by_a_late_read_that_shows_no_start_time(&[(1, 0), (0, 1_000)], true);
+    of_a_late_read_after_an_outage_of_the_store(&[(1, 10_000), (1, 20_000)], false);
+    of_another_writer(&[(1, 0), (9, 1_000), (9, 20_000)], false);
+    of_another_writer_without_a_start_time(&[(1, 0), (0, 1_000), (0, 20_000)], false);
+    but_by_its_own_entry_after_another_writers(&[(1, 0), (9, 1_000), (2, 1_500)], true);
+    but_by_its_own_entry_before_a_stale_read(&[(2, 50), (1, 60)], true);
+    but_by_its_own_entry_before_another_writers(&[(2, 50), (9, 60)], true);
+}
+
+/// A stale read and another writer's entry raised or lowered the capacity of a target, and moved it, although the
+/// directory had shown its own entry. Each read is its start time, in thousandths of the capacity as well.
+fn keeps_its_own_entry(reads: &[u64], own: u64) {
+    let begin = Instant::now();
+    let mut tracker = claimed_tracker(begin);
+    let listed_entry = |started_at_ms: u64| {
+        let mut listed = entry("t", &format!("zone-{started_at_ms}"));
+        listed.started_at_ms = started_at_ms;
+        listed.capacity.cpu_millis = started_at_ms;
+        listed.address.set_port(started_at_ms as u16);
+        listed
+    };
+    for (number, started_at_ms) in (0..).zip(reads) {
+        let now = begin + LEASE * number;
+        tracker.update(&listed_entry(*started_at_ms), Some(now));
+        if tracker.wants_claim(now) {
+            assert_eq!(free_cpu(&tracker, now), None, "an incarnation is to be claimed");
+            let claim = tracker.claim(Token(TOKEN.0 + 1 + u64::from(number)), now);
+            assert_eq!(u64::from(claim.address.port()), *started_at_ms, "claimed elsewhere");
+            tracker.handle_response(&claim, report(Some(own)), now);
+        }
+        tracker.update(&listed_entry(*started_at_ms), Some(now));
+    }
+    assert_eq!(free_cpu(&tracker, begin + LEASE * 10), Some(own));
+    assert_eq!(Entry { started_at_ms: own, ..tracker.entry.clone() }, listed_entry(own));
+}
+
+cases! { keeps_its_own_entry:
+    while_reads_are_stale(&[2, 1, 1], 2);
+    while_another_writer_changes_it(&[2, 9, 9], 2);
+    while_another_writer_changes_it_without_a_start_time(&[2, 0, 0], 2);
+    while_several_writers_change_it(&[2, 9, 8, 1, 0, 9], 2);
+    once_it_has_written_it_again(&[2, 9, 2, 2], 2);
+}
+
+/// An entry of a deployment whose targets write no start time says nothing of their incarnations. After an outage of
+/// the store the first read showed the entry of the earlier incarnation, and it counted at once.
+fn counts_without_start_times(reads_ms: &[u64], is_open: bool) {
+    let begin = Instant::now();
+    let at = |ms: &u64| begin + Duration::from_millis(*ms);
+    let mut listed = entry("t", "a");
+    listed.started_at_ms = 0;
+    let mut tracker = Tracker::new(listed, TERM, begin);
+    let claim = tracker.claim(TOKEN, begin);
+    tracker.handle_response(&claim, report(Some(2)), begin);
+    for read_ms in reads_ms {
+        update_by_read(&mut tracker, 0, Some(at(read_ms)));
+    }
+    assert_eq!(free_cpu(&tracker, begin).is_some(), is_open);
+}
+
+cases! { counts_without_start_times:
+    not_before_a_read(&[], false);
+    not_at_the_first_read_after_an_outage(&[0, 9_000, 9_000], false);
+    not_before_the_target_could_write(&[0, 200, 2_100], false);
+    once_the_target_could_write(&[0, 200, 2_200], true);
+    once_the_target_could_write_after_an_outage(&[0, 9_000, 11_000], true);
 }
 
 /// The directory may show a new incarnation before its first report.
--- a/crates/fleet/src/lease/tracker.rs
+++ b/crates/fleet/src/lease/tracker.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod claim;
 mod ends;
+mod entries;
 mod expiry;
 mod response;
 mod start_times;
@@ -21,6 +22,7 @@
 pub use attempt::{Attempt, Phase};
 use attempt::{Orphan, Status};
 use ends::Ends;
+use entries::Entries;
 use start_times::StartTimes;
 
 /// Longest time for which a renewal waits at the target for an attempt to end. It is under half of a
@@ -37,11 +39,6 @@
 /// Time after which a target that has become idle gets the acknowledgement of its last ends.
 const ACKNOWLEDGE_DELAY: Duration = Duration::from_millis(250);
 
-/// Time from the first report of an incarnation until a read of the directory shows its entry, which it has
-/// written by then. A read that began before takes no longer. What the directory shows after that time counts,
-/// although its start time may be wrong or missing.
-const ENTRY_SETTLING_TIME: Duration = Duration::from_secs(1);
-
 /// Limits on the duration of leases.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Term {
@@ -65,6 +62,14 @@
         /// Observation that proves the end.
         evidence: Evidence,
     },
+    /// The target accepted a claim, but the directory has shown no entry of its incarnation. Nothing starts there
+    /// until it does.
+    EntryAwaited {
+        /// Unix time of the target's start, in milliseconds.
+        started_at_ms: u64,
+        /// Start time in its entry; 0 if the entry lacks it.
+        listed_ms: u64,
+    },
     /// The target accepted a claim with this token.
     Claimed {
         /// Token of the claim.
@@ -97,7 +102,7 @@
 /// The state of one target at its steward.
 #[derive(Debug)]
 pub struct Tracker {
-    /// The target's last entry in the directory.
+    /// The target's last entry in the directory that counts.
     pub entry: Entry,
     /// State of this host's claim on the target.
     pub phase: Phase,
@@ -140,9 +145,7 @@
     fenced_claims: u32,
     /// Start times in the directory, which may be stale or another writer's.
     start_times: StartTimes,
-    /// When the target's reports first showed an incarnation that the entry is not of. The new one may differ in
-    /// every field, so nothing starts until the directory shows its entry.
-    outdated_since: Option<Instant>,
+    entries: Entries,
 }
 
 impl Tracker {
@@ -151,6 +154,7 @@
     pub fn new(entry: Entry, term: Term, now: Instant) -> Self {
         let mut start_times = StartTimes::default();
         start_times.list(entry.started_at_ms);
+        let entries = Entries::new(entry.clone());
         Self {
             entry,
             phase: Phase::Free,
@@ -174,24 +178,7 @@
             was_held: false,
             fenced_claims: 0,
             start_times,
-            outdated_since: None,
-        }
-    }
-
-    /// Applies the directory entry of a read at `read_at`; none if a peer has sent the entry. Only the target's
-    /// reports change the known incarnation, since the state of the earlier one has to be dropped with it.
-    pub fn update(&mut self, entry: &Entry, read_at: Option<Instant>) {
-        let started_at_ms = self.entry.started_at_ms;
-        self.entry = Entry { started_at_ms, ..entry.clone() };
-        let is_settled =
-            |since: &Instant| read_at.is_some_and(|at| at >= *since + ENTRY_SETTLING_TIME);
-        let is_own = entry.started_at_ms == started_at_ms;
-        self.outdated_since = self.outdated_since.filter(|since| !is_own && !is_settled(since));
-        let is_unchecked = self.start_times.list(entry.started_at_ms);
-        let shows_other = is_unchecked && entry.started_at_ms != started_at_ms;
-        if shows_other && matches!(self.phase, Phase::Held(_)) {
-            // A claim shows what runs now, and whether the entry is right.
-            self.is_uncertain = true;
+            entries,
         }
     }
 
@@ -228,7 +215,7 @@
         let is_reliable =
             matches!(self.phase, Phase::Held(_)) && !self.is_uncertain && self.missed_renewals == 0;
         let is_expiring = self.lease_duration(now) < self.term.max / 2;
-        let is_outdated = self.outdated_since.is_some();
+        let is_outdated = self.entries.is_awaited();
         let is_reserved = self.attempts.values().any(|attempt| attempt.isolated);
         if !is_reliable
             || is_reserved
--- a/crates/fleet/src/lease/tracker/response.rs
+++ b/crates/fleet/src/lease/tracker/response.rs
@@ -198,8 +198,7 @@
             // have carried out an order meant for the earlier one. Only a claim with a new token shows
             // what runs.
             self.entry.started_at_ms = report.started_at_ms.unwrap_or_default();
-            let is_listed = self.start_times.is_listed(self.entry.started_at_ms);
-            self.outdated_since = (!is_listed).then_some(now);
+            self.entries.await_own(now);
             self.ends = Ends::default();
             self.acknowledged_end = 0;
             self.clock = None;
@@ -216,6 +215,9 @@
             }
         }
         self.update_clock(report.clock_ms, now);
+        if let Some(started_at_ms) = report.started_at_ms.filter(|_| is_claim) {
+            self.choose_entry(started_at_ms, now, changes);
+        }
         if is_claim {
             // Leases that other hosts granted are not known. The claim has ended their orders.
             let max_ms = u64::try_from(self.term.max.as_millis()).unwrap_or(u64::MAX);
--- a/crates/fleet/src/lease/tracker/start_times.rs
+++ b/crates/fleet/src/lease/tracker/start_times.rs
@@ -26,12 +26,17 @@
             return false;
         }
         self.listed_ms = started_at_ms;
-        !self.checked_ms.contains(&started_at_ms)
+        self.is_unchecked(started_at_ms)
     }
 
-    /// Whether the last entry has this start time.
-    pub(super) fn is_listed(&self, started_at_ms: u64) -> bool {
-        self.listed_ms == started_at_ms
+    /// Whether an entry had a start time.
+    pub(super) fn has_listed(&self) -> bool {
+        self.listed_ms != 0
+    }
+
+    /// Whether no claim has checked this start time of an entry yet.
+    pub(super) fn is_unchecked(&self, started_at_ms: u64) -> bool {
+        started_at_ms != 0 && !self.checked_ms.contains(&started_at_ms)
     }
 
     /// Records that a claim was sent.
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -163,6 +163,10 @@
 fn write_change(log: &Logger, record: &Record) {
     let name = record.name();
     match record {
+        Record::EntryAwaited { target, started_at_ms, listed_ms } => {
+            warn!(log, "{}", name; "target" => %target, "target_began" => started_at_ms,
+                "entry_began" => listed_ms);
+        }
         Record::TargetClaimed { target, token, address, started_at_ms } => {
             info!(log, "{}", name; "target" => %target, "token" => token.0,
                 "address" => %address, "target_began" => started_at_ms);
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -206,6 +206,16 @@
         /// Reason that the target gave.
         rejection: Rejection,
     },
+    /// This host claimed a target of whose incarnation the directory has shown no entry. Nothing starts there until
+    /// it does.
+    EntryAwaited {
+        /// Name of the target.
+        target: Target,
+        /// Unix time of the target's start, in milliseconds.
+        started_at_ms: u64,
+        /// Start time in its entry; 0 if the entry lacks it.
+        listed_ms: u64,
+    },
     /// This host acquired the lease of a target.
     TargetClaimed {
         /// Name of the target.
--- a/crates/fleet/src/report/record/name.rs
+++ b/crates/fleet/src/report/record/name.rs
@@ -23,6 +23,7 @@
             Self::RunLost { .. } => "run lost",
             Self::LossesDropped { .. } => "losses dropped",
             Self::StartRejected { .. } => "start turned away",
+            Self::EntryAwaited { .. } => "entry awaited",
             Self::TargetClaimed { .. } => "target claimed",
             Self::TargetFenced { .. } => "target fenced",
             Self::TargetLost { .. } => "target lost",
--- a/crates/fleet/src/steward/state/change.rs
+++ b/crates/fleet/src/steward/state/change.rs
@@ -51,6 +51,9 @@
             let (run, end, evidence) = (attempt.run, *end, *evidence);
             Record::TaskEnded { task: task.clone(), run, target, end, evidence, took }
         }
+        Change::EntryAwaited { started_at_ms, listed_ms } => {
+            Record::EntryAwaited { target, started_at_ms: *started_at_ms, listed_ms: *listed_ms }
+        }
         Change::Claimed { token, address, started_at_ms } => Record::TargetClaimed {
             target,
             token: *token,
