fix(lease): notice the restart of an idle target before starting there

Cause: an idle target was called once in 5 s. If it restarted smaller meanwhile, up to three starts went out by its earlier capacity before an answer told of its new incarnation, which accepts any token.

Change: a renewal waits at each idle target for up to 4.5 s (a watch). If it ends without a report, for example because its connection closed, nothing starts until an immediate renewal has shown the incarnation. A watch follows a report within 100 ms, so that it doesn't wait at an incarnation that has not been heard. One that a start has overtaken only tells of a restart.

Cost: a watch takes the place of the call that refreshed an idle target's clock (at most 8 calls in 30 s idle, in a test), and comes once more after each idle time of over 250 ms: four calls instead of three for a task on an idle target, in a test. No start waits longer, and no store call is added.

--- a/crates/fleet/src/lease/tests.rs
+++ b/crates/fleet/src/lease/tests.rs
@@ -3,6 +3,7 @@
 mod start_times;
 mod token;
 mod unreadable;
+mod watch;
 
 use std::time::{Duration, Instant, SystemTime};
 
--- a/crates/fleet/src/lease/tracker.rs
+++ b/crates/fleet/src/lease/tracker.rs
@@ -7,6 +7,7 @@
 mod expiry;
 mod response;
 mod start_times;
+mod watch;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -24,6 +25,7 @@
 use ends::Ends;
 use entries::Entries;
 use start_times::StartTimes;
+use watch::Watch;
 
 /// Longest time for which a renewal waits at the target for an attempt to end. It is under half of a
 /// lease, so that two renewals may fail.
@@ -146,6 +148,7 @@
     /// Start times in the directory, which may be stale or another writer's.
     start_times: StartTimes,
     entries: Entries,
+    watch: Watch,
 }
 
 impl Tracker {
@@ -179,6 +182,7 @@
             fenced_claims: 0,
             start_times,
             entries,
+            watch: Watch::default(),
         }
     }
 
@@ -236,7 +240,7 @@
         !self.orphans.is_empty() || self.unreadable.running > 0 || self.is_foreign_suspected
     }
 
-    /// Returns the next renewal if one is due and none is pending.
+    /// Returns the next renewal, or the next watch on an idle target, if one is due and none is pending.
     pub fn next_renewal(&mut self, now: Instant) -> Option<Call> {
         let Phase::Held(token) = self.phase else {
             return None;
@@ -247,13 +251,17 @@
         let is_clock_stale = !self.clock.is_some_and(is_fresh);
         let is_paused = now < self.next_renewal_at;
         let is_idle = self.is_idle() && !self.has_foreign();
-        if self.has_pending_renewal
-            || self.is_uncertain
-            || is_paused
-            || (is_idle && !must_acknowledge && !is_clock_stale)
-        {
+        if self.has_pending_renewal || self.is_uncertain || is_paused {
             return None;
         }
+        if is_idle && !must_acknowledge && !is_clock_stale && self.missed_renewals == 0 {
+            if !self.wants_watch(now) {
+                return None;
+            }
+            if let Some(watch) = self.next_watch(token, now) {
+                return Some(watch);
+            }
+        }
         self.has_pending_renewal = true;
         let is_immediate = is_idle || self.missed_renewals > 0 || self.is_foreign_suspected;
         let max_wait = if is_immediate { Duration::ZERO } else { self.renewal_wait(now) };
@@ -287,6 +295,7 @@
         self.attempts.insert(task.clone(), Attempt { token, started_at_ms, alone, ..attempt });
         let lease_until_ms = self.extend_lease(true, now).unwrap_or_default();
         self.lease_sent_at = Some(now);
+        self.watch.record_start();
         let order = Order::Start { task: task.clone(), run, spec, lease_until_ms };
         self.new_call(token, order, self.timeout.current())
     }
@@ -368,6 +377,7 @@
         self.is_uncertain = false;
         self.is_foreign_suspected = false;
         self.lease_sent_at = None;
+        self.watch.release();
     }
 
     fn current_token(&self) -> Token {
--- a/crates/fleet/src/lease/tracker/claim.rs
+++ b/crates/fleet/src/lease/tracker/claim.rs
@@ -27,6 +27,7 @@
     pub fn claim(&mut self, token: Token, now: Instant) -> Call {
         self.phase = Phase::Claiming(token);
         self.start_times.record_claim();
+        self.watch.release();
         // Attempts that other hosts started must end, so the lease is extended for own ones only.
         let extends_lease = !self.attempts.is_empty() && self.missed_renewals == 0;
         let lease_until_ms = self.extend_lease(extends_lease, now);
--- a/crates/fleet/src/lease/tracker/response.rs
+++ b/crates/fleet/src/lease/tracker/response.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::watch::is_watch;
 use super::{Attempt, Change, Ends, Orphan, Phase, Status, Tracker};
 use crate::directory::Entry;
 use crate::job::{End, Task};
@@ -21,7 +22,7 @@
 
 /// Call that a report answers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Source {
+pub(super) enum Source {
     /// A claim. No other host can have given orders since it was accepted.
     Claim,
     /// A renewal that did not wait.
@@ -41,6 +42,9 @@
     ) -> Vec<Change> {
         let mut changes = Vec::new();
         match &call.order {
+            Order::Renew { .. } if is_watch(call) => {
+                self.handle_watch(call, response, now, &mut changes);
+            }
             Order::Renew { .. } => self.handle_renewal(call, response, now, &mut changes),
             Order::Start { task, run, .. } => {
                 self.handle_start(call, (task, *run), &response, now, &mut changes);
@@ -182,7 +186,7 @@
     }
 
     /// Compares the tracked attempts with a report.
-    fn reconcile(
+    pub(super) fn reconcile(
         &mut self,
         report: &Report,
         source: Source,
@@ -227,6 +231,7 @@
         self.acknowledged_end = self.acknowledged_end.max(self.ends.last());
         let new_ends = self.ends.record(report, is_claim);
         let lists_ends = !report.ended.is_empty() || report.unreadable.ended > 0;
+        self.watch.record_report(lists_ends, now);
         if new_ends.is_empty() && lists_ends {
             // A target responds at once while it lists an end, and these can't be acknowledged.
             self.next_renewal_at = now + RENEWAL_RETRY_DELAY;
@@ -334,7 +339,7 @@
         }
     }
 
-    fn handle_fenced(&mut self, token: Token, changes: &mut Vec<Change>) {
+    pub(super) fn handle_fenced(&mut self, token: Token, changes: &mut Vec<Change>) {
         self.release(End::Unresolved, Evidence::Fenced, changes);
         changes.push(Change::Fenced(token));
     }
