--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -207,6 +207,16 @@
         /// Reason that the target gave.
         rejection: Rejection,
     },
+    /// This host claimed a target of whose incarnation the directory has shown no entry. Nothing starts there until
+    /// it does.
+    EntryAwaited {
+        /// Name of the target.
+        target: Target,
+        /// Unix time of the target's start, in milliseconds.
+        started_at_ms: u64,
+        /// Start time in its entry; 0 if the entry lacks it.
+        listed_ms: u64,
+    },
     /// This host acquired the lease of a target.
     TargetClaimed {
         /// Name of the target.
@@ -426,6 +436,11 @@
         /// Number of tasks.
         tasks: usize,
     },
+    /// An entry without a start time, unlike those that the target writes, is another writer's and is ignored.
+    EntryIgnored {
+        /// Target under whose name it stands.
+        target: Target,
+    },
     /// Calls to the store fail.
     StoreLost {
         /// Error of the first failed call.
