feat(model): worst loads of the deployments C and W, and the cost of events

Cause: the model plays one workload with a control thread that takes no time, so neither the kinds, sizes and bursts of the new deployments nor a steward that can't keep up show in it.

Change: a pattern has a workload (kinds with priorities, CPU sizes, factors, tail), a rate for each target, bursts of a kind, and the time that a host takes for an event. The report adds credit, credit by work and the worst window of 2 s.

--- a/crates/cli/src/command/model.rs
+++ b/crates/cli/src/command/model.rs
@@ -6,7 +6,7 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 use coltsfootshunt_model::dispatcher::Dispatcher;
 use coltsfootshunt_model::fifo::Fifo;
-use coltsfootshunt_model::load::{Load, PATTERNS};
+use coltsfootshunt_model::load::{Load, PATTERNS, Pattern};
 use coltsfootshunt_model::policy::Policy;
 use coltsfootshunt_model::report::Report;
 use coltsfootshunt_model::summary::Summary;
@@ -30,6 +30,7 @@
         .arg(number("seconds", "Seconds during which jobs arrive").default_value(DEFAULT_SECONDS))
         .arg(number("seed", "First seed of the generated loads").default_value("1"))
         .arg(number("seeds", "Number of seeds").default_value("1"))
+        .arg(number("event-us", "Microseconds that a host takes for an event").default_value("0"))
         .arg(Arg::new("pattern").long("pattern").help("Simulate only the pattern of this name"))
 }
 
@@ -38,18 +39,27 @@
     let count = |name| usize::try_from(number(name)).unwrap_or(usize::MAX).max(1);
     let duration = Duration::from_secs(number("seconds"));
     let dispatcher = Dispatcher { zones: count("zones"), hosts_per_zone: count("hosts") };
-    let policies: [&dyn Policy; 2] = [&dispatcher, &Fifo];
-    println!("{:<12}{:<25}{}", "pattern", "policy", Summary::header());
+    println!("{:<12}{:<29}{}", "pattern", "policy", Summary::header());
     let only = matches.get_one::<String>("pattern");
+    let event_cost = Duration::from_micros(number("event-us"));
     let seeds = number("seed")..number("seed") + number("seeds");
+    let simulate = |pattern: Pattern, policy: &dyn Policy| {
+        let report = |seed| {
+            let load = Load::generate(pattern, count("targets"), duration, seed);
+            Report::new(&load, &policy.simulate(&load))
+        };
+        Summary::from_iter(seeds.clone().map(report)).row()
+    };
     for pattern in PATTERNS.iter().filter(|pattern| only.is_none_or(|name| name == pattern.name)) {
-        let generate = |seed| Load::generate(*pattern, count("targets"), duration, seed);
-        let loads: Vec<Load> = seeds.clone().map(generate).collect();
-        for policy in policies {
-            let reports = loads.iter().map(|load| Report::new(load, &policy.simulate(load)));
-            let summary = Summary::from_iter(reports);
-            println!("{:<12}{:<25}{}", pattern.name, policy.name(), summary.row());
+        let pattern = Pattern { event_cost, ..*pattern };
+        let name = dispatcher.name();
+        println!("{:<12}{name:<29}{}", pattern.name, simulate(pattern, &dispatcher));
+        if pattern.is_dense {
+            let policy = format!("{name}, zones not dense");
+            let sparse = Pattern { is_dense: false, ..pattern };
+            println!("{:<12}{policy:<29}{}", pattern.name, simulate(sparse, &dispatcher));
         }
+        println!("{:<12}{:<29}{}", pattern.name, Fifo.name(), simulate(pattern, &Fifo));
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/model/src/dispatcher.rs
+++ b/crates/model/src/dispatcher.rs
@@ -1,6 +1,6 @@
 //! The dispatcher as a policy: the control state of each host with simulated I/O.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime};
@@ -9,6 +9,7 @@
 use coltsfootshunt_core::name::{Target, Zone};
 use coltsfootshunt_fleet::config::{Document, Limits, Route, Stretch};
 use coltsfootshunt_fleet::control::{self, Action, Request, Response, State};
+use coltsfootshunt_fleet::density::MAX_TARGETS_PER_CORE;
 use coltsfootshunt_fleet::directory::{self, Entry};
 use coltsfootshunt_fleet::job::{
     Id, Outcome, Plan, RequestId, Requirements, Resources, Step, Submission,
@@ -22,7 +23,9 @@
 use rand::{Rng, SeedableRng};
 
 use crate::event_queue::EventQueue;
-use crate::load::{ALLOWANCE, CALLER_TIMEOUT, KINDS, Load, STRETCH, is_middle_third};
+use crate::load::{
+    ALLOWANCE, CALLER_TIMEOUT, KINDS, Kind, Load, STRETCH, Workload, is_middle_third,
+};
 use crate::policy::{Answer, Policy};
 use crate::sim_target::SimTarget;
 
@@ -38,6 +41,12 @@
 const SEED: u64 = 1;
 /// Memory of a target. Tasks need 1 MB each, so that memory never limits them.
 const TARGET_MEMORY_MB: u64 = 1 << 20;
+/// CPU of a host, in thousandths of a core.
+const HOST_CPU_MILLIS: u32 = 250;
+/// Maximum number of events that a host handles in one iteration, as in its control thread.
+const MAX_EVENTS_PER_ITERATION: usize = 128;
+/// Interval between the checks whether a host that is behind may run its timers.
+const WAKE_RETRY_INTERVAL: Duration = Duration::from_millis(5);
 
 /// The dispatcher with a number of availability zones and hosts. One host of each zone is the
 /// steward of its targets.
@@ -107,6 +116,8 @@
     CallerLeft(usize),
     /// A host runs its timers.
     Wake(usize),
+    /// A host handles the events that wait.
+    HostReady(usize),
     /// An event reaches a host.
     HostInput(usize, Box<control::Event>),
     /// A call of a host reaches its target.
@@ -122,6 +133,10 @@
     state: State,
     /// Sessions to other hosts.
     sessions: BTreeMap<SocketAddr, Session>,
+    /// Events that wait, each with its arrival. `None` stands for the timers.
+    inbox: VecDeque<(Duration, Option<control::Event>)>,
+    /// Time until which the host handles earlier events.
+    busy_until: Duration,
 }
 
 /// The sending side of a session.
@@ -184,14 +199,14 @@
             targets: targets.collect(),
             answers: vec![None; load.jobs.len()],
         };
-        let document = Arc::new(config_document());
+        let document = Arc::new(config_document(&load.pattern.workload));
         for number in 0..dispatcher.zones * dispatcher.hosts_per_zone {
             let identity = Identity {
                 host: parse_name(&format!("h{number}")),
                 zone: zone_name(number % dispatcher.zones),
                 incarnation: 1 + number as u64,
                 address: host_address(number),
-                cpu_millis: 250,
+                cpu_millis: host_cpu_millis(dispatcher, load),
             };
             let settings = control::Settings {
                 identity: identity.clone(),
@@ -204,7 +219,13 @@
                 max_targets_age: Duration::MAX,
             };
             let state = State::new(settings, Arc::clone(&clock) as Arc<dyn Clock>);
-            simulation.hosts.push(Host { identity, state, sessions: BTreeMap::new() });
+            simulation.hosts.push(Host {
+                identity,
+                state,
+                sessions: BTreeMap::new(),
+                inbox: VecDeque::new(),
+                busy_until: Duration::ZERO,
+            });
             let listing = Listing::from(entries.clone());
             for update in [Update::Document(Arc::clone(&document)), Update::Targets(listing)] {
                 let event = Box::new(control::Event::Store(update));
@@ -232,23 +253,27 @@
             Event::JobArrived(number) => {
                 let request = Request::Submit(self.submission(number));
                 let event = control::Event::Request(RequestId(number as u64), request);
-                self.advance_host(self.receiving_host(number), Some(event), at);
+                self.deliver(self.receiving_host(number), Some(event), at);
             }
             Event::CallerLeft(number) => {
                 if self.answers[number].is_none() {
                     self.answers[number] = Some(Answer::Abandoned(CALLER_TIMEOUT));
                     let event =
                         control::Event::CallerLeft(job_id(number), RequestId(number as u64));
-                    self.advance_host(self.receiving_host(number), Some(event), at);
+                    self.deliver(self.receiving_host(number), Some(event), at);
                 }
             }
+            Event::HostReady(host) => self.handle_inbox(host, at),
+            Event::Wake(host) if !self.hosts[host].inbox.is_empty() => {
+                self.events.push(at + WAKE_RETRY_INTERVAL, Event::Wake(host));
+            }
             Event::Wake(host) => {
-                self.advance_host(host, None, at);
+                self.deliver(host, None, at);
                 let next = self.hosts[host].state.next_wake();
                 let next = next.saturating_duration_since(self.clock.start);
                 self.events.push(next.max(at + LATENCY), Event::Wake(host));
             }
-            Event::HostInput(host, event) => self.advance_host(host, Some(*event), at),
+            Event::HostInput(host, event) => self.deliver(host, Some(*event), at),
             Event::CallReceived(host, call) => self.execute_call(host, call, at),
             Event::RunEnded(target) => self.retry_renewals(&target, at),
             Event::RenewalTimedOut(host, call) => {
@@ -279,13 +304,44 @@
         Submission { id: job_id(number), kind, plan: Arc::new(plan), timeout: CALLER_TIMEOUT }
     }
 
-    /// Has a host handle an event and advance its state, and executes the actions that follow.
-    fn advance_host(&mut self, host: usize, event: Option<control::Event>, at: Duration) {
+    /// Has a host handle an event, at once or after those that wait.
+    fn deliver(&mut self, host: usize, event: Option<control::Event>, at: Duration) {
+        if self.load.pattern.event_cost.is_zero() {
+            return self.advance_host(host, vec![event], (at, at));
+        }
+        let Host { inbox, busy_until, .. } = &mut self.hosts[host];
+        inbox.push_back((at, event));
+        if inbox.len() == 1 {
+            self.events.push(at.max(*busy_until), Event::HostReady(host));
+        }
+    }
+
+    /// Has a host handle the events that wait. Each takes some time.
+    fn handle_inbox(&mut self, host: usize, at: Duration) {
+        let Host { inbox, busy_until, .. } = &mut self.hosts[host];
+        let count = inbox.len().min(MAX_EVENTS_PER_ITERATION);
+        let events = inbox.drain(..count).map(|(_, event)| event).collect();
+        let end = at + self.load.pattern.event_cost * count as u32;
+        *busy_until = end;
+        if !inbox.is_empty() {
+            self.events.push(end, Event::HostReady(host));
+        }
+        self.advance_host(host, events, (at, end));
+    }
+
+    /// Has a host handle events and advance its state, and executes the actions that follow at the end.
+    fn advance_host(
+        &mut self,
+        host: usize,
+        events: Vec<Option<control::Event>>,
+        (at, end): (Duration, Duration),
+    ) {
+        self.clock.set(at);
         let state = &mut self.hosts[host].state;
         state.detect_pause();
-        event.into_iter().for_each(|event| state.handle(event));
+        events.into_iter().flatten().for_each(|event| state.handle(event));
         for action in state.advance() {
-            self.execute(host, action, at);
+            self.execute(host, action, end);
         }
     }
 
@@ -426,13 +482,15 @@
 
 /// Directory entries of the targets.
 fn directory_entries(dispatcher: &Dispatcher, load: &Load) -> Vec<Entry> {
+    let workload = &load.pattern.workload;
+    let rotation = workload.slowness_factors.len() * workload.targets_per_factor;
     let entry = |(number, target): (usize, &crate::load::Target)| Entry {
         name: parse_name(&format!("t{number}")),
         started_at_ms: 1,
         address: host_address(0),
         // Consecutive targets with all slowness factors go to one zone, so that each zone has its
         // share of fast targets.
-        zone: zone_name(number / crate::load::SLOWNESS_FACTORS.len() % dispatcher.zones),
+        zone: zone_name(number / rotation % dispatcher.zones),
         service: parse_name("service"),
         capacity: Resources {
             cpu_millis: target.cpu_millis,
@@ -446,13 +504,13 @@
 }
 
 /// The configuration with one route for each kind.
-fn config_document() -> Document {
-    let route = |kind: &crate::load::Kind| Route {
+fn config_document(workload: &Workload) -> Document {
+    let route = |kind: &Kind| Route {
         kind: parse_name(kind.name),
         authority: "model".into(),
         prefix: kind.name.into(),
         service: parse_name("service"),
-        priority: 0,
+        priority: kind.priority,
         max_attempts: MAX_ATTEMPTS,
         timeout: CALLER_TIMEOUT,
         stretch: Stretch::try_from(STRETCH).expect("STRETCH is a valid factor"),
@@ -464,7 +522,16 @@
         read_timeout: WARM_UP,
         idle_timeout: WARM_UP,
     };
-    Document { version: 1, routes: KINDS.iter().map(route).collect(), limits }
+    Document { version: 1, routes: workload.kinds.iter().map(route).collect(), limits }
+}
+
+/// CPU of each host. In a dense load it is just too small for the targets of a zone.
+fn host_cpu_millis(dispatcher: &Dispatcher, load: &Load) -> u32 {
+    if !load.pattern.is_dense {
+        return HOST_CPU_MILLIS;
+    }
+    let targets_per_zone = load.targets.len() / dispatcher.zones;
+    (targets_per_zone.saturating_sub(1) * 1_000 / MAX_TARGETS_PER_CORE) as u32
 }
 
 fn job_id(number: usize) -> Id {
--- a/crates/model/src/load.rs
+++ b/crates/model/src/load.rs
@@ -9,7 +9,8 @@
 const JOB_SPREAD: f64 = 0.4;
 /// Spread of the run times of the tasks of one job, as the standard deviation of the logarithm.
 const TASK_SPREAD: f64 = 0.15;
-/// One job in this many runs [`TAIL_FACTOR`] times as long as its kind usually does.
+/// One job in this many runs [`TAIL_FACTOR`] times as long as its kind usually does, if the workload has a
+/// tail.
 const JOBS_PER_TAIL_JOB: u32 = 33;
 /// Factor on the run time of a job in the tail of the distribution.
 const TAIL_FACTOR: f64 = 7.0;
@@ -21,10 +22,12 @@
 pub const CALLER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// A kind of job.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Kind {
     /// Name of the kind, and the prefix of its route.
     pub name: &'static str,
+    /// Priority of the route; 0 is the highest.
+    pub priority: u32,
     /// Share of this kind among all jobs.
     pub share: f64,
     /// Mean number of tasks of a job.
@@ -35,51 +38,199 @@
 
 /// The three kinds of the simulated workload: many short tasks, long tasks, few tasks.
 pub const KINDS: [Kind; 3] = [
-    Kind { name: "short", share: 0.245, mean_tasks: 8.0, median_run: Duration::from_millis(51) },
-    Kind { name: "long", share: 0.045, mean_tasks: 4.0, median_run: Duration::from_millis(760) },
-    Kind { name: "narrow", share: 0.71, mean_tasks: 2.0, median_run: Duration::from_millis(170) },
+    kind("short", 0, 0.245, 8.0, 51),
+    kind("long", 0, 0.045, 4.0, 760),
+    kind("narrow", 0, 0.71, 2.0, 170),
 ];
 
+const fn kind(name: &'static str, priority: u32, share: f64, mean_tasks: f64, run_ms: u64) -> Kind {
+    let median_run = Duration::from_millis(run_ms);
+    Kind { name, priority, share, mean_tasks, median_run }
+}
+
 /// Index of the long kind in [`KINDS`].
 pub const LONG_KIND: usize = 1;
 
+/// The kinds of jobs, their sizes, and the targets that run them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Workload {
+    /// The kinds, in the order of [`KINDS`].
+    pub kinds: [Kind; KINDS.len()],
+    /// Median CPU of a task, in thousandths of a core.
+    pub median_task_cpu_millis: f64,
+    /// Largest CPU of a task, in thousandths of a core.
+    pub max_task_cpu_millis: f64,
+    /// CPU of targets, in thousandths of a core, assigned in rotation.
+    pub target_cpu_millis: [u64; 3],
+    /// Factors on the run times of targets, assigned in rotation. A factor above 1 is slower than average.
+    pub slowness_factors: &'static [f64],
+    /// Number of consecutive targets with the same factor. The rotation of factors is then independent of
+    /// that of the CPU where both have the same length.
+    pub targets_per_factor: usize,
+    /// Whether one job in 33 runs seven times as long.
+    pub has_tail: bool,
+    /// Period of the sine wave in the rate.
+    pub wave_period: Duration,
+}
+
+/// The workload of the first deployments.
+const PLAIN: Workload = Workload {
+    kinds: KINDS,
+    median_task_cpu_millis: 6_800.0,
+    max_task_cpu_millis: 10_000.0,
+    target_cpu_millis: [16_000, 16_000, 24_000],
+    // One target in four is fast.
+    slowness_factors: &[0.55, 1.2, 1.2, 1.2],
+    targets_per_factor: 1,
+    has_tail: true,
+    wave_period: Duration::from_secs(15),
+};
+
+/// The workload of deployment C.
+const DEPLOYMENT_C: Workload = Workload {
+    kinds: [
+        kind("short", 0, 206.0 / 843.5, 8.0, 60),
+        kind("long", 2, 37.5 / 843.5, 4.0, 900),
+        kind("narrow", 1, 600.0 / 843.5, 2.0, 200),
+    ],
+    median_task_cpu_millis: 8_000.0,
+    max_task_cpu_millis: 12_000.0,
+    slowness_factors: &[0.7, 0.7, 1.7],
+    targets_per_factor: 3,
+    has_tail: false,
+    ..PLAIN
+};
+
+/// The workload of deployment W.
+const DEPLOYMENT_W: Workload = Workload {
+    kinds: [
+        kind("short", 0, 206.0 / 843.5, 8.0, 51),
+        kind("long", 2, 37.5 / 843.5, 4.0, 760),
+        kind("narrow", 1, 600.0 / 843.5, 2.0, 170),
+    ],
+    median_task_cpu_millis: 32_000.0,
+    max_task_cpu_millis: 48_000.0,
+    target_cpu_millis: [64_000, 64_000, 96_000],
+    slowness_factors: &[1.0, 1.0, 1.3],
+    has_tail: true,
+    wave_period: Duration::from_secs(17),
+    ..DEPLOYMENT_C
+};
+
+/// Number of targets of the deployments C and W, over which their rates are given.
+const DEPLOYMENT_TARGETS: f64 = 350.0;
+
+/// Mean rate of arrivals, without wave, peak and bursts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Rate {
+    /// The work that arrives, as a share of the capacity of all targets.
+    Utilization(f64),
+    /// Jobs per second for each target.
+    PerTarget(f64),
+}
+
+/// A time in which more jobs of one kind arrive.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Burst {
+    /// Index of the kind.
+    pub kind: usize,
+    /// Start, as the time since the start of the load.
+    pub start: Duration,
+    /// Length.
+    pub length: Duration,
+    /// Factor on the rate of the kind.
+    pub factor: f64,
+}
+
+const fn burst(kind: usize, start_ms: u64, length_ms: u64, factor: f64) -> Burst {
+    let (start, length) = (Duration::from_millis(start_ms), Duration::from_millis(length_ms));
+    Burst { kind, start, length, factor }
+}
+
 /// Rate of arrivals and faults of targets while jobs arrive.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Pattern {
     /// Name of the pattern, as given to `model --pattern`.
     pub name: &'static str,
-    /// Mean work that arrives, as a share of the capacity of all targets.
-    pub utilization: f64,
-    /// Amplitude of a sine wave in the rate, as a share of the mean rate. Its period is
-    /// [`WAVE_PERIOD`].
+    /// Kinds of jobs and targets.
+    pub workload: Workload,
+    /// Mean rate of arrivals.
+    pub rate: Rate,
+    /// Amplitude of a sine wave in the rate, as a share of the mean rate.
     pub wave_amplitude: f64,
     /// Factor on the rate in the middle third of the load.
     pub peak_factor: f64,
+    /// Times in which more jobs of a kind arrive.
+    pub bursts: &'static [Burst],
     /// Share of calls that targets neither answer nor execute.
     pub unanswered_share: f64,
     /// Number of targets on which no run progresses in the middle third of the load.
     pub hanging_targets: usize,
+    /// Whether the zones are dense.
+    pub is_dense: bool,
+    /// Time that a host takes to handle an event.
+    pub event_cost: Duration,
 }
 
 /// The load patterns for which the dispatcher has a policy.
-pub const PATTERNS: [Pattern; 5] = [
-    Pattern { name: "calm", utilization: 0.69, ..STEADY },
-    Pattern { name: "crest", utilization: 0.9, peak_factor: 1.7, ..STEADY },
-    Pattern { name: "high day", utilization: 0.75, wave_amplitude: 0.55, ..STEADY },
-    Pattern { name: "unanswered", utilization: 0.76, unanswered_share: 0.05, ..STEADY },
-    Pattern { name: "hanging", utilization: 0.69, hanging_targets: 2, ..STEADY },
+pub const PATTERNS: [Pattern; 7] = [
+    Pattern { name: "calm", rate: Rate::Utilization(0.69), ..STEADY },
+    Pattern { name: "crest", rate: Rate::Utilization(0.9), peak_factor: 1.7, ..STEADY },
+    Pattern { name: "high day", rate: Rate::Utilization(0.75), wave_amplitude: 0.55, ..STEADY },
+    Pattern { name: "unanswered", rate: Rate::Utilization(0.76), unanswered_share: 0.05, ..STEADY },
+    Pattern { name: "hanging", rate: Rate::Utilization(0.69), hanging_targets: 2, ..STEADY },
+    Pattern {
+        name: "worst C",
+        workload: DEPLOYMENT_C,
+        rate: Rate::PerTarget(1_011.0 / DEPLOYMENT_TARGETS),
+        bursts: &[burst(LONG_KIND, 2_000, 6_600, 2.5), burst(0, 10_000, 3_800, 1.8)],
+        is_dense: true,
+        ..STEADY
+    },
+    Pattern {
+        name: "worst W",
+        workload: DEPLOYMENT_W,
+        rate: Rate::PerTarget(743.0 / DEPLOYMENT_TARGETS),
+        wave_amplitude: 0.55,
+        // Both bursts fall on a crest of the wave.
+        bursts: &[burst(LONG_KIND, 2_500, 4_000, 1.7), burst(0, 19_500, 4_000, 1.6)],
+        is_dense: true,
+        ..STEADY
+    },
 ];
 
 /// A constant rate without faults, as the base of [`PATTERNS`].
 const STEADY: Pattern = Pattern {
     name: "",
-    utilization: 0.0,
+    workload: PLAIN,
+    rate: Rate::Utilization(0.0),
     wave_amplitude: 0.0,
     peak_factor: 1.0,
+    bursts: &[],
     unanswered_share: 0.0,
     hanging_targets: 0,
+    is_dense: false,
+    event_cost: Duration::ZERO,
 };
 
+impl Pattern {
+    /// Factor on the rate of a kind at some time.
+    fn burst_factor(&self, kind: usize, at: Duration) -> f64 {
+        let is_active = |burst: &&Burst| {
+            burst.kind == kind && at >= burst.start && at < burst.start + burst.length
+        };
+        self.bursts.iter().filter(is_active).map(|burst| burst.factor).product()
+    }
+
+    /// Rate of the jobs of each kind and of all jobs, relative to the rate without bursts.
+    fn relative_rates(&self, at: Duration) -> ([f64; KINDS.len()], f64) {
+        let kinds = &self.workload.kinds;
+        let rates = std::array::from_fn(|kind| kinds[kind].share * self.burst_factor(kind, at));
+        let extra: f64 = rates.iter().zip(kinds).map(|(rate, kind)| rate - kind.share).sum();
+        (rates, 1.0 + extra)
+    }
+}
+
 /// A job of a load.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -104,11 +255,11 @@
     }
 
     /// Whether the longest task would end before the caller leaves, if it started on arrival on the
-    /// fastest target.
+    /// fastest target of the workload.
     #[must_use]
-    pub fn is_reachable(&self) -> bool {
+    pub fn is_reachable(&self, workload: &Workload) -> bool {
         let longest = self.tasks.iter().max().copied().unwrap_or_default();
-        let fastest = SLOWNESS_FACTORS.iter().copied().fold(f64::INFINITY, f64::min);
+        let fastest = workload.slowness_factors.iter().copied().fold(f64::INFINITY, f64::min);
         longest.mul_f64(fastest) < CALLER_TIMEOUT
     }
 
@@ -144,23 +295,13 @@
     pub targets: Vec<Target>,
 }
 
-/// Median CPU of a task, in thousandths of a core.
-const MEDIAN_TASK_CPU_MILLIS: f64 = 6_800.0;
 /// Spread of the CPU of tasks, as the standard deviation of the logarithm.
 const TASK_CPU_SPREAD: f64 = 0.2;
-/// Largest CPU of a task, in thousandths of a core.
-const MAX_TASK_CPU_MILLIS: f64 = 10_000.0;
-/// CPU of targets, in thousandths of a core, assigned in rotation.
-const TARGET_CPU_MILLIS: [u64; 3] = [16_000, 16_000, 24_000];
-/// Factors on the run times of targets, assigned in rotation: one target in four is fast.
-pub const SLOWNESS_FACTORS: [f64; 4] = [0.55, 1.2, 1.2, 1.2];
-/// Period of the sine wave in the rate.
-pub const WAVE_PERIOD: Duration = Duration::from_secs(15);
 
 impl Target {
     /// Number of tasks of median CPU that fit on the target.
-    fn task_slots(&self) -> f64 {
-        (self.cpu_millis as f64 / MEDIAN_TASK_CPU_MILLIS).floor()
+    fn task_slots(&self, workload: &Workload) -> f64 {
+        (self.cpu_millis as f64 / workload.median_task_cpu_millis).floor()
     }
 }
 
@@ -169,29 +310,27 @@
     #[must_use]
     pub fn generate(pattern: Pattern, targets: usize, duration: Duration, seed: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
+        let workload = &pattern.workload;
+        let factors = workload.slowness_factors;
         let targets: Vec<Target> = (0..targets)
             .map(|number| Target {
-                cpu_millis: TARGET_CPU_MILLIS[number % TARGET_CPU_MILLIS.len()],
-                slowness: SLOWNESS_FACTORS[number % SLOWNESS_FACTORS.len()],
+                cpu_millis: workload.target_cpu_millis[number % workload.target_cpu_millis.len()],
+                slowness: factors[number / workload.targets_per_factor % factors.len()],
                 hangs: (1..=pattern.hanging_targets).contains(&number),
             })
             .collect();
-        let capacity: f64 =
-            targets.iter().map(|target| target.task_slots() / target.slowness).sum();
-        let work = |kind: &Kind| kind.share * kind.mean_tasks * kind.median_run.as_secs_f64();
-        let mean_tail = 1.0 + (TAIL_FACTOR - 1.0) / f64::from(JOBS_PER_TAIL_JOB);
-        let mean_work =
-            KINDS.iter().map(work).sum::<f64>() * mean_tail * log_normal_mean(JOB_SPREAD);
-        let mean_rate = pattern.utilization * capacity / mean_work;
+        let mean_rate = mean_rate(&pattern, &targets);
         let mut jobs = Vec::new();
         let mut at = 0.0;
         while at < duration.as_secs_f64() {
-            let is_peak = is_middle_third(Duration::from_secs_f64(at), duration);
-            let phase = at / WAVE_PERIOD.as_secs_f64() * std::f64::consts::TAU;
+            let time = Duration::from_secs_f64(at);
+            let is_peak = is_middle_third(time, duration);
+            let phase = at / workload.wave_period.as_secs_f64() * std::f64::consts::TAU;
             let wave = 1.0 + pattern.wave_amplitude * phase.sin();
             let rate = mean_rate * wave * if is_peak { pattern.peak_factor } else { 1.0 };
-            at += -(1.0 - rng.random::<f64>()).ln() / rate;
-            jobs.push(generate_job(Duration::from_secs_f64(at), &mut rng));
+            let (_, bursts) = pattern.relative_rates(time);
+            at += -(1.0 - rng.random::<f64>()).ln() / (rate * bursts);
+            jobs.push(generate_job(Duration::from_secs_f64(at), &pattern, &mut rng));
         }
         Self { pattern, duration, jobs, targets }
     }
@@ -203,21 +342,42 @@
     at >= duration / 3 && at < duration * 2 / 3
 }
 
-fn generate_job(arrives_at: Duration, rng: &mut StdRng) -> Job {
-    let mut left = rng.random::<f64>();
-    let kind = KINDS.iter().position(|kind| {
-        left -= kind.share;
+/// Mean number of jobs per second.
+fn mean_rate(pattern: &Pattern, targets: &[Target]) -> f64 {
+    let workload = &pattern.workload;
+    let utilization = match pattern.rate {
+        Rate::Utilization(utilization) => utilization,
+        Rate::PerTarget(rate) => return rate * targets.len() as f64,
+    };
+    let capacity: f64 =
+        targets.iter().map(|target| target.task_slots(workload) / target.slowness).sum();
+    let work = |kind: &Kind| kind.share * kind.mean_tasks * kind.median_run.as_secs_f64();
+    let tail = if workload.has_tail { TAIL_FACTOR - 1.0 } else { 0.0 };
+    let mean_tail = 1.0 + tail / f64::from(JOBS_PER_TAIL_JOB);
+    let mean_work =
+        workload.kinds.iter().map(work).sum::<f64>() * mean_tail * log_normal_mean(JOB_SPREAD);
+    utilization * capacity / mean_work
+}
+
+fn generate_job(arrives_at: Duration, pattern: &Pattern, rng: &mut StdRng) -> Job {
+    let Workload { kinds, median_task_cpu_millis, max_task_cpu_millis, has_tail, .. } =
+        &pattern.workload;
+    let (rates, all) = pattern.relative_rates(arrives_at);
+    let mut left = rng.random::<f64>() * all;
+    let kind = rates.iter().position(|rate| {
+        left -= rate;
         left < 0.0
     });
-    let kind = kind.unwrap_or(KINDS.len() - 1);
+    let kind = kind.unwrap_or(kinds.len() - 1);
     let width = log_normal(rng, JOB_SPREAD) / log_normal_mean(JOB_SPREAD);
-    let width = (KINDS[kind].mean_tasks * width).round().max(1.0) as usize;
-    let tail = if rng.random_ratio(1, JOBS_PER_TAIL_JOB) { TAIL_FACTOR } else { 1.0 };
-    let run = KINDS[kind].median_run.mul_f64(log_normal(rng, JOB_SPREAD) * tail);
+    let width = (kinds[kind].mean_tasks * width).round().max(1.0) as usize;
+    let is_tail = *has_tail && rng.random_ratio(1, JOBS_PER_TAIL_JOB);
+    let tail = if is_tail { TAIL_FACTOR } else { 1.0 };
+    let run = kinds[kind].median_run.mul_f64(log_normal(rng, JOB_SPREAD) * tail);
     let estimate = run.mul_f64(log_normal(rng, JOB_SPREAD));
     let tasks = (0..width).map(|_| run.mul_f64(log_normal(rng, TASK_SPREAD))).collect();
-    let cpu = (MEDIAN_TASK_CPU_MILLIS * log_normal(rng, TASK_CPU_SPREAD)).min(MAX_TASK_CPU_MILLIS);
-    Job { arrives_at, kind, cpu_millis: cpu as u64, estimate, tasks }
+    let cpu = median_task_cpu_millis * log_normal(rng, TASK_CPU_SPREAD);
+    Job { arrives_at, kind, cpu_millis: cpu.min(*max_task_cpu_millis) as u64, estimate, tasks }
 }
 
 /// Mean of the distribution of [`log_normal`].
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -5,6 +5,11 @@
 use crate::load::{Job, KINDS, Load};
 use crate::policy::Answer;
 
+/// Credit of a job that was completed after its objective and before its caller left.
+const LATE_CREDIT: f64 = 0.5;
+/// Length of the windows over which on-time shares are compared.
+const WINDOW: Duration = Duration::from_secs(2);
+
 /// Shares of the jobs of one kind that were completed, on time or late.
 #[derive(Clone, Copy, Debug)]
 pub struct CompletedShares {
@@ -23,6 +28,13 @@
     pub on_time: f64,
     /// Share of the jobs of each kind that were completed on time, in the order of [`KINDS`].
     pub on_time_by_kind: [f64; KINDS.len()],
+    /// Credit of all jobs: one for each that was completed on time and half for each that was late, as a
+    /// share of the number of jobs.
+    pub credit: f64,
+    /// Credit of each job times its work, as a share of the work of all jobs.
+    pub work_credit: f64,
+    /// Lowest share of the jobs that were completed on time, over the windows of two seconds.
+    pub worst_window: f64,
     /// Share of all jobs that were refused.
     pub refused: f64,
     /// Share of all jobs that failed or whose caller left.
@@ -61,7 +73,8 @@
                 share(done.count(), jobs.len())
             };
             let largest = &of_kind[..of_kind.len().div_ceil(10)];
-            let reachable = largest.iter().filter(|(job, _)| job.is_reachable());
+            let reachable =
+                largest.iter().filter(|(job, _)| job.is_reachable(&load.pattern.workload));
             let reachable: Vec<_> = reachable.copied().collect();
             CompletedShares {
                 largest: completed(largest),
@@ -81,6 +94,9 @@
         Self {
             on_time: on_time(None),
             on_time_by_kind: std::array::from_fn(|kind| on_time(Some(kind))),
+            credit: credit(load, answers, |_| 1.0),
+            work_credit: credit(load, answers, Job::work),
+            worst_window: worst_window(load, answers),
             completed: std::array::from_fn(completed_shares),
             refused: share(refusal_times.len(), answers.len()),
             abandoned: share(abandoned.count(), answers.len()),
@@ -91,3 +107,28 @@
         }
     }
 }
+
+/// Credit of all jobs with some weight, as a share of the sum of their weights.
+fn credit(load: &Load, answers: &[Answer], weight: impl Fn(&Job) -> f64) -> f64 {
+    let earned = |(job, answer): (&Job, &Answer)| match answer {
+        _ if answer.is_on_time(job) => weight(job),
+        Answer::Completed(_) => weight(job) * LATE_CREDIT,
+        Answer::Refused(_) | Answer::Abandoned(_) => 0.0,
+    };
+    let all: f64 = load.jobs.iter().map(&weight).sum();
+    load.jobs.iter().zip(answers).map(earned).sum::<f64>() / all.max(f64::MIN_POSITIVE)
+}
+
+/// Lowest share of the jobs that were completed on time, over consecutive windows.
+fn worst_window(load: &Load, answers: &[Answer]) -> f64 {
+    let windows = load.duration.div_duration_f64(WINDOW) as usize;
+    let mut counts = vec![(0.0, 0.0); windows.max(1)];
+    for (job, answer) in load.jobs.iter().zip(answers) {
+        let window = job.arrives_at.div_duration_f64(WINDOW) as usize;
+        if let Some((on_time, all)) = counts.get_mut(window) {
+            *on_time += f64::from(u8::from(answer.is_on_time(job)));
+            *all += 1.0;
+        }
+    }
+    counts.iter().map(|(on_time, all): &(f64, f64)| on_time / all.max(1.0)).fold(1.0, f64::min)
+}
--- a/crates/model/src/summary.rs
+++ b/crates/model/src/summary.rs
@@ -39,8 +39,8 @@
         let (on_time, largest, reachable) = ("on time", "largest", "in reach");
         let refusals = format!("{:>9}{:>9}{:>12}", "refused", "given up", "refused ms");
         format!(
-            "{on_time:>8}{kinds}{largest:>9}{reachable:>9}{:>9}{:>7}{refusals}",
-            "of long", "short"
+            "{on_time:>8}{kinds}{:>8}{:>8}{:>8}{largest:>9}{reachable:>9}{:>9}{:>7}{refusals}",
+            "credit", "work", "window", "of long", "short"
         )
     }
 
@@ -53,8 +53,11 @@
             self.reports.iter().map(|report| report.p90_refusal_time).sum();
         let refusal_ms = refusal_time.as_millis() / self.reports.len().max(1) as u128;
         format!(
-            "{:>8.3}{kinds}{:>9.3}{:>9.3}{:>9.3}{:>7}{:>9.3}{:>9.3}{refusal_ms:>12}",
+            "{:>8.3}{kinds}{:>8.3}{:>8.3}{:>8.3}{:>9.3}{:>9.3}{:>9.3}{:>7}{:>9.3}{:>9.3}{refusal_ms:>12}",
             self.mean(|report| report.on_time),
+            self.mean(|report| report.credit),
+            self.mean(|report| report.work_credit),
+            self.mean(|report| report.worst_window),
             self.mean(|report| report.completed[LONG_KIND].largest),
             self.mean(|report| report.completed[LONG_KIND].reachable),
             self.mean(|report| report.completed[LONG_KIND].all),
