feat(precedence): overload in dense zones is noticed, and priority decides who goes first

Cause: nothing noticed that a steward's control thread was behind. Owners went on sending, and tasks came back as too late. With more work than room, least slack first spent the room on whatever was about to be late, whatever its priority.

Change, in dense zones only: - control::Backlog is the age of the oldest event that waits. A steward adds it to the waits of its load report and admission and reports no free slots above 50 ms; an owner adds its own to the waits of its admission. A backlog that stands for 100 ms makes a steward return jobs on arrival: excess and lower priorities above 20 ms, the highest priority above 30 ms, long work above 50 ms. - Above 100 ms, records of task starts, ends and grants are counted and not written; a line a second, records_dropped, gives their number. - precedence: the order is least slack while all that waits can start in time. Otherwise the usual share of each kind goes by priority, long work within its share keeps its place, and what exceeds 1.5 times the usual share comes after. Jobs that are displaced are returned at once as overloaded. - A large job whose objective leaves no slack may wait a quarter of its run.

--- a/crates/fleet/src/admission/decision.rs
+++ b/crates/fleet/src/admission/decision.rs
@@ -17,6 +17,9 @@
 /// and make others late. It is above 1 because waits are overestimated: some queued tasks are
 /// dropped.
 const SLACK_TOLERANCE: f64 = 1.3;
+/// Share of its run time that a job may wait if its objective leaves less slack. The median error of a forecast is
+/// 1.3 times their forecast.
+const LARGE_SLACK_SHARE: f64 = 0.25;
 /// Shortest retry delay; the `Retry-After` header has a resolution of one second.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -33,6 +36,18 @@
     pub objective: Duration,
     /// Time from now for which the caller waits.
     pub timeout: Duration,
+    /// Wait that the job can take even if its objective leaves no slack.
+    pub min_slack: Duration,
+}
+
+/// Wait that a job can take although its objective leaves less slack, for zones where the largest jobs would
+/// otherwise be refused whenever anything waits. `run` is the expected run time on the fastest targets.
+///
+/// The objective of a job whose run takes most of its caller's time is cut to that time. Such a job has no
+/// slack by its objective from the start, but a wait of a part of its run still lets it end.
+#[must_use]
+pub fn min_slack(run: Duration, timeout: Duration) -> Duration {
+    timeout.saturating_sub(run).min(run.mul_f64(LARGE_SLACK_SHARE))
 }
 
 /// Whether a job that waits this long would miss its objective. `slack` is the time left until its
@@ -58,7 +73,7 @@
 /// Decides on a job: `None` if it is admitted, or else the refusal to answer with.
 #[must_use]
 pub fn decide(estimate: &Estimate) -> Option<Outcome> {
-    let slack = estimate.objective.saturating_sub(estimate.required_run);
+    let slack = estimate.objective.saturating_sub(estimate.required_run).max(estimate.min_slack);
     let wait = estimate.waits.last().copied().unwrap_or_default();
     if misses_objective(wait, slack) {
         return Some(refuse(Refusal::TooLate, wait - slack));
--- a/crates/fleet/src/admission/mod.rs
+++ b/crates/fleet/src/admission/mod.rs
@@ -9,4 +9,4 @@
 #[cfg(test)]
 mod tests;
 
-pub use decision::{Estimate, decide, is_feasible, is_unlikely, misses_objective};
+pub use decision::{Estimate, decide, is_feasible, is_unlikely, min_slack, misses_objective};
--- a/crates/fleet/src/admission/tests.rs
+++ b/crates/fleet/src/admission/tests.rs
@@ -14,6 +14,7 @@
         required_run: run,
         objective: run.mul_f64(1.6) + Duration::from_millis(60),
         timeout: Duration::from_millis(1_500),
+        min_slack: Duration::ZERO,
     };
     assert_eq!(decide(&estimate).is_none(), admitted);
 }
@@ -41,6 +42,7 @@
         required_run: run / 2,
         objective: Duration::from_millis(1_450),
         timeout: Duration::from_millis(1_500),
+        min_slack: Duration::ZERO,
     };
     assert_eq!(decide(&estimate).is_none(), admitted);
 }
--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -78,7 +78,9 @@
         let tasks = plan.task_count() as u32;
         let profile = profile(&forecast.longest_of(tasks), run, (objective, timeout), &candidates);
         let required_run = required_run(run, objective, profile.is_long, &candidates);
-        let waits = expected_waits(plan.task_count(), &profile, &candidates);
+        let mut waits = expected_waits(plan.task_count(), &profile, &candidates);
+        let own_wait = self.own_wait();
+        waits.iter_mut().for_each(|wait| *wait += own_wait);
         let wait = waits.last().copied().unwrap_or_default();
         let size = self.classifier.classify(&route.kind, plan);
         let refusal_record = |outcome| Record::JobRefused {
@@ -109,7 +111,8 @@
             Some(if may_return { refuse(Refusal::Infeasible) } else { Outcome::Failed })
         } else {
             let run = forecast.scaled(fastest_factor(&candidates));
-            admission::decide(&Estimate { waits, run, required_run, objective, timeout })
+            let min_slack = self.min_slack(run.median, timeout);
+            admission::decide(&Estimate { waits, run, required_run, objective, timeout, min_slack })
         };
         if let Some(outcome) = outcome {
             self.record(refusal_record(outcome));
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -24,6 +24,7 @@
 mod tests;
 
 pub use executor::Executor;
+pub use lag::Backlog;
 pub use message::{Action, Event, JobState, Request, Response, Snapshot};
 pub use state::{Settings, State};
 pub use thread::{Closed, Dependencies, Handle, spawn};
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -307,6 +307,9 @@
         let zones: Vec<Zone> = targets.into_keys().collect();
         self.membership.update_zones(zones.iter().cloned(), now);
         self.maintain_claims(&zones, now);
+        let mut claims = self.membership.claims.iter();
+        let is_dense = claims.any(|claim| self.dense_zones.contains(&claim.zone));
+        self.steward.precedence_mut().set_dense(is_dense);
     }
 
     /// Sends what is due: heartbeats to peers, learned speeds, and heartbeats to absent hosts.
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -8,7 +8,8 @@
 use coltsfootshunt_core::clock::Clock;
 use coltsfootshunt_core::name::Host;
 
-use super::{Action, Event, JobState, Request, Response, Snapshot};
+use super::{Action, Backlog, Event, JobState, Request, Response, Snapshot};
+use crate::admission;
 use crate::cancel;
 use crate::config;
 use crate::crash;
@@ -56,6 +57,7 @@
     pub(super) config: config::Current,
     pub(super) directory: directory::Directory,
     pub(super) dense_zones: density::Zones,
+    pub(super) backlog: Backlog,
     pub(super) jobs: job::Registry,
     pub(super) classifier: job::Classifier,
     /// Jobs with tasks for which no steward was available.
@@ -131,6 +133,7 @@
             config: config::Current::default(),
             directory: directory::Directory::default(),
             dense_zones: density::Zones::default(),
+            backlog: Backlog::default(),
             jobs: job::Registry::default(),
             classifier: job::Classifier::default(),
             stalled: BTreeSet::new(),
@@ -193,6 +196,34 @@
         self.membership.set_handled_until(at);
     }
 
+    /// Sets how far the control thread is behind. Must run before events are handled.
+    pub fn set_backlog(&mut self, backlog: Backlog) {
+        self.backlog = backlog;
+        let effect = (backlog.wait(), backlog.stops_new_tasks());
+        self.steward.precedence_mut().set_backlog(backlog.age(), effect, self.clock.now());
+    }
+
+    /// Whether lines for each task are counted instead of written.
+    #[must_use]
+    pub fn drops_records(&self) -> bool {
+        self.is_in_dense_zone() && self.backlog.drops_records()
+    }
+
+    /// Wait that the backlog of this host adds to that of the jobs it admits.
+    pub(super) fn own_wait(&self) -> Duration {
+        if self.is_in_dense_zone() { self.backlog.wait() } else { Duration::ZERO }
+    }
+
+    /// Wait that a job can take at least, see [`admission::min_slack`].
+    pub(super) fn min_slack(&self, run: Duration, timeout: Duration) -> Duration {
+        let is_dense = self.is_in_dense_zone();
+        if is_dense { admission::min_slack(run, timeout) } else { Duration::ZERO }
+    }
+
+    fn is_in_dense_zone(&self) -> bool {
+        self.dense_zones.contains(&self.membership.me().zone)
+    }
+
     /// Handles an event; [`Self::advance`] returns the resulting actions.
     pub fn handle(&mut self, event: Event) {
         let now = self.clock.now();
--- a/crates/fleet/src/control/tests/mod.rs
+++ b/crates/fleet/src/control/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Simulations of several hosts and of targets that follow the published protocol, with injected
 //! faults.
 
+mod backlog;
 mod busy_stewards;
 mod cancels;
 mod common_work;
--- a/crates/fleet/src/control/thread.rs
+++ b/crates/fleet/src/control/thread.rs
@@ -13,8 +13,10 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-use super::lag::Lag;
-use super::{Action, Event, Executor, JobState, Request, Response, Settings, Snapshot, State};
+use super::lag::{Dropped, Lag};
+use super::{
+    Action, Backlog, Event, Executor, JobState, Request, Response, Settings, Snapshot, State,
+};
 use crate::cancel::Verdict;
 use crate::job::{Id, Outcome, RequestId, Submission};
 use crate::peer::{Ack, Batch};
@@ -219,8 +221,16 @@
     let clock = Arc::clone(&dependencies.clock);
     let state = State::new(dependencies.settings, dependencies.clock);
     let pending = HashMap::new();
-    let control =
-        ControlThread { state, clock, executor, snapshot, pending, has_untold_departures: untold };
+    let dropped = Dropped::new(clock.now());
+    let control = ControlThread {
+        state,
+        clock,
+        executor,
+        snapshot,
+        pending,
+        dropped,
+        has_untold_departures: untold,
+    };
     let thread = std::thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || runtime.block_on(control.run(inbox)))?;
@@ -248,6 +258,7 @@
     executor: Executor,
     snapshot: Arc<ArcSwap<Snapshot>>,
     pending: HashMap<RequestId, Pending>,
+    dropped: Dropped,
     /// Set by the guards of submissions.
     has_untold_departures: Arc<AtomicBool>,
 }
@@ -268,6 +279,8 @@
             }
             self.state.detect_pause();
             let now = self.clock.now();
+            let age = |oldest: &Envelope| now.saturating_duration_since(oldest.came_at);
+            self.state.set_backlog(Backlog::from(batch.first().map(age).unwrap_or_default()));
             let has_all = inbox.is_empty();
             for envelope in batch.drain(..) {
                 lag.record_event(now.saturating_duration_since(envelope.came_at));
@@ -284,7 +297,8 @@
             if self.execute_actions() {
                 return;
             }
-            if let Some(record) = lag.end_iteration(now) {
+            for record in lag.end_iteration(now).into_iter().chain(self.dropped.end_iteration(now))
+            {
                 self.executor.log.record(&record);
             }
         }
@@ -330,6 +344,7 @@
     /// Executes the pending actions. Returns whether the process ends.
     fn execute_actions(&mut self) -> bool {
         let mut must_exit = false;
+        let drops_records = self.state.drops_records();
         for action in self.state.advance() {
             match action {
                 Action::Respond(request_id, response) => {
@@ -342,6 +357,10 @@
                 Action::Send(to, message) => self.executor.outbox.send(to, message),
                 Action::Disconnect(to) => self.executor.outbox.reset(to),
                 Action::Publish(snapshot) => self.snapshot.store(Arc::new(snapshot)),
+                Action::Record(record) if drops_records && record.is_about_task() => {
+                    self.executor.log.count(&record);
+                    self.dropped.add();
+                }
                 Action::Record(record) => self.executor.log.record(&record),
                 Action::Exit => {
                     // Fails only if every receiver has ended already.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod member;
 pub mod peer;
 pub mod placement;
+pub mod precedence;
 pub mod queue;
 pub mod repeat;
 pub mod report;
--- a/crates/fleet/src/queue/tasks.rs
+++ b/crates/fleet/src/queue/tasks.rs
@@ -6,8 +6,10 @@
 
 use coltsfootshunt_core::name::{Host, Kind, Service};
 
+use crate::admission::{min_slack, misses_objective};
 use crate::job::{Grant, Id, Requirements, Reservation, Task};
 use crate::placement::wants_fast;
+use crate::precedence::{Class, Order};
 use crate::speed::Forecast;
 
 /// Which stewards may start a queued task.
@@ -62,6 +64,8 @@
     pub width: u32,
     /// Whether any task of the job has started.
     pub job_started: bool,
+    /// Whether the job exceeds the usual share of its kind.
+    pub is_excess: bool,
     /// Which stewards may start the task.
     pub binding: Binding,
 }
@@ -99,6 +103,26 @@
         wants_fast(self, self.median_run, (self.fastest_run, Duration::ZERO), now)
     }
 
+    /// Wait that the task can take in a dense zone, see [`min_slack`].
+    #[must_use]
+    pub fn tolerable_wait(&self, now: Instant) -> Duration {
+        let slack = self.latest_start().unwrap_or(now).saturating_duration_since(now);
+        slack.max(min_slack(self.fastest_run, self.deadline.saturating_duration_since(now)))
+    }
+
+    /// What decides the task's precedence.
+    #[must_use]
+    pub fn class(&self, now: Instant) -> Class {
+        Class {
+            priority: self.priority,
+            is_started: self.job_started,
+            is_late: self.is_late(now),
+            is_excess: self.is_excess,
+            latest_start: self.latest_start().unwrap_or(now),
+            objective: self.objective,
+        }
+    }
+
     /// Probability that the job's longest task ends before the caller's deadline if it starts after
     /// `wait` on a target where a run is expected to take `run`.
     #[must_use]
@@ -159,15 +183,19 @@
         self.tasks.is_empty()
     }
 
-    /// CPU time queued ahead of a new task at each slack level, in millicore-seconds.
+    /// CPU time queued ahead of each of these jobs if they arrive now, in millicore-seconds.
     #[must_use]
-    pub fn work(&self, now: Instant) -> [f64; SLACK_LEVELS_MS.len()] {
-        let mut work = [0.0; SLACK_LEVELS_MS.len()];
-        for queued in self.exclusive().filter(|queued| queued.job_started || !queued.is_late(now)) {
-            let latest = queued.latest_start().unwrap_or(now);
-            let slack = latest.saturating_duration_since(now).as_millis();
-            for (sum, level) in work.iter_mut().zip(SLACK_LEVELS_MS) {
-                if queued.job_started || slack <= u128::from(level) {
+    pub fn work_before<const JOBS: usize>(
+        &self,
+        arriving: &[Class; JOBS],
+        order: &dyn Order,
+        now: Instant,
+    ) -> [f64; JOBS] {
+        let mut work = [0.0; JOBS];
+        for queued in self.exclusive() {
+            let class = queued.class(now);
+            for (sum, arriving) in work.iter_mut().zip(arriving) {
+                if order.is_ahead(&class, arriving) {
                     *sum += queued.work();
                 }
             }
@@ -175,17 +203,10 @@
         work
     }
 
-    /// Sorts the queue by the order that applies at `now`.
-    pub fn sort(&mut self, now: Instant) {
+    /// Sorts the queue by an order.
+    pub fn sort(&mut self, order: &dyn Order, now: Instant) {
         self.tasks.sort_by_cached_key(|queued| {
-            let latest = queued.latest_start().unwrap_or(now);
-            match (queued.is_long(now), queued.job_started, queued.is_late(now)) {
-                (true, true, _) => (0, 0, latest, queued.task.clone()),
-                (false, true, _) => (1, 0, latest, queued.task.clone()),
-                (true, false, false) => (2, 0, latest, queued.task.clone()),
-                (false, false, false) => (3, 0, latest, queued.task.clone()),
-                (_, false, true) => (4, queued.priority, queued.objective, queued.task.clone()),
-            }
+            (order.rank(&queued.class(now), queued.is_long(now)), queued.task.clone())
         });
     }
 
@@ -241,17 +262,6 @@
         }
     }
 
-    /// CPU time queued ahead of a job that has not started and must start by `latest`, in
-    /// millicore-seconds.
-    #[must_use]
-    pub fn work_before(&self, latest: Instant, now: Instant) -> f64 {
-        let is_ahead = |queued: &&QueuedTask| {
-            queued.job_started
-                || !queued.is_late(now) && queued.latest_start().unwrap_or(now) <= latest
-        };
-        self.exclusive().filter(is_ahead).map(QueuedTask::work).sum()
-    }
-
     /// The tasks in queue order.
     pub fn iter(&self) -> impl Iterator<Item = &QueuedTask> {
         self.tasks.iter()
@@ -262,6 +272,31 @@
         self.tasks.extract_if(.., |queued| matches(queued)).collect()
     }
 
+    /// Removes and returns the tasks of these jobs, given with their generations.
+    pub fn extract_jobs(&mut self, jobs: &HashSet<(Id, u64)>) -> Vec<QueuedTask> {
+        self.extract(|queued| jobs.contains(&(queued.task.job.clone(), queued.generation)))
+    }
+
+    /// Jobs that have not started and would miss their objective behind the tasks ahead of them in the present
+    /// order, given with their generations. `rate` is the work done per second, in millicore-seconds. Long
+    /// tasks are left out: they wait for fast targets, which other tasks leave to them.
+    #[must_use]
+    pub fn unreachable_jobs(&self, rate: f64, now: Instant) -> HashSet<(Id, u64)> {
+        let mut unreachable: HashSet<(Id, u64)> = HashSet::new();
+        let mut ahead = 0.0;
+        for queued in self.exclusive() {
+            let wait = Duration::from_secs_f64(ahead / rate);
+            let slack = queued.tolerable_wait(now);
+            let may_leave = !queued.job_started && !queued.is_late(now);
+            if may_leave && misses_objective(wait, slack) && !queued.is_long(now) {
+                unreachable.insert((queued.task.job.clone(), queued.generation));
+            } else {
+                ahead += queued.work();
+            }
+        }
+        unreachable
+    }
+
     /// Removes the given tasks.
     pub fn remove(&mut self, tasks: &HashSet<Task>) {
         self.tasks.retain(|queued| !tasks.contains(&queued.task));
--- a/crates/fleet/src/queue/tests.rs
+++ b/crates/fleet/src/queue/tests.rs
@@ -5,6 +5,7 @@
 
 use super::{Binding, Queue, QueuedTask};
 use crate::job::{Id, Requirements, Task};
+use crate::precedence::LeastSlack;
 
 /// A task of 100 ms with an objective and a caller's deadline, in milliseconds from now.
 pub(crate) fn queued_task(
@@ -34,6 +35,7 @@
         deviation: 0.3,
         width: 1,
         job_started: false,
+        is_excess: false,
         binding: Binding::Exclusive,
     }
 }
@@ -46,7 +48,7 @@
     let mut queue = Queue::default();
     queue.push(queued_task(FIRST, first.0, now, first.1, 1_500));
     queue.push(queued_task(SECOND, second.0, now, second.1, 1_500));
-    queue.sort(now);
+    queue.sort(&LeastSlack, now);
     let jobs: Vec<String> = queue.iter().map(|queued| queued.task.job.to_string()).collect();
     assert_eq!(jobs, wanted);
 }
@@ -77,7 +79,7 @@
     let mut queue = Queue::default();
     queue.push(queued_task(FIRST, 0, now, 50, 1_500));
     queue.push(QueuedTask { job_started: true, ..queued_task(SECOND, 2, now, 50, 1_500) });
-    queue.sort(now);
+    queue.sort(&LeastSlack, now);
     let first = queue.iter().next().map(|queued| queued.task.job.to_string());
     assert_eq!(first.as_deref(), Some(SECOND));
 }
@@ -91,7 +93,7 @@
     queue.push(queued_task(SECOND, 2, now, 900, 1_500));
     let started = Id::try_from(SECOND).unwrap();
     queue.mark_started(&[(started, 1)].into());
-    queue.sort(now);
+    queue.sort(&LeastSlack, now);
     let first = queue.iter().next().map(|queued| queued.task.job.to_string());
     assert_eq!(first.as_deref(), Some(SECOND));
 }
@@ -107,7 +109,8 @@
     let mut queue = Queue::default();
     queue.push(cores(QueuedTask { job_started: true, ..queued_task(FIRST, 0, now, 2_000, 9_000) }));
     queue.push(cores(queued_task(SECOND, 0, now, 400, 9_000)));
-    let before = queue.work_before(now + Duration::from_millis(slack_ms), now);
+    let arriving = queued_task(FIRST, 0, now, slack_ms + 135, 9_000).class(now);
+    let [before] = queue.work_before(&[arriving], &LeastSlack, now);
     assert!((before - wanted).abs() < 1e-6, "{before}");
 }
 
@@ -126,7 +129,7 @@
     let mut queue = Queue::default();
     queue.push(queued_task(SECOND, 0, now, 400, 1_500));
     queue.push(long);
-    queue.sort(now);
+    queue.sort(&LeastSlack, now);
     let first = queue.iter().next().map(|queued| queued.task.job.to_string());
     assert_eq!(first.as_deref(), Some(FIRST));
 }
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -23,6 +23,11 @@
 pub trait Log: Send + Sync {
     /// Logs and counts one record. Must not block.
     fn record(&self, record: &Record);
+
+    /// Counts one record in the metrics and writes no line.
+    fn count(&self, record: &Record) {
+        count(record);
+    }
 }
 
 /// Updates the metrics and writes no log lines.
@@ -215,6 +220,9 @@
                 "mean_wait_us" => mean_wait.as_micros() as u64,
                 "longest_wait_ms" => millis(*longest_wait), "period_ms" => millis(*period));
         }
+        Record::RecordsDropped { records, period } => {
+            warn!(log, "{}", name; "records" => records, "period_ms" => millis(*period));
+        }
         Record::TrafficBehind { mean, longest, period } => {
             info!(log, "{}", name; "mean_delay_us" => mean.as_micros() as u64,
                 "longest_delay_ms" => millis(*longest), "period_ms" => millis(*period));
@@ -288,6 +296,9 @@
                 "alone" => loss.alone.to_string())
             .increment(1);
         }
+        Record::RecordsDropped { records, .. } => {
+            counter!("coltsfootshunt_records_dropped_total").increment(*records);
+        }
         Record::ConfigApplied { version, .. } => {
             metrics::gauge!("coltsfootshunt_configuration_version").set(*version as f64);
         }
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -337,6 +337,13 @@
         /// Length of the period.
         period: Duration,
     },
+    /// Records of single tasks were counted and not written, because the control thread is far behind.
+    RecordsDropped {
+        /// Number of records without a line.
+        records: u64,
+        /// Length of the period.
+        period: Duration,
+    },
     /// The thread for traffic is behind: its timers fire late.
     TrafficBehind {
         /// Mean delay of a timer.
--- a/crates/fleet/src/report/record/name.rs
+++ b/crates/fleet/src/report/record/name.rs
@@ -3,6 +3,12 @@
 use super::Record;
 
 impl Record {
+    /// Whether the record is one of a task that starts or ends as expected. These are the most frequent ones.
+    #[must_use]
+    pub fn is_about_task(&self) -> bool {
+        matches!(self, Self::TaskGranted { .. } | Self::TaskStarted { .. } | Self::TaskEnded { .. })
+    }
+
     /// Message of the line. The rate limit applies to each message separately.
     #[must_use]
     pub fn name(&self) -> &'static str {
@@ -39,6 +45,7 @@
             Self::PeerTraffic { .. } => "peer traffic",
             Self::CallsMade { .. } => "calls made",
             Self::ControlBehind { .. } => "control behind",
+            Self::RecordsDropped { .. } => "records_dropped",
             Self::TrafficBehind { .. } => "traffic behind",
             Self::ConfigApplied { .. } => "configuration in force",
             Self::TargetsChanged { .. } => "targets known",
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -7,6 +7,7 @@
 mod load;
 mod placer;
 mod pool;
+mod precedence;
 mod suspects;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,6 +20,7 @@
 use crate::job::{Completion, End, Grant, Id, Reservation};
 use crate::lease::{Attempt, Call, Change, Evidence, Issuer, Order, Phase, Response, Tracker};
 use crate::member::Membership;
+use crate::precedence::Policy;
 use crate::queue::Queue;
 use crate::report::Record;
 use crate::speed::Estimator;
@@ -40,6 +42,7 @@
     /// Moving average of a task's CPU, in thousandths of a core; `None` before the first task.
     mean_cpu_millis: Option<f64>,
     suspects: Suspects,
+    precedence: Policy,
     /// Time of the last pass over the queue; `None` if something has changed since.
     last_pass_at: Option<Instant>,
 }
@@ -54,6 +57,7 @@
             queue: Queue::default(),
             mean_cpu_millis: None,
             suspects: Suspects::default(),
+            precedence: Policy::default(),
             last_pass_at: None,
         }
     }
--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -62,7 +62,7 @@
         }
         self.last_pass_at = Some(now);
         self.return_infeasible(speeds, now, output);
-        self.queue.sort(now);
+        self.sort_queue(speeds, now, output);
         let Pass { starts, grant_requests } = self.place_queued((membership, speeds, crashes), now);
         let mut started = HashSet::new();
         let mut jobs = HashSet::new();
@@ -249,7 +249,7 @@
 }
 
 /// Returns a queued task to its owner.
-fn return_task(queued: QueuedTask, end: End, now: Instant, output: &mut Output) {
+pub(super) fn return_task(queued: QueuedTask, end: End, now: Instant, output: &mut Output) {
     output.records.push(Record::TaskReturned {
         task: queued.task.clone(),
         end,
--- a/crates/fleet/src/steward/state/intake.rs
+++ b/crates/fleet/src/steward/state/intake.rs
@@ -35,7 +35,8 @@
         self.remove_superseded(owner, &assignment, output);
         let job = assignment.job.clone();
         let started = assignment.started;
-        let tasks = self.queued_tasks(owner, assignment, speeds, now);
+        let mut tasks = self.queued_tasks(owner, assignment, speeds, now);
+        self.record_arrival(&mut tasks, now);
         let overload = if started { None } else { self.overload(&tasks, membership, speeds, now) };
         let Some((wait, slack)) = overload else {
             tasks.into_iter().for_each(|queued| self.queue.push(queued));
@@ -81,6 +82,7 @@
                 deviation: forecast.deviation,
                 width: assignment.width,
                 job_started: assignment.started,
+                is_excess: false,
                 requirements: item.requirements,
                 spec: assignment.spec.clone(),
                 objective,
--- a/crates/fleet/src/steward/state/load.rs
+++ b/crates/fleet/src/steward/state/load.rs
@@ -26,7 +26,7 @@
     free_slots: u32,
     pub(super) free_fast_slots: u32,
     /// Work done per second when all slots are taken, in millicore-seconds of an average target.
-    rate: f64,
+    pub(super) rate: f64,
 }
 
 impl Steward {
@@ -40,6 +40,9 @@
         speeds: &Estimator,
         now: Instant,
     ) -> Option<(Duration, Duration)> {
+        if let Some(shed) = self.shed(tasks, now) {
+            return Some(shed);
+        }
         let capacity = self.capacity(&self.usable(now), speeds, now);
         if tasks.iter().any(|queued| queued.is_long(now)) {
             let pool = self.pool(&capacity, membership, speeds, now);
@@ -51,14 +54,15 @@
         if waiting == 0 || capacity.slots == 0 || fits {
             return None;
         }
-        let before = self.queue.work_before(latest, now) / capacity.rate.max(1.0);
+        let before = self.wait_before(tasks, capacity.rate, now)?;
         let behind = tasks.len().saturating_sub(capacity.free_slots as usize) as f64;
         // Tasks that start at once also free their slots for the rest.
         let run = tasks.iter().map(|queued| queued.average_run).max()?.max(MIN_RUN);
         let completions_per_s =
             self.completions_per_s() + f64::from(capacity.free_slots) / run.as_secs_f64();
-        let wait = Duration::from_secs_f64(before + behind / completions_per_s.max(1.0));
-        let slack = latest.saturating_duration_since(now);
+        let wait = Duration::from_secs_f64(before + behind / completions_per_s.max(1.0))
+            + self.precedence.backlog();
+        let slack = self.slack(tasks, latest, now);
         misses_objective(wait, slack).then_some((wait, slack))
     }
 
@@ -71,7 +75,9 @@
     ) -> Option<(Duration, Duration)> {
         let queued = tasks.first()?;
         let before = self.queue.count_long(now);
-        let waits: Vec<Duration> = (0..tasks.len()).map(|task| pool.wait(before + task)).collect();
+        let backlog = self.precedence.backlog();
+        let waits: Vec<Duration> =
+            (0..tasks.len()).map(|task| pool.wait(before + task) + backlog).collect();
         let slack = queued.deadline.saturating_duration_since(now);
         let fast = Forecast { median: queued.fastest_run, deviation: queued.deviation };
         let slow = queued.probability_in_time(queued.median_run, Duration::ZERO, now);
@@ -134,8 +140,8 @@
         // Free slots on fast targets are reserved for the long tasks that wait for them.
         let reserved = long.min(capacity.free_fast_slots);
         let ends: EndTimes = fast_run_ends(&self.trackers, speeds, now).collect();
-        let work = self.queue.work(now);
-        Load {
+        let work = self.work_by_level(now);
+        self.precedence.with_backlog(Load {
             slots: capacity.slots,
             free_slots: capacity.free_slots.saturating_sub(short.saturating_add(reserved)),
             free_fast_slots: capacity.free_fast_slots.saturating_sub(long),
@@ -144,6 +150,6 @@
             fastest_permille: (fastest * 1_000.0) as u32,
             completions_per_s: self.completions_per_s() as u32,
             waits_ms: work.map(|work| (work / capacity.rate.max(1.0) * 1_000.0) as u32),
-        }
+        })
     }
 }
--- a/crates/model/src/dispatcher.rs
+++ b/crates/model/src/dispatcher.rs
@@ -8,7 +8,7 @@
 use coltsfootshunt_core::clock::Clock;
 use coltsfootshunt_core::name::{Target, Zone};
 use coltsfootshunt_fleet::config::{Document, Limits, Route, Stretch};
-use coltsfootshunt_fleet::control::{self, Action, Request, Response, State};
+use coltsfootshunt_fleet::control::{self, Action, Backlog, Request, Response, State};
 use coltsfootshunt_fleet::density::MAX_TARGETS_PER_CORE;
 use coltsfootshunt_fleet::directory::{self, Entry};
 use coltsfootshunt_fleet::job::{
@@ -318,7 +318,9 @@
 
     /// Has a host handle the events that wait. Each takes some time.
     fn handle_inbox(&mut self, host: usize, at: Duration) {
-        let Host { inbox, busy_until, .. } = &mut self.hosts[host];
+        let Host { inbox, busy_until, state, .. } = &mut self.hosts[host];
+        let age = inbox.front().map(|(came_at, _)| at - *came_at).unwrap_or_default();
+        state.set_backlog(Backlog::from(age));
         let count = inbox.len().min(MAX_EVENTS_PER_ITERATION);
         let events = inbox.drain(..count).map(|(_, event)| event).collect();
         let end = at + self.load.pattern.event_cost * count as u32;
