--- a/crates/fleet/src/precedence/policy.rs
+++ b/crates/fleet/src/precedence/policy.rs
@@ -12,12 +12,17 @@
 /// and when the target reports the end.
 const PASSES: u32 = 2;
 /// Standing backlog above which a steward returns jobs that are not long. With twice that, a job of median
-/// length of the shorter kinds is still on time.
-const MAX_BACKLOG: Duration = Duration::from_millis(20);
+/// length of the shorter kinds is just on time. Half of these limits cost more jobs than they saved where the
+/// control thread was only a little behind.
+const MAX_BACKLOG: Duration = Duration::from_millis(40);
 /// The same for jobs of the highest priority within the usual share of their kind.
-const MAX_BACKLOG_FOR_IMPORTANT: Duration = Duration::from_millis(30);
+const MAX_BACKLOG_FOR_IMPORTANT: Duration = Duration::from_millis(60);
 /// The same for long jobs. They have more slack, and few events for their work.
-const MAX_BACKLOG_FOR_LONG: Duration = Duration::from_millis(50);
+const MAX_BACKLOG_FOR_LONG: Duration = Duration::from_millis(100);
+/// Number of slack levels up to the one of long jobs, which wait for fast targets and not behind other work.
+const LEVELS_WITH_BOUND: usize = 4;
+/// Multiple of the slack of a level that no job of the level can wait.
+const LATE_FACTOR: u32 = 2;
 /// Time over which the lowest backlog counts as standing. A process that has used up its share of the
 /// processor for a scheduling period of 100 ms has a backlog that is gone in the next one.
 const STANDING_TIME: Duration = Duration::from_millis(100);
@@ -151,9 +156,10 @@
     }
 
     /// Adds the backlog of the control thread to a load report. A steward that is far behind reports no free
-    /// slots, so that owners send to others.
+    /// slots, so that owners send to others. At the slack levels of jobs that it would return, it reports a
+    /// wait beyond their slack: a message that only brings a job back costs as much as one that is of use.
     #[must_use]
-    pub fn with_backlog(&self, mut load: Load) -> Load {
+    pub fn with_backlog(&self, mut load: Load, now: Instant) -> Load {
         if !self.is_dense {
             return load;
         }
@@ -162,6 +168,13 @@
         if self.is_behind {
             (load.free_slots, load.free_fast_slots) = (0, 0);
         }
+        for (level, wait) in load.waits_ms.iter_mut().enumerate().take(LEVELS_WITH_BOUND) {
+            let priority = self.arrivals.typical_priority(level, now).unwrap_or(u32::MAX);
+            let typical = Class { priority, ..self.typical_class(level, now) };
+            if self.sheds(&typical, false) {
+                *wait = (*wait).max(SLACK_LEVELS_MS[level].saturating_mul(LATE_FACTOR));
+            }
+        }
         load
     }
 }
--- a/crates/fleet/src/steward/state/load.rs
+++ b/crates/fleet/src/steward/state/load.rs
@@ -141,7 +141,7 @@
         let reserved = long.min(capacity.free_fast_slots);
         let ends: EndTimes = fast_run_ends(&self.trackers, speeds, now).collect();
         let work = self.work_by_level(now);
-        self.precedence.with_backlog(Load {
+        let load = Load {
             slots: capacity.slots,
             free_slots: capacity.free_slots.saturating_sub(short.saturating_add(reserved)),
             free_fast_slots: capacity.free_fast_slots.saturating_sub(long),
@@ -150,6 +150,7 @@
             fastest_permille: (fastest * 1_000.0) as u32,
             completions_per_s: self.completions_per_s() as u32,
             waits_ms: work.map(|work| (work / capacity.rate.max(1.0) * 1_000.0) as u32),
-        })
+        };
+        self.precedence.with_backlog(load, now)
     }
 }
--- a/crates/fleet/src/steward/state/precedence.rs
+++ b/crates/fleet/src/steward/state/precedence.rs
@@ -38,7 +38,10 @@
             return;
         }
         let rate = self.capacity(&self.usable(now), speeds, now).rate.max(1.0);
-        let is_crowded = !self.queue.unreachable_jobs(rate, now).is_empty();
+        // Where the control thread is behind, it is the scarce resource, and each job that is returned adds
+        // to its work.
+        let is_behind = !self.precedence.backlog().is_zero();
+        let is_crowded = !is_behind && !self.queue.unreachable_jobs(rate, now).is_empty();
         self.precedence.set_crowded(is_crowded);
         if !is_crowded {
             return;
