--- a/crates/fleet/src/steward/reference/intake.rs
+++ b/crates/fleet/src/steward/reference/intake.rs
@@ -67,6 +67,7 @@
             *mean += (millis - *mean) * CPU_MEAN_WEIGHT;
             let forecast = speeds.forecast(&assignment.kind, item.requirements.estimate());
             tasks.push(QueuedTask {
+                is_excess: false,
                 task,
                 owner: owner.clone(),
                 generation: assignment.generation,
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -8,6 +8,7 @@
 mod overdue;
 mod placer;
 mod pool;
+mod precedence;
 mod suspects;
 mod targets;
 
@@ -22,6 +23,7 @@
 use crate::job::{Completion, End, Grant, Id, Reservation};
 use crate::lease::{Attempt, Call, Change, Evidence, Issuer, Order, Phase, Response, Tracker};
 use crate::member::Membership;
+use crate::precedence::Policy;
 use crate::queue::Queue;
 use crate::report::Record;
 use crate::speed::Estimator;
@@ -44,6 +46,7 @@
     /// Moving average of a task's CPU, in thousandths of a core; `None` before the first task.
     mean_cpu_millis: Option<f64>,
     suspects: Suspects,
+    precedence: Policy,
     /// Time of the last pass over the queue; `None` if something has changed since.
     last_pass_at: Option<Instant>,
     /// Zones in which nothing starts.
@@ -62,6 +65,7 @@
             queue: Queue::default(),
             mean_cpu_millis: None,
             suspects: Suspects::default(),
+            precedence: Policy::default(),
             last_pass_at: None,
             evacuated: BTreeSet::new(),
             cold_starts: None,
