--- a/crates/fleet/src/steward/state/targets.rs
+++ b/crates/fleet/src/steward/state/targets.rs
@@ -152,6 +152,9 @@
         change: impl FnOnce(&mut Tracker) -> R,
     ) -> R {
         let result = change(&mut self.trackers[row]);
+        // A report may show that another entry counts.
+        let entry = &self.trackers[row].entry;
+        self.kept = self.kept.take().filter(|kept| kept.class_of(row).includes(entry));
         if let Some(kept) = &mut self.kept {
             kept.sums.advance(now);
             let fastest = kept.sums.fastest_factor();
@@ -263,6 +266,10 @@
         &self.classes.all
     }
 
+    fn class_of(&self, row: usize) -> &Class {
+        &self.classes.all[self.values[row].class as usize]
+    }
+
     /// Free CPU of the targets that may get new tasks.
     pub(super) fn rooms(&self) -> &Rooms {
         &self.rooms
--- a/crates/fleet/src/steward/state/targets/values.rs
+++ b/crates/fleet/src/steward/state/targets/values.rs
@@ -22,6 +22,14 @@
     pub(in super::super) capacity: Resources,
 }
 
+impl Class {
+    pub(super) fn includes(&self, entry: &Entry) -> bool {
+        self.service == entry.service
+            && self.labels == entry.labels
+            && self.capacity == entry.capacity
+    }
+}
+
 /// Classes of all targets.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Classes {
