--- a/crates/model/src/dispatcher.rs
+++ b/crates/model/src/dispatcher.rs
@@ -280,7 +280,7 @@
             Event::RenewalTimedOut(host, call) => {
                 if let Some(target) = self.targets.get_mut(&call.target)
                     && let Some(index) =
-                        target.renewals.iter().position(|(_, other)| other.token == call.token)
+                        target.renewals.iter().position(|(_, other)| is_same(other, &call))
                 {
                     target.renewals.remove(index);
                     self.respond_with_report(host, call, at);
@@ -420,7 +420,7 @@
         match &call.order {
             Order::Renew { acknowledged, max_wait, .. } => {
                 target.sim.advance(at);
-                target.renewals.retain(|(_, other)| other.token != call.token);
+                target.renewals.retain(|(_, other)| !is_same(other, &call));
                 if target.sim.has_unacknowledged(*acknowledged) || max_wait.is_zero() {
                     return self.respond_with_report(host, call, at);
                 }
@@ -542,3 +542,10 @@
     Id::try_from(format!("{number:016x}").as_str())
         .expect("sixteen hexadecimal digits are an identifier")
 }
+
+/// Whether a renewal takes the place of another at its target: a host has one there that extends the lease and one
+/// that watches the idle target.
+fn is_same(one: &Call, other: &Call) -> bool {
+    let extends = |call: &Call| matches!(call.order, Order::Renew { lease_until_ms: Some(_), .. });
+    one.token == other.token && extends(one) == extends(other)
+}
