--- a/crates/model/tests/overload.rs
+++ b/crates/model/tests/overload.rs
@@ -7,7 +7,7 @@
 use coltsfootshunt_model::fifo::Fifo;
 use coltsfootshunt_model::load::{KINDS, Load, PATTERNS, Pattern};
 use coltsfootshunt_model::policy::Policy;
-use coltsfootshunt_model::report::Report;
+use coltsfootshunt_model::report::{CompletedShares, Report};
 use coltsfootshunt_testkit::cases;
 
 const DISPATCHER: Dispatcher = Dispatcher { zones: 3, hosts_per_zone: 2 };
@@ -56,8 +56,8 @@
     on_another_day_of_w("worst W", DURATION_W, 2);
 }
 
-/// Guards against priorities that leave nothing to the last kind, and against refusals of its largest jobs
-/// by their size: those that can end are served at least half as often as the kind.
+/// Guards against priorities that leave nothing to the last kind, and against refusals of large jobs by their
+/// size: those of the largest tenth that can end are served at least half as often as the kind.
 fn starves_no_kind(name: &str, duration: Duration, seed: u64) {
     let report = simulate(pattern(name), &DISPATCHER, duration, seed);
     for kind in 0..KINDS.len() {
@@ -74,6 +74,20 @@
     on_another_day_of_w("worst W", DURATION_W, 2);
 }
 
+/// Guards against large jobs that lose to small ones of their kind. Unlike [`starves_no_kind`], jobs count that
+/// can end on no target.
+fn serves_the_largest_half_as_often(name: &str, duration: Duration, seed: u64) {
+    let report = simulate(pattern(name), &DISPATCHER, duration, seed);
+    assert!(!report.completed.iter().any(CompletedShares::starves_largest), "{report:?}");
+}
+
+cases! { serves_the_largest_half_as_often:
+    on_the_worst_load_of_c("worst C", DURATION_C, 1);
+    on_another_day_of_c("worst C", DURATION_C, 2);
+    on_the_worst_load_of_w("worst W", DURATION_W, 1);
+    on_another_day_of_w("worst W", DURATION_W, 2);
+}
+
 /// Guards against a kind in burst that displaces what other kinds usually have. `burst` is the index of the
 /// burst in the pattern.
 fn a_burst_displaces_no_other_kind(name: &str, duration: Duration, burst: usize) {
