test(split): faults of dense zones on whole hosts, property tests, rules without a network

Cause: the split of a dense zone had one test. Test: control::tests::splits, safety::dense_zones, member::tests::split, routing::tests::split_zone.

--- a/crates/fleet/src/control/tests/safety.rs
+++ b/crates/fleet/src/control/tests/safety.rs
@@ -5,6 +5,7 @@
 
 use super::jobs::converged;
 use super::simulation::{FaultRates, Partition, Simulation};
+use super::splits;
 use crate::job::Outcome;
 
 /// Random seeds per property, unless set by `COLTSFOOTSHUNT_CASES`.
@@ -198,6 +199,16 @@
 }
 
 fn check_property(workload: Workload, fault_rates: FaultRates, faults: &'static [u8]) {
+    check_property_in(converged, workload, fault_rates, faults);
+}
+
+/// Checks the invariants in simulations that `converged` returns for a seed.
+fn check_property_in(
+    converged: fn(u64) -> Simulation,
+    workload: Workload,
+    fault_rates: FaultRates,
+    faults: &'static [u8],
+) {
     let config = ProptestConfig { cases: cases(), failure_persistence: None, ..Default::default() };
     let mut runner = proptest::test_runner::TestRunner::new_with_rng(
         config,
@@ -206,7 +217,7 @@
         ),
     );
     let run = runner.run(&any::<u64>(), |seed| {
-        run_and_check(seed, workload, fault_rates, faults);
+        run_and_check_in(converged(seed), seed, workload, fault_rates, faults);
         Ok(())
     });
     run.unwrap_or_else(|error| panic!("{error}"));
@@ -390,3 +401,30 @@
     under_frozen_and_killed_hosts_and_all_partitions(HANGING, &[0, 1, 4, 5, 6, 7, 8]);
     under_killed_hosts_and_partitions_that_delay_batches(HANGING, &[0, 1, 4, 5, 6, 7, 8, 12]);
 }
+
+/// Guards against a target with two holders, or a run that two hosts start, where the targets of a dense zone are
+/// divided among hosts that see different splits.
+fn dense_zones(workload: Workload, fault_rates: FaultRates, faults: &'static [u8]) {
+    check_property_in(splits::converged, workload, fault_rates, faults);
+}
+
+cases! { dense_zones:
+    without_faults(SHORT_WORK, RELIABLE, &[]);
+    under_lost_and_delayed_calls(SHORT_WORK, LOSSY, &[]);
+    under_killed_hosts(SHORT_WORK, RELIABLE, &[0, 5]);
+    under_frozen_hosts(SHORT_WORK, HANGING, &[1, 14]);
+    under_planned_stops(SHORT_WORK, RELIABLE, &[2, 5]);
+    under_crashed_targets(SHORT_WORK, RELIABLE, &[3]);
+    under_partitions(SHORT_WORK, HANGING, &[4, 6]);
+    under_partitions_one_way(SHORT_WORK, HANGING, &[7, 8]);
+    under_partitions_that_delay_batches(SHORT_WORK, HANGING, &[1, 12]);
+    under_delayed_batches(SHORT_WORK, HANGING, &[5, 15, 15, 15, 16]);
+    under_missing_entries(SHORT_WORK, RELIABLE, &[11]);
+    under_unreachable_targets(SHORT_WORK, LOSSY, &[0, 5, 9, 10, 10]);
+    under_stepped_clocks(SHORT_WORK, RELIABLE, &[0, 5, 6, 13, 13]);
+    under_all_faults(SHORT_WORK, HANGING_LOSSY, &[0, 1, 2, 3, 4, 5, 5, 6, 7, 8, 9, 10, 11, 12, 13]);
+    of_long_work_under_all_faults(LONG_WORK, LOSSY, &[0, 1, 2, 3, 4, 5, 5]);
+    of_bursts_under_frozen_and_killed_hosts_and_all_partitions(
+        BURSTS, HANGING, &[0, 1, 4, 5, 6, 7, 8, 12, 14, 15],
+    );
+}
--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -254,6 +254,8 @@
     pub(super) split_messages: u32,
     /// Number of runs that a target's new holder stopped.
     pub(super) orphans: u32,
+    /// Time, sender, receiver and kind of each message, if they are recorded.
+    messages: Option<Vec<(u64, usize, SocketAddr, &'static str)>>,
     /// Whether a task has run twice or a target was over its capacity; the first time is reported.
     has_unsafe_run: bool,
     /// Whether actions are printed; set by `COLTSFOOTSHUNT_TRACE`.
@@ -330,6 +332,7 @@
             violations: Vec::new(),
             split_messages: 0,
             orphans: 0,
+            messages: None,
             has_unsafe_run: false,
             is_traced: std::env::var_os("COLTSFOOTSHUNT_TRACE").is_some(),
         };
@@ -627,6 +630,9 @@
             Action::Send(to, message) => {
                 let is_about_split = matches!(message, Message::Split(_) | Message::Share(_));
                 self.split_messages += u32::from(is_about_split);
+                let now_ms = self.now_ms();
+                let recorded = self.messages.as_mut();
+                recorded.into_iter().for_each(|all| all.push((now_ms, host, to, message.kind())));
                 let Some(message) = self.as_sent(host, to, message) else {
                     return;
                 };
--- a/crates/fleet/src/control/tests/simulation/splits.rs
+++ b/crates/fleet/src/control/tests/simulation/splits.rs
@@ -5,12 +5,29 @@
 
 use coltsfootshunt_core::name::{Target, Zone};
 
-use super::Simulation;
+use super::{SimEvent, Simulation};
 use crate::lease::{Phase, Token};
 use crate::member::Heartbeat;
 use crate::peer::Message;
 
 impl Simulation {
+    /// Records all messages between hosts from now on.
+    pub(in crate::control::tests) fn record_messages(&mut self) {
+        self.messages = Some(Vec::new());
+    }
+
+    /// Returns time, sender, receiver and kind of the recorded messages.
+    pub(in crate::control::tests) fn recorded_messages(
+        self,
+    ) -> Vec<(u64, usize, SocketAddr, &'static str)> {
+        self.messages.unwrap_or_default()
+    }
+
+    /// Ends the partitions of two hosts after some time.
+    pub(in crate::control::tests) fn heal_after(&mut self, one: usize, other: usize, for_ms: u64) {
+        self.schedule(for_ms, SimEvent::Heal(one, other));
+    }
+
     /// Makes a host run the version before this one from its next start on.
     pub(in crate::control::tests) fn set_previous_version(
         &mut self,
@@ -85,14 +102,4 @@
     pub(in crate::control::tests) fn is_covered(&self, zone: &str) -> bool {
         self.holders_by_target(zone).values().all(|holders| holders.len() == 1)
     }
-
-    /// Returns the number of tasks that run on targets that are held by other hosts than the zone's lead.
-    pub(in crate::control::tests) fn runs_at_deputies(&self, zone: &str) -> usize {
-        let leads = self.stewards(zone);
-        let of_deputies = self
-            .holders_by_target(zone)
-            .into_iter()
-            .filter(|(_, holders)| holders.iter().any(|holder| !leads.contains(holder)));
-        of_deputies.map(|(name, _)| self.targets[&name].running.len()).sum()
-    }
 }
--- a/crates/fleet/src/member/tests.rs
+++ b/crates/fleet/src/member/tests.rs
@@ -1,5 +1,6 @@
 mod contacts;
 mod interval;
+mod split;
 mod word;
 
 use std::time::{Duration, Instant};
--- /dev/null
+++ b/crates/fleet/src/member/tests/split.rs
@@ -0,0 +1,202 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use coltsfootshunt_core::name::{Host, Target};
+use coltsfootshunt_testkit::cases;
+
+use super::zone;
+use crate::lease::Token;
+use crate::member::split::{
+    Change, Demand, Member, Planner, Rank, ShareNotice, Shares, Split, SplitNotice,
+};
+
+fn member(host: &str, cpu_millis: u32) -> Member {
+    Member { host: Host::try_from(host).unwrap(), cpu_millis }
+}
+
+fn split(number: u64, members: &[(&str, u32)]) -> Split {
+    let members = members.iter().map(|(host, cpu_millis)| member(host, *cpu_millis)).collect();
+    Split { zone: zone("a"), rank: Rank { token: Token(5), number }, members }
+}
+
+fn targets(count: usize) -> Vec<Target> {
+    (0..count).map(|each| Target::try_from(format!("t{each}")).unwrap()).collect()
+}
+
+fn counts(split: &Split, count: usize) -> BTreeMap<Host, usize> {
+    let mut counts = BTreeMap::new();
+    for target in targets(count) {
+        *counts.entry(split.holder(&target).unwrap().clone()).or_default() += 1;
+    }
+    counts
+}
+
+/// Guards against shares that don't follow the sizes of the hosts.
+fn shares_follow_sizes(
+    members: &[(&str, u32)],
+    host: &str,
+    expected: std::ops::RangeInclusive<usize>,
+) {
+    let counts = counts(&split(1, members), 1_000);
+    let count = counts.get(&Host::try_from(host).unwrap()).copied().unwrap_or_default();
+    assert!(expected.contains(&count), "{counts:?}");
+}
+
+cases! { shares_follow_sizes:
+    of_two_equal_hosts(&[("x", 500), ("y", 500)], "x", 450..=550);
+    of_a_large_host(&[("x", 500), ("y", 250)], "x", 620..=710);
+    of_a_host_of_90_beside_two_of_500(&[("x", 500), ("y", 500), ("z", 90)], "z", 60..=105);
+}
+
+/// Guards against targets that change hands between members that stay: a new member takes only what it gets, and of
+/// a lost one only what it had moves.
+fn moves_only(before: &[(&str, u32)], after: &[(&str, u32)], changed: &str) {
+    let (before, after) = (split(1, before), split(2, after));
+    let changed = Host::try_from(changed).unwrap();
+    for target in targets(500) {
+        let (old, new) = (before.holder(&target), after.holder(&target));
+        assert!(old == new || old == Some(&changed) || new == Some(&changed));
+    }
+}
+
+cases! { moves_only:
+    what_a_new_member_gets(&[("x", 500), ("y", 300)], &[("x", 500), ("y", 300), ("z", 500)], "z");
+    what_a_lost_member_had(&[("x", 500), ("y", 300), ("z", 500)], &[("x", 500), ("z", 500)], "y");
+}
+
+fn demand(targets: usize, hosts: usize, backlog_ms: u64) -> Demand {
+    let backlog = Duration::from_millis(backlog_ms);
+    Demand { is_dense: true, targets, max_cpu_millis: 500, hosts, backlog }
+}
+
+/// Guards against too few members for the targets, and against more than there are hosts for.
+fn plans(targets: usize, hosts: usize, expected: usize) {
+    let now = Instant::now();
+    assert_eq!(Planner::default().plan(&demand(targets, hosts, 0), now), expected);
+}
+
+cases! { plans:
+    two_for_117_targets(117, 4, 2);
+    three_for_201_targets(201, 4, 3);
+    no_more_than_the_hosts(401, 2, 2);
+    one_where_there_is_no_other_host(117, 1, 1);
+}
+
+/// Guards against a number of members that changes too often: a lag of the given duration, observed each 50 ms from
+/// 10 s on, leads to a number of members some time later.
+fn follows_lags(lag_ms: u64, after_ms: u64, expected: usize) {
+    let start = Instant::now();
+    let mut planner = Planner::default();
+    let mut members = 0;
+    for at_ms in (0..=10_000 + after_ms).step_by(50) {
+        let is_lagging = (10_000..10_000 + lag_ms).contains(&at_ms);
+        let now = start + Duration::from_millis(at_ms);
+        members = planner.plan(&demand(117, 4, if is_lagging { 60 } else { 0 }), now);
+    }
+    assert_eq!(members, expected);
+}
+
+cases! { follows_lags:
+    not_of_200_ms(200, 2_000, 2);
+    of_400_ms(400, 2_000, 3);
+    once_in_3_s(2_900, 2_900, 3);
+    again_after_3_s(4_000, 4_000, 4);
+    down_not_before_60_s(400, 59_000, 3);
+    down_after_60_s(400, 62_000, 2);
+}
+
+fn me() -> Host {
+    Host::try_from("me").unwrap()
+}
+
+const MEMBERS: [(&str, u32); 2] = [("lead", 500), ("me", 500)];
+
+fn notice(active: Option<Split>, proposed: Option<Split>) -> SplitNotice {
+    let rank = proposed.iter().chain(&active).map(|one| one.rank).max().unwrap_or_default();
+    SplitNotice { zone: zone("a"), rank, active, proposed }
+}
+
+/// Guards against an older split that arrives after a newer one.
+fn keeps_the_newer_split(late: SplitNotice) {
+    let now = Instant::now();
+    let mut shares = Shares::default();
+    let newer = split(3, &MEMBERS);
+    let change = shares.apply(&me(), notice(Some(newer.clone()), None), now);
+    assert_eq!(change, Some(Change::Active(newer.clone())));
+    assert_eq!(shares.apply(&me(), late, now), None);
+    assert_eq!(shares.active(), Some(&newer));
+}
+
+cases! { keeps_the_newer_split:
+    over_an_older_one(notice(Some(split(2, &[("lead", 500)])), None));
+    over_the_same_one(notice(Some(split(3, &MEMBERS)), None));
+    over_its_own_proposal(notice(None, Some(split(3, &MEMBERS))));
+}
+
+/// A deputy that acts by a split of the lead and itself, before which the lead held all.
+fn deputy(now: Instant) -> Shares {
+    let mut shares = Shares::default();
+    shares.set_ready();
+    shares.apply(&me(), notice(None, Some(split(1, &MEMBERS))), now);
+    shares.apply(&me(), notice(Some(split(1, &MEMBERS)), None), now);
+    shares.update_targets(&me(), &targets(20).into_iter().collect::<BTreeSet<_>>());
+    shares
+}
+
+fn share(number: u64, busy_targets: Vec<Target>) -> ShareNotice {
+    let rank = Rank { token: Token(5), number };
+    let highest_token = Token::default();
+    ShareNotice {
+        zone: zone("a"),
+        rank,
+        ready_for: None,
+        busy_targets,
+        highest_token,
+        backlog_ms: 0,
+    }
+}
+
+/// Guards against a claim that ends the runs of the host that had the target, and against a wait without end: whether
+/// a deputy may claim a target, some time after the split came in force, if the lead reports by which split it acts
+/// and that it is busy there. The lead confirms the split until then.
+fn claims(reported: Option<(u64, bool)>, is_alive: bool, after_ms: u64, expected: bool) {
+    let start = Instant::now();
+    let now = start + Duration::from_millis(after_ms);
+    let mut shares = deputy(start);
+    let target = &targets(1)[0];
+    let lead = Host::try_from("lead").unwrap();
+    if let Some((number, is_busy)) = reported {
+        let busy_targets = if is_busy { vec![target.clone()] } else { Vec::new() };
+        shares.record_share(&lead, share(number, busy_targets), now);
+    }
+    shares.apply(&me(), notice(Some(split(1, &MEMBERS)), None), now);
+    let may_claim = shares.may_claim(false, |_| is_alive, now);
+    assert_eq!(may_claim && !shares.is_busy(target, |_| is_alive, now), expected);
+}
+
+cases! { claims:
+    not_before_the_report(None, true, 500, false);
+    not_while_the_report_is_of_an_earlier_split(Some((0, false)), true, 500, false);
+    with_the_report(Some((1, false)), true, 0, true);
+    not_a_busy_target(Some((1, true)), true, 5_000, false);
+    at_once_if_the_former_holder_is_lost(None, false, 0, true);
+    after_a_second_without_a_report(None, true, 1_050, true);
+}
+
+/// Guards against a deputy that fights the lead for targets: without the lead it claims none, and what another host
+/// took it leaves until the lead confirms the split.
+#[test]
+fn a_deputy_without_its_lead_claims_nothing() {
+    let start = Instant::now();
+    let mut shares = deputy(start);
+    let lead = Host::try_from("lead").unwrap();
+    shares.record_share(&lead, share(1, Vec::new()), start);
+    assert!(shares.may_claim(false, |_| true, start));
+    let later = start + Duration::from_secs(1);
+    assert!(!shares.may_claim(false, |_| true, later));
+    let target = targets(20).into_iter().find(|one| shares.holds(one)).unwrap();
+    shares.lose(&target);
+    assert!(!shares.holds(&target));
+    shares.apply(&me(), notice(Some(split(1, &MEMBERS)), None), later);
+    assert!(shares.holds(&target) && shares.may_claim(false, |_| true, later));
+}
--- a/crates/fleet/src/routing/tests.rs
+++ b/crates/fleet/src/routing/tests.rs
@@ -1,4 +1,5 @@
 mod crest;
+mod split_zone;
 
 use std::time::Duration;
 
