--- a/crates/fleet/src/control/tests/safety.rs
+++ b/crates/fleet/src/control/tests/safety.rs
@@ -209,6 +209,12 @@
     fault_rates: FaultRates,
     faults: &'static [u8],
 ) {
+    check_property_with(|seed| {
+        run_and_check_in(converged(seed), seed, workload, fault_rates, faults);
+    });
+}
+
+fn check_property_with(check: impl Fn(u64)) {
     let config = ProptestConfig { cases: cases(), failure_persistence: None, ..Default::default() };
     let mut runner = proptest::test_runner::TestRunner::new_with_rng(
         config,
@@ -217,7 +223,7 @@
         ),
     );
     let run = runner.run(&any::<u64>(), |seed| {
-        run_and_check_in(converged(seed), seed, workload, fault_rates, faults);
+        check(seed);
         Ok(())
     });
     run.unwrap_or_else(|error| panic!("{error}"));
@@ -408,6 +414,45 @@
     check_property_in(splits::converged, workload, fault_rates, faults);
 }
 
+/// Guards against targets of a dense zone that stay without a holder, or with two, once all faults are over.
+fn dense_zones_recover(fault_rates: FaultRates, faults: &'static [u8]) {
+    check_property_with(|seed| {
+        let mut sim = splits::converged(seed);
+        sim.fault_rates = fault_rates;
+        for _ in 0..80 {
+            let run_ms = 30 + sim.random_below(600) as u64;
+            sim.submit(2, 14_000, run_ms);
+            sim.run_for(100);
+            if sim.random_bool(0.1) {
+                inject_fault(&mut sim, faults);
+            }
+        }
+        sim.end_faults();
+        sim.run_for(15_000);
+        for zone in ["a", "b"] {
+            let holders = sim.holders_by_target(zone);
+            assert!(sim.is_covered(zone), "seed {seed}: {holders:?}");
+            let lead = sim.stewards(zone)[0];
+            let members = sim.members(lead).len();
+            assert_eq!((sim.stewards(zone).len(), members), (1, 2), "seed {seed}");
+        }
+        assert_eq!(sim.violations, Vec::<String>::new(), "seed {seed}");
+    });
+}
+
+cases! { dense_zones_recover:
+    from_killed_hosts(RELIABLE, &[0, 5]);
+    from_frozen_hosts(RELIABLE, &[1, 14]);
+    from_planned_stops(RELIABLE, &[2, 5]);
+    from_partitions(RELIABLE, &[4, 6]);
+    from_partitions_one_way(RELIABLE, &[7, 8]);
+    from_partitions_that_delay_batches(RELIABLE, &[1, 12]);
+    from_delayed_batches(RELIABLE, &[5, 15, 15, 15, 16]);
+    from_unreachable_targets_and_missing_entries(RELIABLE, &[9, 10, 10, 11]);
+    from_stepped_clocks(RELIABLE, &[0, 5, 6, 13, 13]);
+    from_all_faults(HANGING_LOSSY, &[0, 1, 2, 3, 4, 5, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16]);
+}
+
 cases! { dense_zones:
     without_faults(SHORT_WORK, RELIABLE, &[]);
     under_lost_and_delayed_calls(SHORT_WORK, LOSSY, &[]);
--- a/crates/fleet/src/control/tests/simulation/splits.rs
+++ b/crates/fleet/src/control/tests/simulation/splits.rs
@@ -5,7 +5,7 @@
 
 use coltsfootshunt_core::name::{Target, Zone};
 
-use super::{SimEvent, Simulation};
+use super::{FaultRates, SimEvent, Simulation};
 use crate::lease::{Phase, Token};
 use crate::member::Heartbeat;
 use crate::peer::Message;
@@ -23,6 +23,19 @@
         self.messages.unwrap_or_default()
     }
 
+    /// Ends all faults: restarts killed hosts, and ends partitions, delays and missing entries. Steps of clocks stay.
+    pub(in crate::control::tests) fn end_faults(&mut self) {
+        self.fault_rates = FaultRates::default();
+        for (one, other) in self.partitions.keys().copied().collect::<Vec<_>>() {
+            self.set_partition_one_way(one, other, None);
+        }
+        self.target_partitions.clear();
+        self.hidden_targets.clear();
+        self.clear_batch_delays();
+        let killed: Vec<usize> = (0..self.hosts.len()).filter(|host| !self.is_up(*host)).collect();
+        killed.into_iter().for_each(|host| self.start(host));
+    }
+
     /// Ends the partitions of two hosts after some time.
     pub(in crate::control::tests) fn heal_after(&mut self, one: usize, other: usize, for_ms: u64) {
         self.schedule(for_ms, SimEvent::Heal(one, other));
--- a/crates/fleet/src/control/tests/splits.rs
+++ b/crates/fleet/src/control/tests/splits.rs
@@ -140,7 +140,7 @@
 /// Guards against a change of the split that ends runs: hosts of the zone come one by one while tasks run on all its
 /// targets, and leave again as planned. All jobs complete, no run is stopped by another holder, and no target is
 /// over its capacity.
-fn ends_no_run(seed: u64, run_ms: u64) {
+fn ends_no_run(seed: u64, run_ms: u64, gap_ms: u64) {
     let mut sim = Simulation::dense(seed);
     sim.kill(1);
     sim.kill(2);
@@ -157,7 +157,7 @@
             _ => {}
         }
         jobs.push(sim.submit(2, HALF, run_ms));
-        sim.run_for(150);
+        sim.run_for(gap_ms);
     }
     sim.run_for(5_000);
     assert_eq!(sim.orphans, 0, "seed {seed}");
@@ -169,10 +169,11 @@
 }
 
 cases! { ends_no_run:
-    of_short_tasks(1, 80);
-    of_long_tasks(2, 500);
-    of_longer_tasks(3, 700);
-    of_longer_tasks_2(4, 700);
+    of_short_tasks(1, 80, 150);
+    of_long_tasks(2, 500, 150);
+    of_longer_tasks(3, 700, 150);
+    of_longer_tasks_2(4, 700, 150);
+    of_tasks_of_more_than_a_second(5, 1_100, 300);
 }
 
 /// Guards against two versions that can't serve a zone together. The given host, by rank of the zone, runs the version
