feat(split): present members that are behind keep their place; members that don't follow are left out

Cause: a deputy whose control thread is behind would lose its share to a proposal that adds a member, and one that is alive but acts by another split would keep targets without a holder. Change: only new members are left out if they don't answer; a member that has not acted by the split for 2 s is left out.

--- a/crates/fleet/src/control/shares.rs
+++ b/crates/fleet/src/control/shares.rs
@@ -56,7 +56,7 @@
                 targets: targets.len(),
                 max_cpu_millis: self.membership.max_cpu_millis(),
                 hosts: 0,
-                backlog: Duration::ZERO,
+                backlog: self.backlog(),
             };
             let available = self.membership.available_members();
             let shares = &mut self.membership.shares;
@@ -76,6 +76,12 @@
         self.membership.is_stopping || lead.is_some_and(|peer| !peer.heartbeat.reads_zones)
     }
 
+    /// Age of the oldest event that the control thread has not handled. It is not measured yet, so a split gets no
+    /// more members than its targets need.
+    fn backlog(&self) -> Duration {
+        Duration::ZERO
+    }
+
     fn zone_targets(&self, zone: &Zone) -> BTreeSet<Target> {
         let of_zone = self.directory.iter().filter(|entry| entry.zone == *zone);
         of_zone.map(|entry| entry.name.clone()).collect()
@@ -127,9 +133,8 @@
     /// Raises the own tokens above those that a lost member may have issued since its last report.
     fn expect_unreported_tokens(&mut self, split: &Split) {
         let zone = &split.zone;
-        let is_lost = |host: &Host| self.membership.peer(host).is_some_and(|peer| !peer.is_alive);
-        let lost = self.membership.peers().filter(|peer| peer.identity.zone == *zone);
-        if lost.into_iter().any(|peer| is_lost(&peer.identity.host)) {
+        let mut peers = self.membership.peers();
+        if peers.any(|peer| peer.identity.zone == *zone && !peer.is_alive) {
             self.issuer.observe(self.issuer.highest(), UNREPORTED_TOKENS);
         }
     }
@@ -208,7 +213,8 @@
             self.steward.tracker(name).is_some_and(|tracker| tracker.entry.zone == zone)
         });
         let state = (busy_targets, self.issuer.highest());
-        let notice = self.membership.shares.share(&zone, state, 0);
+        let backlog_ms = u32::try_from(self.backlog().as_millis()).unwrap_or(u32::MAX);
+        let notice = self.membership.shares.share(&zone, state, backlog_ms);
         let Some(notice) = notice else {
             self.told.share = None;
             return;
--- a/crates/fleet/src/member/membership.rs
+++ b/crates/fleet/src/member/membership.rs
@@ -340,7 +340,7 @@
     /// Whether the targets of a zone are divided among several hosts, by what this host knows. Only hosts of the
     /// zone take part.
     fn is_split(&self, zone: &Zone) -> bool {
-        *zone == self.me.zone && self.shares.active().is_some()
+        self.shares.active().is_some() && *zone == self.me.zone
     }
 
     /// Hosts of this zone that may be members of its split: this one first, then the others by rank. They are alive,
--- a/crates/fleet/src/member/split/shares.rs
+++ b/crates/fleet/src/member/split/shares.rs
@@ -3,7 +3,7 @@
 //! Nothing here keeps two hosts from giving orders to one target: the fence at the target does. These rules keep the
 //! members from ending each other's runs, and from leaving a target without a holder.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
 use coltsfootshunt_core::name::{Host, Target, Zone};
@@ -19,6 +19,10 @@
 /// Longest time for which a target is left to a member that does not say by which split it acts.
 const MAX_HANDOVER: Duration = Duration::from_secs(1);
 
+/// Time after which a member that does not act by the split in force is left out, although it is alive: longer than
+/// it may wait for a current list of the targets.
+const FOLLOW_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A change of the split in force.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Change {
@@ -65,10 +69,12 @@
     confirmed_at: Option<Instant>,
     /// Reports of the other members.
     reports: BTreeMap<Host, Report>,
+    /// As lead: when each member was known last to act by the split in force.
+    followed_at: BTreeMap<Host, Instant>,
     /// Hosts that may still act by an earlier split.
     awaited: BTreeSet<Host>,
     /// Whether this host gives orders to each target, by the split in force.
-    holds: BTreeMap<Target, bool>,
+    holds: HashMap<Target, bool>,
     /// Targets that have obeyed another host since the lead confirmed the split.
     lost: BTreeSet<Target>,
 }
@@ -151,9 +157,13 @@
 
     /// Records the report of another member.
     pub fn record_share(&mut self, host: &Host, notice: ShareNotice, now: Instant) {
-        if self.active.as_ref().is_some_and(|active| notice.rank >= active.rank) {
+        let rank = self.active.as_ref().map(|active| active.rank);
+        if rank.is_some_and(|rank| notice.rank >= rank) {
             self.awaited.remove(host);
         }
+        if rank == Some(notice.rank) {
+            self.followed_at.insert(host.clone(), now);
+        }
         self.reports.insert(host.clone(), Report { notice, at: now });
     }
 
@@ -210,6 +220,8 @@
         let awaited = self.awaited.iter().chain(members);
         let awaited = awaited.filter(|host| *host != me && !has_answered(host));
         self.awaited = awaited.cloned().collect();
+        let followed = split.members.iter().map(|member| (member.host.clone(), now));
+        self.followed_at = followed.collect();
         let is_named = split.names(me);
         self.is_ready &= is_named;
         self.holds.clear();
@@ -311,7 +323,8 @@
         changes.extend(self.drop_lost(token, me, available, now));
         self.unanswered.retain(|_, at| now.duration_since(*at) < RETRY_DELAY);
         let candidates = self.candidates(available);
-        let backlogs = self.reports.values().map(|report| report.notice.backlog_ms);
+        let recent = self.reports.values().filter(|one| now.duration_since(one.at) <= PEER_TIMEOUT);
+        let backlogs = recent.map(|report| report.notice.backlog_ms);
         let reported = Duration::from_millis(backlogs.max().unwrap_or_default().into());
         let backlog = demand.backlog.max(reported);
         let demand = Demand { hosts: candidates.len(), backlog, ..demand };
@@ -361,7 +374,7 @@
         me.iter().chain(present).chain(new).cloned().collect()
     }
 
-    /// Puts a split without the members that are lost or stopping in force at once.
+    /// Puts a split without the members that are lost or stopping, or that don't follow, in force at once.
     fn drop_lost(
         &mut self,
         token: Token,
@@ -370,20 +383,28 @@
         now: Instant,
     ) -> Option<Change> {
         let active = self.active.as_ref()?;
-        let is_available = |member: &&Member| available.iter().any(|one| one.host == member.host);
-        let members: Vec<Member> = active.members.iter().filter(is_available).cloned().collect();
-        if members.len() == active.members.len() {
+        let follows = |member: &Member| {
+            let followed_at = self.followed_at.get(&member.host);
+            followed_at.is_some_and(|at| now.duration_since(*at) <= FOLLOW_TIMEOUT)
+        };
+        let is_kept = |member: &Member| {
+            member.host == me.host || available.contains(member) && follows(member)
+        };
+        let (members, dropped): (Vec<Member>, Vec<Member>) =
+            active.members.iter().cloned().partition(is_kept);
+        if dropped.is_empty() {
             return None;
         }
         self.proposal = None;
+        self.unanswered.extend(dropped.into_iter().map(|one| (one.host, now)));
         let zone = active.zone.clone();
         let split = Split { zone, rank: self.next_rank(token), members };
         self.activate(&me.host, split.clone(), now);
         Some(Change::Active(split))
     }
 
-    /// Puts the proposed split in force once all its members have answered, or without those that did not answer in
-    /// time.
+    /// Puts the proposed split in force once all its members have answered, or without new ones that did not answer
+    /// in time. A present member that is behind keeps its place, since it has runs to end.
     fn conclude(&mut self, me: &Member, available: &[Member], now: Instant) -> Option<Change> {
         let Proposal { split, since } = self.proposal.as_ref()?;
         let has_answered = |member: &Member| {
@@ -391,15 +412,18 @@
             let is_available = available.iter().any(|one| one.host == member.host);
             member.host == me.host || is_available && ready_for == Some(split.rank)
         };
-        let (answered, missing): (Vec<Member>, Vec<Member>) =
-            split.members.iter().cloned().partition(has_answered);
-        if !missing.is_empty() && now.duration_since(*since) < PROPOSAL_TIMEOUT {
+        let is_complete = split.members.iter().all(has_answered);
+        if !is_complete && now.duration_since(*since) < PROPOSAL_TIMEOUT {
             return None;
         }
-        let split = Split { members: answered, ..split.clone() };
+        let present = |member: &Member| self.active.iter().any(|one| one.members.contains(member));
+        let (members, missing): (Vec<Member>, Vec<Member>) =
+            split.members.iter().cloned().partition(|one| has_answered(one) || present(one));
+        let is_same = self.active.as_ref().map_or(members.len() == 1, |one| one.members == members);
+        let split = Split { members, ..split.clone() };
         self.proposal = None;
         self.unanswered.extend(missing.into_iter().map(|one| (one.host, now)));
-        if self.active.is_none() && split.members.len() == 1 {
+        if is_same {
             return None;
         }
         self.activate(&me.host, split.clone(), now);
