--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -275,7 +275,12 @@
 
     /// Creates a simulation of dense zones.
     pub(super) fn dense(seed: u64) -> Self {
-        let sizes = (HOSTS_PER_DENSE_ZONE, TARGETS_PER_DENSE_ZONE, DENSE_CPU_MILLIS);
+        Self::dense_with(seed, TARGETS_PER_DENSE_ZONE)
+    }
+
+    /// Creates a simulation of dense zones with the given number of targets each.
+    pub(super) fn dense_with(seed: u64, targets: usize) -> Self {
+        let sizes = (HOSTS_PER_DENSE_ZONE, targets, DENSE_CPU_MILLIS);
         Self::create(seed, |host, run| run * 16 + host as u64, sizes)
     }
 
--- a/crates/fleet/src/control/tests/splits.rs
+++ b/crates/fleet/src/control/tests/splits.rs
@@ -176,6 +176,39 @@
     of_tasks_of_more_than_a_second(5, 1_100, 300);
 }
 
+/// Guards against a claim that ends the runs of a member that hears late of the split: a third member comes while the
+/// messages of the lead take some time to the second one, whose targets are busy.
+fn ends_no_run_of_a_member_that_hears_late(seed: u64, delay_ms: u64) {
+    let mut sim = Simulation::dense_with(seed, 10);
+    sim.kill(2);
+    sim.run_for(8_000);
+    let lead = sim.stewards("a")[0];
+    let deputy = 1 - lead;
+    assert_eq!(sim.members(lead), [lead, deputy]);
+    sim.direct_callers_to(4);
+    sim.set_batch_delay(lead, deputy, delay_ms);
+    sim.start(2);
+    let mut jobs = Vec::new();
+    for _ in 0..60 {
+        jobs.push(sim.submit(2, HALF, 700));
+        sim.run_for(100);
+    }
+    sim.run_for(3_000);
+    assert_eq!(sim.members(lead).len(), 3);
+    assert_eq!(sim.orphans, 0, "seed {seed}");
+    for id in jobs {
+        assert_eq!(sim.outcomes(&id), [Some(Outcome::Completed)], "seed {seed}: {id}");
+    }
+    assert_covered(&mut sim, 1);
+    assert_safe(&sim);
+}
+
+cases! { ends_no_run_of_a_member_that_hears_late:
+    by_100_ms(1, 100);
+    by_300_ms(2, 300);
+    by_400_ms(3, 400);
+}
+
 /// Guards against two versions that can't serve a zone together. The given host, by rank of the zone, runs the version
 /// before this one.
 fn serves_beside_the_version_before(rank: usize) {
