--- a/crates/fleet/src/control/tests/splits.rs
+++ b/crates/fleet/src/control/tests/splits.rs
@@ -146,8 +146,8 @@
     sim.kill(2);
     sim.run_for(4_000);
     assert_eq!(sim.stewards("a"), [0]);
-    // A host that does not stop meanwhile.
-    sim.direct_callers_to(4);
+    // A host of the zone that does not stop meanwhile.
+    sim.direct_callers_to(0);
     let mut jobs = Vec::new();
     for round in 0..80 {
         match round {
@@ -185,11 +185,13 @@
     let lead = sim.stewards("a")[0];
     let deputy = 1 - lead;
     assert_eq!(sim.members(lead), [lead, deputy]);
-    sim.direct_callers_to(4);
-    sim.set_batch_delay(lead, deputy, delay_ms);
-    sim.start(2);
+    sim.direct_callers_to(deputy);
     let mut jobs = Vec::new();
-    for _ in 0..60 {
+    for round in 0..80 {
+        if round == 10 {
+            sim.set_batch_delay(lead, deputy, delay_ms);
+            sim.start(2);
+        }
         jobs.push(sim.submit(2, HALF, 700));
         sim.run_for(100);
     }
