--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -62,6 +62,8 @@
     pub(super) evacuations: evacuation::Register,
     /// Peers that know the evacuated zones in this version of the register.
     pub(super) told_evacuations: BTreeMap<Host, u64>,
+    /// What the members of the zone's split were told last.
+    pub(super) told: super::shares::Told,
     pub(super) jobs: job::Registry,
     pub(super) classifier: job::Classifier,
     /// Jobs with tasks for which no steward was available.
@@ -139,6 +141,7 @@
             dense_zones: density::Zones::default(),
             evacuations: evacuation::Register::default(),
             told_evacuations: BTreeMap::new(),
+            told: super::shares::Told::default(),
             jobs: job::Registry::default(),
             classifier: job::Classifier::default(),
             stalled: BTreeSet::new(),
@@ -355,13 +358,13 @@
     /// Publishes a snapshot if it has changed.
     fn publish(&mut self, now: Instant) {
         let has_steward = self.has_steward();
-        let is_isolated = self.membership.is_isolated(now) && self.membership.claims.is_empty();
+        let is_isolated = self.membership.is_isolated(now) && !self.membership.serves_targets();
         let is_closing_connections = self.stopping_since.is_some() || is_isolated;
         let snapshot = Snapshot {
             document: self.config.document().cloned(),
             is_ready: self.config.document().is_some() && has_steward && !is_closing_connections,
             is_closing_connections,
-            is_steward: !self.membership.claims.is_empty(),
+            is_steward: self.membership.serves_targets() || self.membership.is_member(),
             knows_targets: !self.directory.is_empty(),
             awaits_targets: self.awaits_targets_since.is_some(),
             doubted_notice: self.evacuations.doubted(),
--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -9,6 +9,7 @@
 mod evacuations;
 mod network;
 mod partitions;
+mod splits;
 mod tokens;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -44,6 +45,11 @@
 pub(super) const ZONES: [&str; 2] = ["a", "b"];
 const HOSTS_PER_ZONE: usize = 2;
 const TARGETS_PER_ZONE: usize = 3;
+const HOST_CPU_MILLIS: u32 = 250;
+/// Hosts and targets of a dense zone, and the hosts' share of the processor: one steward serves four targets.
+const HOSTS_PER_DENSE_ZONE: usize = 3;
+const TARGETS_PER_DENSE_ZONE: usize = 6;
+const DENSE_CPU_MILLIS: u32 = 20;
 const TARGET_CPU_MILLIS: u64 = 32_000;
 /// Delay after which a caller without a definite outcome submits its job again, by default and at the earliest by
 /// the platform's documentation.
@@ -110,6 +116,8 @@
     frozen_until_ms: u64,
     channels: BTreeMap<SocketAddr, Channel>,
     pending_events: Vec<Event>,
+    /// Whether it runs the version before this one, which knows no splits.
+    is_previous_version: bool,
 }
 
 impl Channel {
@@ -245,6 +253,12 @@
     /// Settings of hosts that start from now on, and the zones that operators have evacuated.
     evacuations: evacuations::Operators,
     pub(super) violations: Vec<String>,
+    /// Number of messages on splits.
+    pub(super) split_messages: u32,
+    /// Number of runs that a target's new holder stopped.
+    pub(super) orphans: u32,
+    /// Time, sender, receiver and kind of each message, if they are recorded.
+    messages: Option<Vec<(u64, usize, SocketAddr, &'static str)>>,
     /// Whether a task has run twice or a target was over its capacity; the first time is reported.
     has_unsafe_run: bool,
     /// Whether actions are printed; set by `COLTSFOOTSHUNT_TRACE`.
@@ -258,16 +272,32 @@
 
     /// Creates a simulation with up to eight hosts in each zone.
     pub(super) fn with_hosts(seed: u64, hosts_per_zone: usize) -> Self {
-        Self::create(seed, |host, run| run * 16 + host as u64, hosts_per_zone)
+        let sizes = (hosts_per_zone, TARGETS_PER_ZONE, HOST_CPU_MILLIS);
+        Self::create(seed, |host, run| run * 16 + host as u64, sizes)
+    }
+
+    /// Creates a simulation of dense zones.
+    pub(super) fn dense(seed: u64) -> Self {
+        Self::dense_with(seed, TARGETS_PER_DENSE_ZONE)
+    }
+
+    /// Creates a simulation of dense zones with the given number of targets each.
+    pub(super) fn dense_with(seed: u64, targets: usize) -> Self {
+        let sizes = (HOSTS_PER_DENSE_ZONE, targets, DENSE_CPU_MILLIS);
+        Self::create(seed, |host, run| run * 16 + host as u64, sizes)
     }
 
     /// Creates a simulation in which `identify` returns the number that identifies the given run of a
     /// host's process, from 1 on.
     pub(super) fn with_incarnations(seed: u64, identify: fn(usize, u64) -> u64) -> Self {
-        Self::create(seed, identify, HOSTS_PER_ZONE)
+        Self::create(seed, identify, (HOSTS_PER_ZONE, TARGETS_PER_ZONE, HOST_CPU_MILLIS))
     }
 
-    fn create(seed: u64, identify: fn(usize, u64) -> u64, hosts_per_zone: usize) -> Self {
+    fn create(
+        seed: u64,
+        identify: fn(usize, u64) -> u64,
+        (hosts_per_zone, targets_per_zone, cpu_millis): (usize, usize, u32),
+    ) -> Self {
         let time = Arc::new(ManualClock::new());
         let mut sim = Self {
             time,
@@ -309,6 +339,9 @@
             tokens: Ledger::default(),
             evacuations: evacuations::Operators::default(),
             violations: Vec::new(),
+            split_messages: 0,
+            orphans: 0,
+            messages: None,
             has_unsafe_run: false,
             is_traced: std::env::var_os("COLTSFOOTSHUNT_TRACE").is_some(),
         };
@@ -316,7 +349,7 @@
         for (number, zone) in zones.enumerate() {
             let identity = Identity {
                 address: format!("10.0.0.{}:1", number + 1).parse().unwrap(),
-                ..crate::member::tests::identity(&format!("h{number}"), zone, 250)
+                ..crate::member::tests::identity(&format!("h{number}"), zone, cpu_millis)
             };
             let channels = BTreeMap::new();
             let pending_events = Vec::new();
@@ -328,11 +361,12 @@
                 frozen_until_ms: 0,
                 channels,
                 pending_events,
+                is_previous_version: false,
             };
             sim.hosts.push(host);
         }
         for (number, zone) in ZONES.iter().enumerate() {
-            for each in 0..TARGETS_PER_ZONE {
+            for each in 0..targets_per_zone {
                 let mut entry = directory::tests::entry(&format!("t{number}{each}"), zone);
                 entry.capacity.cpu_millis = TARGET_CPU_MILLIS;
                 entry.address = ([10, 1, number as u8, each as u8], 80).into();
@@ -605,6 +639,14 @@
                 );
             }
             Action::Send(to, message) => {
+                let is_about_split = matches!(message, Message::Split(_) | Message::Share(_));
+                self.split_messages += u32::from(is_about_split);
+                let now_ms = self.now_ms();
+                let recorded = self.messages.as_mut();
+                recorded.into_iter().for_each(|all| all.push((now_ms, host, to, message.kind())));
+                let Some(message) = self.as_sent(host, to, message) else {
+                    return;
+                };
                 self.grants += u32::from(matches!(message, Message::Grant(_)));
                 self.send_message(host, to, message);
             }
@@ -619,6 +661,7 @@
             }
             Action::Record(record) => {
                 self.fenced_calls += u32::from(matches!(record, Record::TargetFenced { .. }));
+                self.orphans += u32::from(matches!(record, Record::OrphanStopped { .. }));
                 self.shared_tokens += u32::from(matches!(record, Record::TokenShared { .. }));
                 self.evacuations.record(&record);
             }
--- a/crates/fleet/src/peer/message.rs
+++ b/crates/fleet/src/peer/message.rs
@@ -13,6 +13,7 @@
 use crate::directory::Entry;
 use crate::evacuation::Notice;
 use crate::job::{Assignment, Completion, Grant, Id, Reservation};
+use crate::member::split::{ShareNotice, SplitNotice};
 use crate::member::{Heartbeat, Identity};
 use crate::routing::Load;
 use crate::speed::Trend;
@@ -66,6 +67,10 @@
     CurrentTargets(Vec<Entry>),
     /// Evacuated zones that the sender knows; only to peers whose heartbeat has `reads_zones`.
     Evacuations(Notice),
+    /// Lead of a zone to its other hosts: how the zone's targets are divided.
+    Split(SplitNotice),
+    /// Member of a zone's split to the others: by which split it acts.
+    Share(ShareNotice),
     /// Run times learned from the sender's targets.
     #[serde(rename = "learned")]
     Speeds {
@@ -101,6 +106,8 @@
             | Self::Targets(_)
             | Self::CurrentTargets(_)
             | Self::Evacuations(_)
+            | Self::Split(_)
+            | Self::Share(_)
             | Self::Speeds { .. } => false,
         }
     }
@@ -128,6 +135,8 @@
             Self::Targets(_) => "targets",
             Self::CurrentTargets(_) => "current_targets",
             Self::Evacuations(_) => "evacuations",
+            Self::Split(_) => "split",
+            Self::Share(_) => "share",
             Self::Speeds { .. } => "speeds",
         }
     }
--- a/crates/fleet/src/steward/state/closed.rs
+++ b/crates/fleet/src/steward/state/closed.rs
@@ -88,7 +88,7 @@
 fn is_open(tracker: &Tracker, membership: &Membership) -> bool {
     !tracker.is_evacuated
         && tracker.entry.state == State::Ready
-        && membership.has_claim(&tracker.entry.zone)
+        && membership.holds(&tracker.entry.zone, &tracker.entry.name)
 }
 
 fn fits(entry: &Entry, queued: &QueuedTask) -> bool {
--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -145,8 +145,8 @@
     /// Free resources of a target by its tracker; `None` if no task may start.
     fn free(&self, row: usize, membership: &Membership, now: Instant) -> Option<Resources> {
         let tracker = self.targets.row(row);
-        let Entry { state, zone, .. } = &tracker.entry;
-        let is_usable = *state == directory::State::Ready && membership.has_claim(zone);
+        let Entry { name, state, zone, .. } = &tracker.entry;
+        let is_usable = *state == directory::State::Ready && membership.holds(zone, name);
         tracker.available(now).filter(|_| is_usable)
     }
 
@@ -224,7 +224,7 @@
     ) {
         let kept = self.targets.kept(membership, speeds, now);
         let sums = kept.sums();
-        let elsewhere = membership.alive().filter(|peer| !peer.heartbeat.claims.is_empty());
+        let elsewhere = membership.alive().filter(|peer| peer.serves_targets());
         // Only half of the free slots are counted, since other stewards may see the same ones.
         let mut free =
             elsewhere.map(|peer| u64::from(peer.heartbeat.load.free_slots)).sum::<u64>() / 2;
--- a/crates/fleet/src/steward/state/targets.rs
+++ b/crates/fleet/src/steward/state/targets.rs
@@ -21,6 +21,7 @@
 use crate::directory::Directory;
 use crate::job::{Id, Task};
 use crate::lease::{Attempt, Term, Tracker};
+use crate::member::split::Holding;
 use crate::member::{Claim, Membership};
 use crate::speed::Estimator;
 
@@ -37,8 +38,9 @@
     classes: Classes,
     rooms: Rooms,
     sums: Sums,
-    /// Claims of this host when the values were last updated.
+    /// Claims of this host, and its share of a zone, when the values were last updated.
     claims: Vec<Claim>,
+    holding: Holding,
 }
 
 /// The targets that a steward gives orders to.
@@ -83,7 +85,7 @@
     ) {
         self.kept = None;
         let mut added = Vec::new();
-        for entry in directory.iter().filter(|entry| membership.has_claim(&entry.zone)) {
+        for entry in directory.iter().filter(|entry| membership.holds(&entry.zone, &entry.name)) {
             match self.rows.get(&entry.name) {
                 Some(row) => self.trackers[*row].update(entry, directory.read_at()),
                 None => {
@@ -95,7 +97,7 @@
         }
         let count = self.trackers.len();
         self.trackers.retain(|tracker| {
-            let is_claimed = membership.has_claim(&tracker.entry.zone)
+            let is_claimed = membership.holds(&tracker.entry.zone, &tracker.entry.name)
                 && directory.get(&tracker.entry.name).is_some();
             is_claimed || !tracker.is_idle()
         });
@@ -126,7 +128,7 @@
     /// Updates all values and sums if targets or claims have changed since.
     pub(super) fn ensure(&mut self, membership: &Membership, speeds: &Estimator, now: Instant) {
         match &mut self.kept {
-            Some(kept) if kept.claims == membership.claims => kept.sums.advance(now),
+            Some(kept) if kept.is_current(membership) => kept.sums.advance(now),
             _ => self.refresh(membership, speeds, now),
         }
     }
@@ -139,7 +141,7 @@
         now: Instant,
     ) -> Cow<'_, Kept> {
         match &self.kept {
-            Some(kept) if kept.claims == membership.claims => Cow::Borrowed(kept),
+            Some(kept) if kept.is_current(membership) => Cow::Borrowed(kept),
             _ => Cow::Owned(Kept::of(&self.trackers, membership, speeds, now)),
         }
     }
@@ -250,7 +252,19 @@
         let values: Vec<Values> = values.collect();
         let sums = Sums::of(&values, classes.all.len(), now);
         let rooms = Rooms::new(values.iter().map(Values::room));
-        Self { values, classes, rooms, sums, claims: membership.claims.clone() }
+        Self {
+            values,
+            classes,
+            rooms,
+            sums,
+            claims: membership.claims.clone(),
+            holding: membership.shares.holding(),
+        }
+    }
+
+    /// Whether this host gives orders to the same targets as at the last update.
+    fn is_current(&self, membership: &Membership) -> bool {
+        self.claims == membership.claims && self.holding == membership.shares.holding()
     }
 
     /// What is kept of each target.
--- a/crates/fleet/src/steward/state/targets/values.rs
+++ b/crates/fleet/src/steward/state/targets/values.rs
@@ -160,5 +160,5 @@
 
 /// Whether this host may start tasks on the targets of the entry's zone.
 pub(super) fn is_claimed(entry: &Entry, membership: &Membership) -> bool {
-    membership.has_claim(&entry.zone)
+    membership.holds(&entry.zone, &entry.name)
 }
