test(split): decisions of the lead, encoding and queueing of the messages on splits

Cause: a lead's decisions were only tested on whole hosts. Change: heartbeats to all are sent at once only when a host begins or ends to serve targets.

--- a/crates/fleet/src/control/shares.rs
+++ b/crates/fleet/src/control/shares.rs
@@ -107,8 +107,10 @@
         if !self.membership.serves_targets() {
             self.return_queued(now);
         }
-        // Owners send their tasks by the load that heartbeats report.
-        self.membership.announce();
+        if (before == 0) != (held == 0) {
+            // Owners send their tasks by the load that heartbeats report.
+            self.membership.announce();
+        }
     }
 
     /// Records changes of the split.
--- a/crates/fleet/src/member/tests/split.rs
+++ b/crates/fleet/src/member/tests/split.rs
@@ -200,3 +200,102 @@
     shares.apply(&me(), notice(Some(split(1, &MEMBERS)), None), later);
     assert!(shares.holds(&target) && shares.may_claim(false, |_| true, later));
 }
+
+/// A lead of four hosts of the zone, in whose split the deputy `x` is.
+struct Lead {
+    shares: Shares,
+    start: Instant,
+}
+
+const HOSTS: [(&str, u32); 4] = [("me", 500), ("x", 500), ("y", 300), ("z", 90)];
+
+impl Lead {
+    fn new() -> Self {
+        let mut lead = Self { shares: Shares::default(), start: Instant::now() };
+        lead.decide(0, &HOSTS);
+        lead.report(0, "x", (0, Some(1), 0));
+        lead.decide(50, &HOSTS);
+        lead.report(50, "x", (1, None, 0));
+        assert_eq!(lead.members(), ["me", "x"]);
+        lead
+    }
+
+    fn at(&self, ms: u64) -> Instant {
+        self.start + Duration::from_millis(ms)
+    }
+
+    fn decide(&mut self, at_ms: u64, hosts: &[(&str, u32)]) {
+        let available: Vec<Member> = hosts.iter().map(|(host, size)| member(host, *size)).collect();
+        let now = self.at(at_ms);
+        self.shares.decide((&zone("a"), Token(5)), &available, demand(117, 0, 0), now);
+    }
+
+    /// Records the report of a member: the split by which it acts, the one it is ready for, and its backlog.
+    fn report(
+        &mut self,
+        at_ms: u64,
+        host: &str,
+        (number, ready_for, backlog_ms): (u64, Option<u64>, u32),
+    ) {
+        let ready_for = ready_for.map(|number| Rank { token: Token(5), number });
+        let notice = ShareNotice { ready_for, backlog_ms, ..share(number, Vec::new()) };
+        let now = self.at(at_ms);
+        self.shares.record_share(&Host::try_from(host).unwrap(), notice, now);
+    }
+
+    fn members(&self) -> Vec<String> {
+        let active = self.shares.active().unwrap();
+        active.members.iter().map(|member| member.host.to_string()).collect()
+    }
+}
+
+/// Guards against a split that does not follow what becomes of its members: the members some time after `x` has
+/// reported for the last time, where `y` answers proposals or not.
+fn follows(
+    hosts: &[(&str, u32)],
+    x_reports: bool,
+    y_answers: bool,
+    after_ms: u64,
+    expected: &[&str],
+) {
+    let mut lead = Lead::new();
+    for at_ms in (100..=100 + after_ms).step_by(50) {
+        if x_reports {
+            lead.report(at_ms, "x", (1, None, 0));
+        }
+        if y_answers {
+            let next = lead.shares.active().unwrap().rank.number + 1;
+            lead.report(at_ms, "y", (0, Some(next), 0));
+        }
+        lead.decide(at_ms, hosts);
+    }
+    assert_eq!(lead.members(), expected);
+}
+
+const WITHOUT_X: [(&str, u32); 3] = [("me", 500), ("y", 300), ("z", 90)];
+
+cases! { follows:
+    not_while_all_is_as_it_was(&HOSTS, true, true, 5_000, &["me", "x"]);
+    the_loss_of_a_member_at_once(&WITHOUT_X, false, false, 0, &["me"]);
+    the_loss_by_another_member(&WITHOUT_X, false, true, 100, &["me", "y"]);
+    the_loss_without_one_that_does_not_answer(&WITHOUT_X, false, false, 600, &["me"]);
+    not_a_member_that_is_silent_for_a_moment(&HOSTS, false, false, 1_500, &["me", "x"]);
+    a_member_that_acts_by_another_split(&HOSTS, false, false, 2_100, &["me"]);
+}
+
+/// Guards against a member that is behind and gets no help, or loses its share to the proposal that brings it: `x`
+/// reports a backlog of 60 ms from 4 s on, and `y` answers the proposal.
+#[test]
+fn a_member_that_is_behind_gets_help_and_keeps_its_share() {
+    let mut lead = Lead::new();
+    for at_ms in (100..=5_000).step_by(50) {
+        let backlog_ms = if at_ms >= 4_000 { 60 } else { 0 };
+        lead.report(at_ms, "x", (1, None, backlog_ms));
+        lead.decide(at_ms, &HOSTS);
+        lead.report(at_ms, "y", (0, Some(2), 0));
+        if at_ms < 4_300 {
+            assert_eq!(lead.members(), ["me", "x"]);
+        }
+    }
+    assert_eq!(lead.members(), ["me", "x", "y"]);
+}
--- a/crates/fleet/src/peer/tests/queue.rs
+++ b/crates/fleet/src/peer/tests/queue.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use coltsfootshunt_core::name::{Kind, Service};
+use coltsfootshunt_core::name::{Kind, Service, Zone};
 use coltsfootshunt_testkit::cases;
 use tokio::time::Instant;
 
 use crate::job::{Assignment, Grant, Id, Task};
+use crate::member::split::{Rank, SplitNotice};
 use crate::member::tests::identity;
 use crate::member::{Echo, Heartbeat};
 use crate::peer::{Full, Message, Queue};
@@ -32,6 +33,11 @@
     Message::Speeds { targets: Vec::new(), kinds: Vec::new() }
 }
 
+fn split() -> Message {
+    let zone = Zone::try_from("a").unwrap();
+    Message::Split(SplitNotice { zone, rank: Rank::default(), active: None, proposed: None })
+}
+
 /// Kinds of the messages of each batch.
 fn batches(messages: &[Message], waited_ms: u64, expected: &[&[&str]]) {
     let start = Instant::now();
@@ -57,6 +63,11 @@
         500,
         &[&["cancel", "speeds"]],
     );
+    the_state_of_a_split_with_messages_on_jobs(
+        &[hosts(1), split(), split(), completed()],
+        0,
+        &[&["completed", "split"], &["hosts"]],
+    );
     only_the_last_heartbeat(&[heartbeat(1), heartbeat(2), heartbeat(3)], 0, &[&["heartbeat"]]);
     only_the_last_list(&[hosts(1), hosts(2), hosts(3)], 0, &[&["hosts"]]);
 }
--- a/crates/fleet/src/peer/wire/tests.rs
+++ b/crates/fleet/src/peer/wire/tests.rs
@@ -5,6 +5,7 @@
 use super::{Frame, FrameError, Senders, Session};
 use crate::job::{Assignment, Completion, End, Id, Item, Requirements, Resources, Task};
 use crate::lease::{Suffix, Token};
+use crate::member::split::{Member, Rank, ShareNotice, Split, SplitNotice};
 use crate::member::tests::identity;
 use crate::member::{Claim, Echo, Heartbeat, Identity};
 use crate::peer::{Ack, Batch, Message};
@@ -122,6 +123,26 @@
     serde_json::to_value(messages).unwrap()
 }
 
+fn split() -> SplitNotice {
+    let zone = Zone::try_from("a").unwrap();
+    let rank = Rank { token: Token(5), number: 3 };
+    let member = Member { host: sender(7).host, cpu_millis: 500 };
+    let split = Split { zone: zone.clone(), rank, members: vec![member] };
+    SplitNotice { zone, rank, active: Some(split.clone()), proposed: Some(split) }
+}
+
+fn share() -> ShareNotice {
+    let rank = Rank { token: Token(5), number: 3 };
+    ShareNotice {
+        zone: Zone::try_from("a").unwrap(),
+        rank,
+        ready_for: Some(rank),
+        busy_targets: vec![Target::try_from("t-1").unwrap()],
+        highest_token: Token(u64::MAX),
+        backlog_ms: 60,
+    }
+}
+
 /// A message arrives as it was sent, also when it is repeated and behind another one of its kind.
 fn survives(message: &Message) {
     let senders = Senders::default();
@@ -142,6 +163,8 @@
     tasks_of_several_steps(&assignment(false));
     shared_tasks(&assignment(true));
     a_message_without_a_shorter_form(&Message::Cancel(job(), 9));
+    a_split(&Message::Split(split()));
+    a_share(&Message::Share(share()));
 }
 
 /// A batch that is repeated after its successor was handled doesn't bring back the status of its heartbeat.
