--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -214,7 +214,9 @@
                 let unreadable_count = unreadable.len();
                 let new_entries = self.reported_targets.filter_new(unreadable);
                 self.record_unreadable(new_entries);
-                self.directory.replace(entries, now);
+                for target in self.directory.replace(entries, now) {
+                    self.record(Record::EntryIgnored { target });
+                }
                 if !is_stale {
                     self.relay_targets();
                 }
@@ -313,6 +315,10 @@
         self.membership.update_zones(zones.iter().cloned(), now);
         self.maintain_claims(&zones, now);
         self.maintain_shares(now);
+        let is_dense = |zone: &Zone| self.dense_zones.contains(zone);
+        let leads_dense = self.membership.claims.iter().any(|claim| is_dense(&claim.zone));
+        let serves_dense = self.membership.serves_targets() && is_dense(&self.membership.me().zone);
+        self.steward.precedence_mut().set_dense(leads_dense || serves_dense);
     }
 
     /// Sends what is due: heartbeats to peers, learned speeds, and heartbeats to absent hosts.
--- a/crates/fleet/src/control/shares.rs
+++ b/crates/fleet/src/control/shares.rs
@@ -56,7 +56,7 @@
                 targets: targets.len(),
                 max_cpu_millis: self.membership.max_cpu_millis(),
                 hosts: 0,
-                backlog: self.backlog(),
+                backlog: self.backlog.age(),
             };
             let available = self.membership.available_members();
             let shares = &mut self.membership.shares;
@@ -76,12 +76,6 @@
         self.membership.is_stopping || lead.is_some_and(|peer| !peer.heartbeat.reads_zones)
     }
 
-    /// Age of the oldest event that the control thread has not handled. It is not measured yet, so a split gets no
-    /// more members than its targets need.
-    fn backlog(&self) -> Duration {
-        Duration::ZERO
-    }
-
     fn zone_targets(&self, zone: &Zone) -> BTreeSet<Target> {
         let of_zone = self.directory.iter().filter(|entry| entry.zone == *zone);
         of_zone.map(|entry| entry.name.clone()).collect()
@@ -215,7 +209,7 @@
             self.steward.tracker(name).is_some_and(|tracker| tracker.entry.zone == zone)
         });
         let state = (busy_targets, self.issuer.highest());
-        let backlog_ms = u32::try_from(self.backlog().as_millis()).unwrap_or(u32::MAX);
+        let backlog_ms = u32::try_from(self.backlog.age().as_millis()).unwrap_or(u32::MAX);
         let notice = self.membership.shares.share(&zone, state, backlog_ms);
         let Some(notice) = notice else {
             self.told.share = None;
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -8,7 +8,8 @@
 use coltsfootshunt_core::clock::Clock;
 use coltsfootshunt_core::name::Host;
 
-use super::{Action, Event, JobState, Request, Response, Snapshot};
+use super::{Action, Backlog, Event, JobState, Request, Response, Snapshot};
+use crate::admission;
 use crate::cancel;
 use crate::config;
 use crate::crash;
@@ -64,6 +65,7 @@
     pub(super) told_evacuations: BTreeMap<Host, u64>,
     /// What the members of the zone's split were told last.
     pub(super) told: super::shares::Told,
+    pub(super) backlog: Backlog,
     pub(super) jobs: job::Registry,
     pub(super) classifier: job::Classifier,
     /// Jobs with tasks for which no steward was available.
@@ -142,6 +144,7 @@
             evacuations: evacuation::Register::default(),
             told_evacuations: BTreeMap::new(),
             told: super::shares::Told::default(),
+            backlog: Backlog::default(),
             jobs: job::Registry::default(),
             classifier: job::Classifier::default(),
             stalled: BTreeSet::new(),
@@ -204,6 +207,34 @@
         self.membership.set_handled_until(at);
     }
 
+    /// Sets how far the control thread is behind. Must run before events are handled.
+    pub fn set_backlog(&mut self, backlog: Backlog) {
+        self.backlog = backlog;
+        let effect = (backlog.wait(), backlog.stops_new_tasks());
+        self.steward.precedence_mut().set_backlog(backlog.age(), effect, self.clock.now());
+    }
+
+    /// Whether lines for each task are counted instead of written.
+    #[must_use]
+    pub fn drops_records(&self) -> bool {
+        self.is_in_dense_zone() && self.backlog.drops_records()
+    }
+
+    /// Wait that the backlog of this host adds to that of the jobs it admits.
+    pub(super) fn own_wait(&self) -> Duration {
+        if self.is_in_dense_zone() { self.backlog.wait() } else { Duration::ZERO }
+    }
+
+    /// Wait that a job can take at least, see [`admission::min_slack`].
+    pub(super) fn min_slack(&self, run: Duration, timeout: Duration) -> Duration {
+        let is_dense = self.is_in_dense_zone();
+        if is_dense { admission::min_slack(run, timeout) } else { Duration::ZERO }
+    }
+
+    fn is_in_dense_zone(&self) -> bool {
+        self.dense_zones.contains(&self.membership.me().zone)
+    }
+
     /// Handles an event; [`Self::advance`] returns the resulting actions.
     pub fn handle(&mut self, event: Event) {
         let now = self.clock.now();
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -24,6 +24,11 @@
 pub trait Log: Send + Sync {
     /// Logs and counts one record. Must not block.
     fn record(&self, record: &Record);
+
+    /// Counts one record in the metrics and writes no line.
+    fn count(&self, record: &Record) {
+        count(record);
+    }
 }
 
 /// Updates the metrics and writes no log lines.
@@ -167,6 +172,10 @@
 fn write_change(log: &Logger, record: &Record) {
     let name = record.name();
     match record {
+        Record::EntryAwaited { target, started_at_ms, listed_ms } => {
+            warn!(log, "{}", name; "target" => %target, "target_began" => started_at_ms,
+                "entry_began" => listed_ms);
+        }
         Record::TargetClaimed { target, token, address, started_at_ms } => {
             info!(log, "{}", name; "target" => %target, "token" => token.0,
                 "address" => %address, "target_began" => started_at_ms);
@@ -231,6 +240,9 @@
                 "mean_wait_us" => mean_wait.as_micros() as u64,
                 "longest_wait_ms" => millis(*longest_wait), "period_ms" => millis(*period));
         }
+        Record::RecordsDropped { records, period } => {
+            warn!(log, "{}", name; "records" => records, "period_ms" => millis(*period));
+        }
         Record::TrafficBehind { mean, longest, period } => {
             info!(log, "{}", name; "mean_delay_us" => mean.as_micros() as u64,
                 "longest_delay_ms" => millis(*longest), "period_ms" => millis(*period));
@@ -263,6 +275,7 @@
             warn!(log, "{}", name; "from" => %peer, "reason" => %reason, "revision" => revision,
                 "zones" => zones);
         }
+        Record::EntryIgnored { target } => warn!(log, "{}", name; "target" => %target),
         Record::CancelledDropped { dropped } => warn!(log, "{}", name; "jobs" => dropped),
         Record::LossesDropped { dropped } => warn!(log, "{}", name; "losses" => dropped),
         Record::StoreLost { error } => warn!(log, "{}", name; "reason" => %error),
@@ -326,6 +339,9 @@
         Record::TasksEvacuated { tasks, .. } => {
             counter!("coltsfootshunt_evacuated_tasks_returned_total").increment(*tasks as u64);
         }
+        Record::RecordsDropped { records, .. } => {
+            counter!("coltsfootshunt_records_dropped_total").increment(*records);
+        }
         Record::ConfigApplied { version, .. } => {
             metrics::gauge!("coltsfootshunt_configuration_version").set(*version as f64);
         }
--- a/crates/fleet/src/report/record/name.rs
+++ b/crates/fleet/src/report/record/name.rs
@@ -3,6 +3,12 @@
 use super::Record;
 
 impl Record {
+    /// Whether the record is one of a task that starts or ends as expected. These are the most frequent ones.
+    #[must_use]
+    pub fn is_about_task(&self) -> bool {
+        matches!(self, Self::TaskGranted { .. } | Self::TaskStarted { .. } | Self::TaskEnded { .. })
+    }
+
     /// Message of the line. The rate limit applies to each message separately.
     #[must_use]
     pub fn name(&self) -> &'static str {
@@ -23,6 +29,7 @@
             Self::RunLost { .. } => "run lost",
             Self::LossesDropped { .. } => "losses dropped",
             Self::StartRejected { .. } => "start turned away",
+            Self::EntryAwaited { .. } => "entry awaited",
             Self::TargetClaimed { .. } => "target claimed",
             Self::TargetFenced { .. } => "target fenced",
             Self::TargetLost { .. } => "target lost",
@@ -43,6 +50,7 @@
             Self::PeerTraffic { .. } => "peer traffic",
             Self::CallsMade { .. } => "calls made",
             Self::ControlBehind { .. } => "control behind",
+            Self::RecordsDropped { .. } => "records_dropped",
             Self::TrafficBehind { .. } => "traffic behind",
             Self::ConfigApplied { .. } => "configuration in force",
             Self::TargetsChanged { .. } => "targets known",
@@ -53,6 +61,7 @@
             Self::ZoneUnknown { .. } => "zone unknown",
             Self::NoticeIgnored { .. } => "notice ignored",
             Self::TasksEvacuated { .. } => "tasks evacuated",
+            Self::EntryIgnored { .. } => "entry ignored",
             Self::StoreLost { .. } => "store lost",
             Self::StoreRegained => "store regained",
             Self::ProcessPaused { .. } => "process was paused",
--- a/crates/fleet/src/steward/reference/change.rs
+++ b/crates/fleet/src/steward/reference/change.rs
@@ -68,6 +68,9 @@
         Change::StartRejected(task, rejection) => {
             Record::StartRejected { target, task: task.clone(), rejection: *rejection }
         }
+        Change::EntryAwaited { started_at_ms, listed_ms } => {
+            Record::EntryAwaited { target, started_at_ms: *started_at_ms, listed_ms: *listed_ms }
+        }
         Change::Unreadable(unreadable) => {
             Record::ReportUnreadable { target, unreadable: unreadable.clone() }
         }
--- a/crates/fleet/src/steward/state/intake.rs
+++ b/crates/fleet/src/steward/state/intake.rs
@@ -43,7 +43,8 @@
             let kept = self.targets.kept(membership, speeds, now);
             (kept.sums().fastest_factor(), kept.sums().median_factor())
         };
-        let tasks = self.queued_tasks(owner, assignment, (speeds, factors), now);
+        let mut tasks = self.queued_tasks(owner, assignment, (speeds, factors), now);
+        self.record_arrival(&mut tasks, now);
         let overload = if started {
             None
         } else {
@@ -92,6 +93,7 @@
                 deviation: forecast.deviation,
                 width: assignment.width,
                 job_started: assignment.started,
+                is_excess: false,
                 requirements: item.requirements,
                 spec: assignment.spec.clone(),
                 objective,
