--- a/crates/fleet/src/control/shares.rs
+++ b/crates/fleet/src/control/shares.rs
@@ -54,6 +54,7 @@
             let demand = Demand {
                 is_dense,
                 targets: targets.len(),
+                targets_per_core: self.settings.targets_per_core,
                 max_cpu_millis: self.membership.max_cpu_millis(),
                 hosts: 0,
                 backlog: self.backlog.age(),
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -47,6 +47,9 @@
     pub stop_timeout: Duration,
     /// Age of the list of targets above which this host reads it anew before it claims a zone.
     pub max_targets_age: Duration,
+    /// Targets per core of a steward's host, above which a dense zone has more stewards from the start. Otherwise only
+    /// a backlog shows that one needs help.
+    pub targets_per_core: usize,
     /// Evacuation of zones, and cold targets.
     pub evacuation: evacuation::Settings,
 }
--- a/crates/fleet/src/control/tests/departures.rs
+++ b/crates/fleet/src/control/tests/departures.rs
@@ -80,6 +80,7 @@
         steward: steward::Settings { term, remote_factor: 1.5 },
         stop_timeout: Duration::from_secs(5),
         max_targets_age: Duration::from_secs(1),
+        targets_per_core: 200,
         evacuation: crate::evacuation::Settings::default(),
     };
     let (runtime, log) = (Runtime::current(), Arc::clone(gate));
--- a/crates/fleet/src/control/tests/doubted_notices.rs
+++ b/crates/fleet/src/control/tests/doubted_notices.rs
@@ -88,6 +88,7 @@
         steward: steward::Settings { term, remote_factor: 1.5 },
         stop_timeout: Duration::from_secs(5),
         max_targets_age: Duration::from_secs(1),
+        targets_per_core: 200,
         evacuation: evacuation::Settings { is_enabled: true, ..evacuation::Settings::default() },
     };
     let (runtime, log) = (Runtime::current(), Arc::clone(log));
--- a/crates/fleet/src/control/tests/evidence.rs
+++ b/crates/fleet/src/control/tests/evidence.rs
@@ -94,6 +94,7 @@
         steward: steward::Settings { term: TERM, remote_factor: 1.5 },
         stop_timeout: Duration::from_secs(5),
         max_targets_age: Duration::from_secs(1),
+        targets_per_core: 200,
         evacuation: crate::evacuation::Settings::default(),
     };
     let mut state = State::new(settings, Arc::clone(&clock) as Arc<dyn Clock>);
--- a/crates/fleet/src/control/tests/startup.rs
+++ b/crates/fleet/src/control/tests/startup.rs
@@ -38,6 +38,7 @@
         steward: steward::Settings { term, remote_factor: 1.5 },
         stop_timeout: Duration::from_secs(5),
         max_targets_age: Duration::from_secs(1),
+        targets_per_core: 200,
         evacuation,
     };
     let mut state = State::new(settings, Arc::clone(clock) as Arc<dyn Clock>);
--- a/crates/fleet/src/member/split/planner.rs
+++ b/crates/fleet/src/member/split/planner.rs
@@ -2,9 +2,6 @@
 
 use std::time::{Duration, Instant};
 
-/// Targets per core of a member's host: with 234 a steward takes less than half of its share on the worst load of a
-/// deployment of 350 targets. Above that, only a backlog shows that a member needs help.
-const MAX_TARGETS_PER_MEMBER_CORE: usize = 500;
 /// Backlog of a member's control thread above which it needs help: a third of the time that a short task's
 /// slack leaves for its way.
 const MAX_BACKLOG: Duration = Duration::from_millis(50);
@@ -23,6 +20,8 @@
     pub is_dense: bool,
     /// Number of the zone's targets.
     pub targets: usize,
+    /// Targets that one core of a member's host can give orders to.
+    pub targets_per_core: usize,
     /// Largest share of the processor of a known host, in thousandths of a core.
     pub max_cpu_millis: u32,
     /// Number of hosts that may be members.
@@ -90,6 +89,6 @@
 
 /// Number of members without which each has too many targets for the strongest host.
 fn min_members(demand: &Demand) -> usize {
-    let per_member = MAX_TARGETS_PER_MEMBER_CORE * demand.max_cpu_millis.max(1) as usize;
+    let per_member = demand.targets_per_core.max(1) * demand.max_cpu_millis.max(1) as usize;
     (demand.targets * 1_000).div_ceil(per_member).max(1)
 }
