feat(placement): remaining room is chosen by what waits, and held for large tasks

Cause: targets of 16 and 24 cores run tasks of about 8 cores. The tightest of equally good targets often keeps room that no waiting task can use, and a large task waits while smaller ones take each part that becomes free.

Change, in dense zones only: `placement::Outlook` holds the sizes of the first 32 waiting tasks. Of equally good targets `choose` prefers one whose remainder one or two of them fill nearly whole, or that is nearly nothing, then one that some task can use; ties go to the fullest as before. `shortlist` keeps that target. A task above the average size that has waited for over 25 ms and fits nowhere gets the healthy target that first has room, if it would be on time there; at most one target in sixteen is held so. Elsewhere decisions are unchanged. The order of jobs is unchanged everywhere.

--- a/crates/fleet/src/placement/choice.rs
+++ b/crates/fleet/src/placement/choice.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::Outlook;
 use crate::job::Resources;
 use crate::queue::QueuedTask;
 
@@ -84,12 +85,13 @@
     Wait,
 }
 
-/// Chooses a target for a task, or lets the task wait.
+/// Chooses a target for a task, or lets the task wait. `outlook` tells what else waits.
 #[must_use]
 pub fn choose(
     task: &QueuedTask,
     candidates: &[Candidate],
     fast: FastTargets,
+    outlook: &Outlook,
     now: Instant,
 ) -> Choice {
     let is_on_time = |expected: Duration| now + expected <= task.objective;
@@ -116,7 +118,8 @@
     let is_equal = |candidate: &&&Candidate| {
         candidate.expected >= shortest && candidate.expected <= shortest.mul_f64(EQUAL_FACTOR)
     };
-    let tightest =
-        healthy.iter().filter(is_equal).min_by_key(|candidate| candidate.free.cpu_millis);
-    tightest.map_or(Choice::Wait, |candidate| Choice::Start(candidate.index))
+    let size = task.requirements.resources.cpu_millis;
+    let rank = |candidate: &&&Candidate| outlook.rank(candidate.free.cpu_millis, size);
+    let best_fit = healthy.iter().filter(is_equal).min_by_key(rank);
+    best_fit.map_or(Choice::Wait, |candidate| Choice::Start(candidate.index))
 }
--- a/crates/fleet/src/placement/shortlist.rs
+++ b/crates/fleet/src/placement/shortlist.rs
@@ -1,12 +1,12 @@
 //! Reduces the targets with enough free resources to those that [`super::choose`] can choose.
 //!
 //! The rules of `choose` look at the fastest target, at the fastest one that is not fast, and at the
-//! tightest among those about as fast as either. A rule that looks at others needs them here too.
+//! one of those about as fast as either that [`Outlook`] ranks first, which is the tightest if nothing waits. A rule that looks at others needs them here too.
 
 use std::time::Duration;
 
-use super::Candidate;
 use super::choice::EQUAL_FACTOR;
+use super::{Candidate, Outlook};
 use crate::job::Resources;
 
 /// A target with enough free resources for a task.
@@ -78,9 +78,13 @@
 }
 
 /// Returns the targets that [`super::choose`] can choose, by index. They must be rated in the order of
-/// their index.
+/// their index. `size` is the task's CPU.
 #[must_use]
-pub fn shortlist(rated: &[Rated], scale: Scale, fastest_run: Duration) -> Vec<Candidate> {
+pub fn shortlist(
+    rated: &[Rated],
+    (scale, fastest_run): (Scale, Duration),
+    (outlook, size): (&Outlook, u64),
+) -> Vec<Candidate> {
     let fast = scale.fast_limit(fastest_run);
     let healthy = || rated.iter().filter(|one| !one.suspect);
     let min = |one: Option<f64>, factor: f64| Some(one.map_or(factor, |one| one.min(factor)));
@@ -92,12 +96,13 @@
             best_slow = Some(one.factor);
         }
     }
+    let rank = |one: &&Rated| outlook.rank(one.free.cpu_millis, size);
     let mut chosen: Vec<&Rated> = Vec::with_capacity(4);
     for anchor in [best, best_slow].into_iter().flatten() {
         let limit = scale.limit(scale.run(anchor).mul_f64(EQUAL_FACTOR));
         let equal = |one: &&Rated| one.factor >= anchor && limit.includes(one.factor);
         chosen.extend(healthy().find(|one| one.factor == anchor));
-        chosen.extend(healthy().filter(equal).min_by_key(|one| one.free.cpu_millis));
+        chosen.extend(healthy().filter(equal).min_by_key(rank));
     }
     chosen.sort_by_key(|one| one.index);
     chosen.dedup_by_key(|one| one.index);
--- a/crates/fleet/src/placement/tests.rs
+++ b/crates/fleet/src/placement/tests.rs
@@ -1,8 +1,11 @@
+mod outlook;
+mod replay;
+
 use std::time::{Duration, Instant};
 
 use coltsfootshunt_testkit::cases;
 
-use super::{Candidate, Choice, FastTargets, choose};
+use super::{Candidate, Choice, FastTargets, Outlook, choose};
 use crate::job::Resources;
 use crate::queue::tests::queued_task;
 
@@ -20,7 +23,7 @@
         slots: 10,
         ..FastTargets::default()
     };
-    assert_eq!(choose(&task, candidates, fast, now), wanted);
+    assert_eq!(choose(&task, candidates, fast, &Outlook::default(), now), wanted);
 }
 
 cases! { chooses:
@@ -47,7 +50,7 @@
         ..FastTargets::default()
     };
     let candidates = [candidate(0, 50, 9, false), candidate(1, slow_ms, 9, false)];
-    assert_eq!(choose(&task, &candidates, fast, now), Choice::Start(wanted));
+    assert_eq!(choose(&task, &candidates, fast, &Outlook::default(), now), Choice::Start(wanted));
 }
 
 cases! { prefers:
@@ -66,7 +69,7 @@
     let fast =
         FastTargets { fastest_run: Duration::from_millis(400), free_slots: 0, slots: 10, wait };
     let candidates = [candidate(0, slow_ms, 9, false)];
-    assert_eq!(choose(&task, &candidates, fast, now), wanted);
+    assert_eq!(choose(&task, &candidates, fast, &Outlook::default(), now), wanted);
 }
 
 cases! { waits:
--- a/crates/fleet/src/steward/reference/placer.rs
+++ b/crates/fleet/src/steward/reference/placer.rs
@@ -11,7 +11,7 @@
 use crate::job::{Resources, Task};
 use crate::lease::{Attempt, Tracker};
 use crate::member::Membership;
-use crate::placement::{Candidate, Choice, FastTargets, choose, is_fast};
+use crate::placement::{Candidate, Choice, FastTargets, Outlook, choose, is_fast};
 use crate::queue::QueuedTask;
 use crate::speed::Estimator;
 use crate::steward::Settings;
@@ -125,7 +125,8 @@
             candidates.iter_mut().for_each(|candidate| candidate.suspect = false);
         }
         let fast = self.fast(queued, &candidates, fastest);
-        let Choice::Start(index) = choose(queued, &candidates, fast, self.now) else {
+        let Choice::Start(index) = choose(queued, &candidates, fast, &Outlook::default(), self.now)
+        else {
             if isolated {
                 self.hold_idle_for(queued);
             } else if queued.is_long(self.now) {
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -3,6 +3,7 @@
 mod change;
 mod closed;
 mod dispatch;
+mod gaps;
 mod intake;
 mod load;
 mod overdue;
--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -7,6 +7,7 @@
 
 use super::Steward;
 use super::change::not_run;
+use super::gaps::Gaps;
 use super::placer::{Placement, Placer};
 use super::pool::FastPool;
 use crate::crash::{Ledger, Standing};
@@ -98,7 +99,13 @@
         let kept = self.targets.kept(membership, speeds, now);
         let pool =
             FastPool::new(&kept, &kept.capacity(false, self.mean_cpu_millis), membership, now);
-        let mut placer = Placer::new((&self.targets, &kept), membership, pool, self.settings, now);
+        let gaps = if self.precedence.is_dense() {
+            Gaps::new(self.queue.iter(), self.mean_cpu_millis)
+        } else {
+            Gaps::default()
+        };
+        let targets = (&self.targets, &*kept);
+        let mut placer = Placer::new(targets, membership, (pool, gaps), self.settings, now);
         let mut pass = Pass::default();
         let mut allowance = self.suspects_allowed(&kept, now);
         // All tasks of a step have the same requirements, so one failure holds for the rest, but for those
--- a/crates/fleet/src/steward/state/placer.rs
+++ b/crates/fleet/src/steward/state/placer.rs
@@ -5,11 +5,12 @@
 
 use coltsfootshunt_core::name::{Service, Target};
 
+use super::gaps::Gaps;
 use super::pool::FastPool;
 use super::targets::{Class, Kept, Targets, Values, remaining};
 use crate::job::{Requirements, Resources, Task};
 use crate::member::Membership;
-use crate::placement::{Choice, FastTargets, Limit, Rated, Scale, choose, is_fast, shortlist};
+use crate::placement::{Choice, FastTargets, Rated, Scale, choose, is_fast, shortlist};
 use crate::queue::QueuedTask;
 use crate::steward::Settings;
 
@@ -54,6 +55,7 @@
     membership: &'a Membership,
     /// Slots on fast targets.
     pool: FastPool<'a>,
+    gaps: Gaps<'a>,
     /// Tasks that wait for a slot on a fast target.
     waiting: usize,
     settings: Settings,
@@ -73,7 +75,7 @@
     pub(super) fn new(
         (targets, kept): (&'a Targets, &'a Kept),
         membership: &'a Membership,
-        pool: FastPool<'a>,
+        (pool, gaps): (FastPool<'a>, Gaps<'a>),
         settings: Settings,
         now: Instant,
     ) -> Self {
@@ -82,6 +84,7 @@
             kept,
             membership,
             pool,
+            gaps,
             waiting: 0,
             settings,
             now,
@@ -118,13 +121,19 @@
         })?;
         let fastest_run = scale.run(fastest);
         let fast = self.fast(queued, profile, (scale, fastest_run));
-        let candidates = shortlist(&self.rated, scale, fastest_run);
-        let Choice::Start(row) = choose(queued, &candidates, fast, self.now) else {
+        let size = queued.requirements.resources.cpu_millis;
+        let outlook = self.gaps.outlook(queued);
+        let candidates = shortlist(&self.rated, (scale, fastest_run), (&outlook, size));
+        let Choice::Start(row) = choose(queued, &candidates, fast, &outlook, self.now) else {
             if isolated {
                 self.hold_idle_for(queued, profile);
             } else if queued.is_long(self.now) {
                 self.waiting += 1;
-                self.hold_for(queued, profile, scale.fast_limit(fastest_run));
+                let fast = scale.fast_limit(fastest_run);
+                let first = self.first_free(queued, profile, |_, factor, _| fast.includes(factor));
+                self.hold(first);
+            } else {
+                self.hold_for_large(queued, profile, scale);
             }
             return None;
         };
@@ -133,6 +142,7 @@
         let free = changed.free.map(|free| free.saturating_sub(&queued.requirements.resources));
         changed.free = free.filter(|_| !isolated);
         changed.placed.push(queued.task.clone());
+        self.gaps.record_placed(queued);
         if isolated {
             // The target is no longer among those that may get tasks.
             self.silence_limit.set(None);
@@ -233,9 +243,42 @@
         }
     }
 
-    /// Holds the fast target that first has enough resources for a long task. Otherwise smaller
-    /// tasks would take each part of it that becomes free.
-    fn hold_for(&mut self, queued: &QueuedTask, profile: &Profile, fast: Limit) {
+    /// Holds a target for a large task that has waited for long and fits nowhere, if it would still be on time
+    /// there.
+    fn hold_for_large(&mut self, queued: &QueuedTask, profile: &Profile, scale: Scale) {
+        let is_healthy = |one: &&Values| one.is_usable() && !one.is_suspect();
+        let healthy = || self.kept.values().iter().filter(is_healthy).count();
+        let fits = self.rated.iter().any(|one| !one.suspect);
+        if fits || !self.gaps.allows_hold(queued, healthy, self.now) {
+            return;
+        }
+        let suits = |row: usize, factor: f64, until: Duration| {
+            self.now + until + scale.run(factor) <= queued.objective
+                && self.allows_another(row, queued)
+        };
+        let first = self.first_free(queued, profile, suits);
+        if self.hold(first) {
+            self.gaps.record_hold();
+        }
+    }
+
+    /// Holds a target until it has room for a task, given that time and its row. Otherwise smaller tasks
+    /// would take each part of it that becomes free. Returns whether there is one.
+    fn hold(&mut self, first: Option<(Duration, usize)>) -> bool {
+        if let Some((until, row)) = first {
+            self.change(row).held_until = Some(until);
+        }
+        first.is_some()
+    }
+
+    /// The target that first has enough resources for a task, and the time until then, of those that suit it
+    /// by their row, their factor and that time.
+    fn first_free(
+        &self,
+        queued: &QueuedTask,
+        profile: &Profile,
+        suits: impl Fn(usize, f64, Duration) -> bool,
+    ) -> Option<(Duration, usize)> {
         let resources = &queued.requirements.resources;
         let silence = self.silence(queued);
         let mut first: Option<(Duration, usize)> = None;
@@ -243,9 +286,10 @@
             let Some(factor) = profile.factors[values.class as usize] else {
                 continue;
             };
+            let factor = values.factor() * factor;
             let is_candidate = values.is_usable()
                 && !values.is_suspect()
-                && fast.includes(values.factor() * factor)
+                && suits(row, factor, Duration::ZERO)
                 && !self.is_held(row)
                 && values.allows_silence(silence);
             // Only a target where a run ends earlier can be ready earlier.
@@ -255,13 +299,13 @@
                     || values.runs.iter().any(|run| run.remaining(self.now) < until)
             };
             if is_candidate && first.is_none_or(|(until, _)| is_earlier(until)) {
-                let ready = self.time_until_free(row, resources).map(|until| (until, row));
+                let until = self.time_until_free(row, resources);
+                let ready =
+                    until.filter(|until| suits(row, factor, *until)).map(|until| (until, row));
                 first = first.into_iter().chain(ready).min();
             }
         }
-        if let Some((until, row)) = first {
-            self.change(row).held_until = Some(until);
-        }
+        first
     }
 
     /// Time since the task's owner was heard. It is zero for a shared task, whose grant will bring a
--- a/crates/fleet/src/steward/tests.rs
+++ b/crates/fleet/src/steward/tests.rs
@@ -1,5 +1,6 @@
 mod closed;
 mod extreme_values;
+mod gaps;
 mod silent_owners;
 mod sums;
 
