test(placement): a case tells room for one task from room for the same one twice

Cause: the case for a task that counted twice passed whatever the code did, since both targets gave the same choice. Change: it now has a target that only the same task taken twice would fill, and a larger one that one task fills.

--- a/crates/fleet/src/placement/tests/outlook.rs
+++ b/crates/fleet/src/placement/tests/outlook.rs
@@ -34,7 +34,7 @@
     the_first_of_equals(&[7_000], &[16_000, 16_000], 0);
     room_that_a_waiting_task_fills(&[8_000], &[12_000, 16_000, 24_000], 1);
     room_that_two_waiting_tasks_fill(&[7_000, 9_000], &[14_000, 24_000], 1);
-    no_two_tasks_where_one_waits(&[8_000], &[12_000, 24_000], 1);
+    room_that_one_task_fills_over_room_for_it_twice(&[4_000, 9_000], &[16_000, 17_000], 1);
     room_that_is_nearly_nothing(&[7_000], &[8_400, 15_000], 0);
     room_that_some_task_can_use_over_room_for_none(&[6_000], &[12_000, 17_000], 1);
     the_tightest_where_all_room_is_wasted(&[9_000], &[14_000, 12_000, 15_000], 1);
