fix(claims): a steward that is fenced heeds a higher claim it has heard

Cause: since idle targets are watched, a steward may learn from a watch that a target obeys another host before its next tick. It then claimed the target again with a higher token, although it had heard the other host's higher claim on the zone, and resigned only at the tick. The new steward was fenced; one that can't hear the other gave the zone up.

Change: a steward that is fenced resigns a zone at once if it should, not only if a rival ranks higher.

--- a/crates/fleet/src/control/targets.rs
+++ b/crates/fleet/src/control/targets.rs
@@ -65,10 +65,13 @@
         if output.records.iter().any(|record| matches!(record, Record::TokenShared { .. })) {
             self.change_token_suffix(None);
         }
-        if let Some(zone) = contested_zone
-            && self.membership.record_rival(&zone, now)
-        {
-            self.resign_zones(&[zone], now);
+        if let Some(zone) = contested_zone {
+            let has_rival = self.membership.record_rival(&zone, now);
+            // A higher claim may have been heard since the last tick. Claiming the target again would fence its new
+            // steward, which gives the zone up if it can't hear this host.
+            if has_rival || self.membership.should_resign(&zone) {
+                self.resign_zones(&[zone], now);
+            }
         }
         self.maintain_lease(&call.target, now, &mut output);
         self.apply_output(output, now);
--- a/crates/fleet/src/control/tests/splits.rs
+++ b/crates/fleet/src/control/tests/splits.rs
@@ -254,19 +254,31 @@
 /// has one holder afterwards.
 #[test]
 fn gives_up_to_a_lead_of_the_version_before() {
+    gives_up_to_older_lead(0);
+}
+
+/// Guards against a lead that claims a target again when its watch is fenced between the word of the higher claim and
+/// the next tick: the older version, which can't hear it, would give the zone up. The delays cover the longest wait of
+/// a watch, in steps shorter than a tick.
+#[test]
+fn leaves_targets_to_a_higher_claim() {
+    (40..2_000).step_by(40).for_each(gives_up_to_older_lead);
+}
+
+fn gives_up_to_older_lead(delay_ms: u64) {
     let mut sim = converged(6);
     let (lead, deputy, third) = roles(&sim);
     sim.kill(third);
     sim.run_for(3_000);
     sim.set_previous_version(third, true);
     sim.start(third);
-    sim.run_for(3_000);
+    sim.run_for(3_000 + delay_ms);
     // The deputy hears the older version, which hears neither of the others and claims the zone too.
     for other in [lead, deputy] {
         sim.set_partition_one_way(other, third, Some(Partition::Silent));
     }
     sim.run_for(3_000);
-    assert!(sim.stewards("a").contains(&third));
+    assert!(sim.stewards("a").contains(&third), "after {delay_ms} ms");
     for other in [lead, deputy] {
         sim.set_partition_one_way(other, third, None);
     }
