fix(split): a change of the split leaves targets unused for less time

Cause: a member that began to act by a new split told the others at its next tick, and a new member told owners of the free slots of its targets at a regular heartbeat. Where the lead's messages took 400 ms, owners sent tasks to the lead for another 150 ms, although the new member had ten free slots. A task that the lead returned came back 600 ms later, and its job passed its deadline. No run was ended.

Change: a member tells by which split it acts as soon as it does, and announces its load once a target has accepted its claim.

--- a/crates/fleet/src/control/shares.rs
+++ b/crates/fleet/src/control/shares.rs
@@ -152,6 +152,8 @@
             self.apply_changes(change);
             let targets = self.zone_targets(&zone);
             self.update_held(&zone, &targets, now);
+            // The others claim no target of an earlier split until they know that this host acts by the new one.
+            self.send_share(&BTreeSet::new());
         }
     }
 
--- a/crates/fleet/src/control/targets.rs
+++ b/crates/fleet/src/control/targets.rs
@@ -65,6 +65,11 @@
         if output.records.iter().any(|record| matches!(record, Record::TokenShared { .. })) {
             self.change_token_suffix(None);
         }
+        let is_claimed = |record: &Record| matches!(record, Record::TargetClaimed { .. });
+        if self.membership.shares.serves() && output.records.iter().any(is_claimed) {
+            // Owners send this host no tasks until they hear that it has free slots.
+            self.membership.announce();
+        }
         if let Some(zone) = contested_zone {
             let has_rival = self.membership.record_rival(&zone, now);
             // A higher claim may have been heard since the last tick. Claiming the target again would fence its new
--- a/crates/fleet/src/control/tests/splits.rs
+++ b/crates/fleet/src/control/tests/splits.rs
@@ -3,7 +3,7 @@
 use coltsfootshunt_testkit::cases;
 
 use super::simulation::{Partition, Simulation};
-use crate::job::Outcome;
+use crate::job::{Id, Outcome};
 
 /// CPU of a task of which two fit on a target.
 const HALF: u64 = 14_000;
@@ -176,9 +176,9 @@
     of_tasks_of_more_than_a_second(5, 1_100, 300);
 }
 
-/// Guards against a claim that ends the runs of a member that hears late of the split: a third member comes while the
-/// messages of the lead take some time to the second one, whose targets are busy.
-fn ends_no_run_of_a_member_that_hears_late(seed: u64, delay_ms: u64) {
+/// Simulates a third member that comes while the messages of the lead take some time to the second one, whose targets
+/// are busy. Returns the lead and the jobs, all submitted to the second member.
+fn join_while_a_member_hears_late(seed: u64, delay_ms: u64) -> (Simulation, usize, Vec<Id>) {
     let mut sim = Simulation::dense_with(seed, 10);
     sim.kill(2);
     sim.run_for(8_000);
@@ -196,6 +196,12 @@
         sim.run_for(100);
     }
     sim.run_for(3_000);
+    (sim, lead, jobs)
+}
+
+/// Guards against a claim that ends the runs of a member that hears late of the split.
+fn ends_no_run_of_a_member_that_hears_late(seed: u64, delay_ms: u64) {
+    let (mut sim, lead, jobs) = join_while_a_member_hears_late(seed, delay_ms);
     assert_eq!(sim.members(lead).len(), 3);
     assert_eq!(sim.orphans, 0, "seed {seed}");
     for id in jobs {
@@ -211,6 +217,19 @@
     by_400_ms(3, 400);
 }
 
+/// Guards against targets that stay unused after a change of the split, because the new holder hears late that the
+/// former one has given them up, or the owners hear late of its free slots: jobs then wait beyond their deadlines.
+#[test]
+fn answers_in_time_while_a_member_hears_late() {
+    for seed in 1..=20 {
+        let (sim, _, jobs) = join_while_a_member_hears_late(seed, 400);
+        let is_late = |id: &&Id| sim.outcomes(id).contains(&Some(Outcome::Unknown));
+        let late: Vec<&Id> = jobs.iter().filter(is_late).collect();
+        assert_eq!(late, Vec::<&Id>::new(), "seed {seed}");
+        assert_safe(&sim);
+    }
+}
+
 /// Guards against two versions that can't serve a zone together. The given host, by rank of the zone, runs the version
 /// before this one.
 fn serves_beside_the_version_before(rank: usize) {
