--- a/crates/fleet/src/steward/state/gaps.rs
+++ b/crates/fleet/src/steward/state/gaps.rs
@@ -12,7 +12,7 @@
 /// another steward.
 const HOLD_AFTER: Duration = Duration::from_millis(25);
 /// Number of targets of which one may be held for large tasks. A held target is partly idle.
-const TARGETS_PER_HOLD: usize = 16;
+const TARGETS_PER_HOLD: usize = 64;
 
 /// Tasks that wait during a pass over the queue, and targets held for large ones. Without tasks, as outside of
 /// dense zones, nothing is held and the tightest target is chosen.
