--- a/crates/fleet/src/control/dump.rs
+++ b/crates/fleet/src/control/dump.rs
@@ -35,6 +35,8 @@
             "claims": claims,
             "evacuated_zones": self.evacuations.reported(),
             "evacuations": self.evacuations.notice(),
+            "split": self.membership.shares.active(),
+            "own_targets": self.membership.shares.held(),
             "isolated": self.membership.is_isolated(now),
             "configuration": self.config.version(),
             "lost_runs": self.crashes.len(),
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -47,6 +47,9 @@
     pub stop_timeout: Duration,
     /// Age of the list of targets above which this host reads it anew before it claims a zone.
     pub max_targets_age: Duration,
+    /// Targets per core of a steward's host, above which a dense zone has more stewards from the start. Otherwise only
+    /// a backlog shows that one needs help.
+    pub targets_per_core: usize,
     /// Evacuation of zones, and cold targets.
     pub evacuation: evacuation::Settings,
 }
@@ -63,6 +66,8 @@
     pub(super) evacuations: evacuation::Register,
     /// Peers that know the evacuated zones in this version of the register.
     pub(super) told_evacuations: BTreeMap<Host, u64>,
+    /// What the members of the zone's split were told last.
+    pub(super) told: super::shares::Told,
     pub(super) backlog: Backlog,
     pub(super) jobs: job::Registry,
     pub(super) classifier: job::Classifier,
@@ -141,6 +146,7 @@
             dense_zones: density::Zones::default(),
             evacuations: evacuation::Register::default(),
             told_evacuations: BTreeMap::new(),
+            told: super::shares::Told::default(),
             backlog: Backlog::default(),
             jobs: job::Registry::default(),
             classifier: job::Classifier::default(),
@@ -386,13 +392,13 @@
     /// Publishes a snapshot if it has changed.
     fn publish(&mut self, now: Instant) {
         let has_steward = self.has_steward();
-        let is_isolated = self.membership.is_isolated(now) && self.membership.claims.is_empty();
+        let is_isolated = self.membership.is_isolated(now) && !self.membership.serves_targets();
         let is_closing_connections = self.stopping_since.is_some() || is_isolated;
         let snapshot = Snapshot {
             document: self.config.document().cloned(),
             is_ready: self.config.document().is_some() && has_steward && !is_closing_connections,
             is_closing_connections,
-            is_steward: !self.membership.claims.is_empty(),
+            is_steward: self.membership.serves_targets() || self.membership.is_member(),
             knows_targets: !self.directory.is_empty(),
             awaits_targets: self.awaits_targets_since.is_some(),
             doubted_notice: self.evacuations.doubted(),
--- a/crates/fleet/src/steward/state.rs
+++ b/crates/fleet/src/steward/state.rs
@@ -3,6 +3,7 @@
 mod change;
 mod closed;
 mod dispatch;
+mod gaps;
 mod intake;
 mod load;
 mod overdue;
@@ -18,7 +19,7 @@
 use coltsfootshunt_core::name::{Host, Target, Zone};
 
 use super::{Output, Settings};
-use crate::directory;
+use crate::directory::{self, Entry};
 use crate::evacuation;
 use crate::job::{Completion, End, Grant, Id, Reservation};
 use crate::lease::{Attempt, Call, Change, Evidence, Issuer, Order, Phase, Response, Tracker};
@@ -108,11 +109,11 @@
         self.queue.len()
     }
 
-    /// Targets that still run tasks in zones that this host does not claim.
+    /// Targets that still run tasks and that this host does not hold.
     #[must_use]
     pub fn busy_unclaimed(&self, membership: &Membership) -> Vec<Target> {
         let is_busy_unclaimed =
-            |tracker: &&Tracker| !membership.has_claim(&tracker.entry.zone) && !tracker.is_idle();
+            |tracker: &&Tracker| !is_held(tracker, membership) && !tracker.is_idle();
         self.targets
             .iter()
             .filter(is_busy_unclaimed)
@@ -120,7 +121,7 @@
             .collect()
     }
 
-    /// Adds the directory's targets in claimed zones and removes all others. A target with running
+    /// Adds the directory's targets that this host holds and removes all others. A target with running
     /// tasks is kept until it is idle.
     pub fn sync(
         &mut self,
@@ -192,12 +193,12 @@
         self.targets.has_cancelled(job)
     }
 
-    /// Claims the targets of claimed zones again, because another process may use the tokens of this one.
-    /// The targets of other zones get no new tasks and are left to their new steward.
+    /// Claims the held targets again, because another process may use the tokens of this one. All others get no
+    /// new tasks and are left to their new steward.
     pub fn void_tokens(&mut self, membership: &Membership) {
         let trackers = self.targets.change_all();
-        let claimed = trackers.filter(|tracker| membership.has_claim(&tracker.entry.zone));
-        claimed.for_each(Tracker::void_token);
+        let held = trackers.filter(|tracker| is_held(tracker, membership));
+        held.for_each(Tracker::void_token);
     }
 
     /// Releases all targets and empties the queue after this process was paused, since other
@@ -301,8 +302,11 @@
     output: &mut Output,
 ) {
     tracker.refresh_owner_contact(|owner| membership.last_word(owner, now));
-    let is_claimed = membership.has_claim(&tracker.entry.zone);
-    let wanted = is_claimed || tracker.phase != Phase::Free;
+    let Entry { zone, name, .. } = &tracker.entry;
+    let wanted = match tracker.phase {
+        Phase::Free => membership.holds(zone, name) && membership.may_take(zone, name, now),
+        Phase::Claiming(_) | Phase::Held(_) => true,
+    };
     if wanted && tracker.wants_claim(now) && !membership.is_busy_elsewhere(&tracker.entry.name) {
         output.calls.push(tracker.claim(issuer.next(wall), now));
     }
@@ -324,3 +328,8 @@
         output.records.push(Record::TargetStalled { target, recalled });
     }
 }
+
+/// Whether this host holds the target of a tracker.
+fn is_held(tracker: &Tracker, membership: &Membership) -> bool {
+    membership.holds(&tracker.entry.zone, &tracker.entry.name)
+}
--- a/crates/fleet/src/steward/state/dispatch.rs
+++ b/crates/fleet/src/steward/state/dispatch.rs
@@ -7,6 +7,7 @@
 
 use super::Steward;
 use super::change::not_run;
+use super::gaps::Gaps;
 use super::placer::{Placement, Placer};
 use super::pool::FastPool;
 use crate::crash::{Ledger, Standing};
@@ -98,7 +99,13 @@
         let kept = self.targets.kept(membership, speeds, now);
         let pool =
             FastPool::new(&kept, &kept.capacity(false, self.mean_cpu_millis), membership, now);
-        let mut placer = Placer::new((&self.targets, &kept), membership, pool, self.settings, now);
+        let gaps = if self.precedence.is_dense() {
+            Gaps::new(self.queue.iter(), self.mean_cpu_millis)
+        } else {
+            Gaps::default()
+        };
+        let targets = (&self.targets, &*kept);
+        let mut placer = Placer::new(targets, membership, (pool, gaps), self.settings, now);
         let mut pass = Pass::default();
         let mut allowance = self.suspects_allowed(&kept, now);
         // All tasks of a step have the same requirements, so one failure holds for the rest, but for those
@@ -145,8 +152,8 @@
     /// Free resources of a target by its tracker; `None` if no task may start.
     fn free(&self, row: usize, membership: &Membership, now: Instant) -> Option<Resources> {
         let tracker = self.targets.row(row);
-        let Entry { state, zone, .. } = &tracker.entry;
-        let is_usable = *state == directory::State::Ready && membership.has_claim(zone);
+        let Entry { name, state, zone, .. } = &tracker.entry;
+        let is_usable = *state == directory::State::Ready && membership.holds(zone, name);
         tracker.available(now).filter(|_| is_usable)
     }
 
@@ -225,7 +232,7 @@
     ) {
         let kept = self.targets.kept(membership, speeds, now);
         let sums = kept.sums();
-        let elsewhere = membership.alive().filter(|peer| !peer.heartbeat.claims.is_empty());
+        let elsewhere = membership.alive().filter(|peer| peer.serves_targets());
         // Only half of the free slots are counted, since other stewards may see the same ones.
         let mut free =
             elsewhere.map(|peer| u64::from(peer.heartbeat.load.free_slots)).sum::<u64>() / 2;
--- a/crates/fleet/src/steward/state/pool.rs
+++ b/crates/fleet/src/steward/state/pool.rs
@@ -31,7 +31,7 @@
         now: Instant,
     ) -> Self {
         let others = || {
-            let stewards = membership.alive().filter(|peer| !peer.heartbeat.claims.is_empty());
+            let stewards = membership.alive().filter(|peer| peer.serves_targets());
             stewards.map(|peer| peer.heartbeat.load)
         };
         let free_elsewhere = others().map(|load| load.free_fast_slots as usize).sum::<usize>();
