--- a/crates/fleet/src/placement/tests/replay.rs
+++ b/crates/fleet/src/placement/tests/replay.rs
@@ -131,8 +131,5 @@
         }
     }
     println!("large: {with}, tightest {baseline}");
-    assert!(
-        with * 1_000 >= baseline * 995,
-        "{with} large starts in time, {baseline} on the tightest target"
-    );
+    assert!(with >= baseline, "{with} large starts in time, {baseline} on the tightest target");
 }
