fix(placement): fast targets are measured from a quantile, not the lowest estimate

Callers of large jobs of the long kind were served less than half as often as the others of their kind, and callers of all kinds were turned away in bursts.

Cause: a target counts as fast within 1.25 times the lowest learned factor. The lowest of 350 estimates, each from about eight runs, is mostly error, so most targets at full speed didn't count as fast. The reserve for long work, the wait for a fast target, load reports and the forecast of hopeless jobs rest on that.

Change: one function, speed::reference, takes the lowest eighth of the factors, but at most 1.35 times the lowest, so that a small group of really faster targets still counts.

--- a/crates/fleet/src/placement/choice.rs
+++ b/crates/fleet/src/placement/choice.rs
@@ -8,8 +8,8 @@
 
 /// Expected run times within this factor of the best one count as equal.
 pub(super) const EQUAL_FACTOR: f64 = 1.1;
-/// A target is fast if its run times are within this factor of the fastest target's.
-const FAST_FACTOR: f64 = 1.25;
+/// A target is fast if its run times are within this factor of the fastest targets'.
+pub(crate) const FAST_FACTOR: f64 = 1.25;
 /// Share of the fast targets' capacity that is reserved for tasks that need a fast target.
 const RESERVED_SHARE: f64 = 0.75;
 /// Probability of ending before the caller's deadline from which a slower target is safe enough to
@@ -41,7 +41,7 @@
 /// Capacity of the fast targets, counted in tasks of the size of the one to place.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FastTargets {
-    /// Expected run time on the fastest target, free or not.
+    /// Expected run time on the fastest targets, free or not.
     pub fastest_run: Duration,
     /// Tasks that could start on fast targets now.
     pub free_slots: u64,
@@ -51,7 +51,7 @@
     pub wait: Duration,
 }
 
-/// Whether a target is fast, given the expected run times on it and on the fastest target.
+/// Whether a target is fast, given the expected run times on it and on the fastest targets.
 #[must_use]
 pub fn is_fast(expected: Duration, fastest_run: Duration) -> bool {
     expected <= fast_limit(fastest_run)
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -18,6 +18,7 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use choice::FAST_FACTOR;
 pub use choice::{
     Candidate, Choice, FastTargets, MIN_CHANCE_GAIN, MIN_PROBABILITY, choose, is_fast, wants_fast,
 };
--- a/crates/fleet/src/speed/mod.rs
+++ b/crates/fleet/src/speed/mod.rs
@@ -8,6 +8,7 @@
 
 mod estimator;
 mod forecast;
+pub mod reference;
 mod trend;
 
 #[cfg(test)]
--- a/crates/fleet/src/speed/tests.rs
+++ b/crates/fleet/src/speed/tests.rs
@@ -2,8 +2,11 @@
 
 use coltsfootshunt_core::name::{Host, Kind, Target};
 use coltsfootshunt_testkit::cases;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
-use super::{Estimator, Forecast, Trend};
+use super::{Estimator, Forecast, Trend, reference};
+use crate::placement::is_fast;
 
 fn kind() -> Kind {
     Kind::try_from("cut").unwrap()
@@ -227,3 +230,72 @@
     is_lower_when_all_wait(&[300, 300, 300], Some(&[0, 0, 300]), 0.7);
     is_lowest_when_the_last_one_waits_too_long(&[0, 0, 800], Some(&[300, 300, 300]), 0.0);
 }
+
+/// Standard deviation of the logarithm of run times from their forecast, as declared times are off.
+const RUN_DEVIATION: f64 = 0.4;
+
+/// Factors learned for targets of these numbers and speeds, as the first and the other ones.
+fn learned(full_speed: usize, slower: (usize, f64), ends: usize) -> (Vec<f64>, Vec<f64>) {
+    let now = Instant::now();
+    let mut random = StdRng::seed_from_u64(1);
+    let mut estimator = Estimator::default();
+    let declared = Duration::from_millis(200);
+    let targets: Vec<(Target, f64)> = (0..full_speed + slower.0)
+        .map(|index| {
+            (target(&format!("t-{index}")), if index < full_speed { 1.0 } else { slower.1 })
+        })
+        .collect();
+    for _ in 0..ends {
+        for (target, factor) in &targets {
+            // The sum of twelve uniform numbers is nearly normal, with a variance of one.
+            let normal = (0..12).map(|_| random.random::<f64>()).sum::<f64>() - 6.0;
+            let took = declared.mul_f64(factor * (normal * RUN_DEVIATION).exp());
+            estimator.record_completion(&kind(), target, (declared, took), now);
+        }
+    }
+    let mut factors: Vec<f64> =
+        targets.iter().map(|(target, _)| estimator.slowness(target, now).exp()).collect();
+    let slower = factors.split_off(full_speed);
+    (factors, slower)
+}
+
+/// Share of the targets that count as fast.
+fn fast_share(factors: &[f64], reference: f64) -> f64 {
+    let run = |factor: f64| Duration::from_secs(1).mul_f64(factor);
+    let fast = factors.iter().filter(|factor| is_fast(run(**factor), run(reference)));
+    fast.count() as f64 / factors.len() as f64
+}
+
+/// Guards against a reserve for long work that rests on the few targets whose estimates are too low by chance.
+fn most_full_speed_targets_are_fast(full_speed: usize, slower: (usize, f64), ends: usize) {
+    let (full, slow) = learned(full_speed, slower, ends);
+    let reference = reference::of(full.iter().chain(&slow).copied().collect()).unwrap();
+    let (full, slow) = (fast_share(&full, reference), fast_share(&slow, reference));
+    assert!(full > 0.75, "{full} of the targets at full speed");
+    assert!(slow < 0.25, "{slow} of the slower ones");
+}
+
+cases! { most_full_speed_targets_are_fast:
+    of_350_with_few_slower(300, (50, 1.3), 40);
+    of_350_with_many_slower(200, (150, 1.3), 40);
+    of_350_after_few_ends(250, (100, 1.5), 12);
+    of_50(36, (14, 1.3), 40);
+    of_50_with_much_slower_ones(36, (14, 2.0), 40);
+}
+
+/// Guards against a reference among slow targets where only a few are fast.
+fn reference_is(factors: &[f64], expected: Option<f64>) {
+    assert_eq!(reference::of(factors.to_vec()), expected);
+    let mut logarithms: Vec<f64> = factors.iter().map(|factor| factor.ln()).collect();
+    logarithms.sort_by(f64::total_cmp);
+    let sorted = reference::of_sorted_logarithms(&logarithms);
+    let difference = sorted.zip(expected).map_or(0.0, |(one, other)| (one - other).abs());
+    assert!(sorted.is_some() == expected.is_some() && difference < 1e-9, "{sorted:?}");
+}
+
+cases! { reference_is:
+    nothing_without_targets(&[], None);
+    the_lowest_of_few(&[1.2, 1.0, 1.1], Some(1.0));
+    beyond_the_lowest_of_many(&[1.0, 0.9, 1.1, 1.2, 1.3, 1.4, 1.5, 1.6], Some(1.0));
+    near_a_single_fast_target(&[2.0, 0.5, 2.0, 2.0, 2.0, 2.0, 2.0, 2.0], Some(0.5 * 1.35));
+}
--- a/crates/fleet/src/steward/reference/placer.rs
+++ b/crates/fleet/src/steward/reference/placer.rs
@@ -13,7 +13,7 @@
 use crate::member::Membership;
 use crate::placement::{Candidate, Choice, FastTargets, Outlook, choose, is_fast};
 use crate::queue::QueuedTask;
-use crate::speed::Estimator;
+use crate::speed::{Estimator, reference};
 use crate::steward::Settings;
 
 /// Multiple of its expected run time after which a run is overdue. About one in thirty healthy runs
@@ -95,14 +95,14 @@
     pub(super) fn place(&mut self, queued: &QueuedTask, isolated: bool) -> Option<Placement> {
         let silence = self.silence(queued);
         let mut candidates = Vec::new();
-        let mut fastest = Duration::MAX;
+        let mut healthy = Vec::new();
         for (index, availability) in self.targets.iter().enumerate() {
             if !is_eligible(&availability.tracker.entry, queued) {
                 continue;
             }
             let expected = self.expected(availability, queued);
             if !availability.suspect {
-                fastest = fastest.min(expected);
+                healthy.push(self.factor(availability, queued));
             }
             let Some(free) =
                 availability.free.filter(|free| free.covers(&queued.requirements.resources))
@@ -119,11 +119,13 @@
                 candidates.push(Candidate { index, expected, free, suspect: availability.suspect });
             }
         }
-        if fastest == Duration::MAX {
+        let fastest = reference::of(healthy).or_else(|| {
             // All targets are suspect, and a suspect target is better than none.
-            fastest = candidates.iter().map(|candidate| candidate.expected).min()?;
             candidates.iter_mut().for_each(|candidate| candidate.suspect = false);
-        }
+            let factor = |one: &Candidate| self.factor(&self.targets[one.index], queued);
+            reference::of(candidates.iter().map(factor).collect())
+        });
+        let fastest = queued.average_run.mul_f64(fastest?);
         let fast = self.fast(queued, &candidates, fastest);
         let Choice::Start(index) = choose(queued, &candidates, fast, &Outlook::default(), self.now)
         else {
@@ -209,10 +211,15 @@
     }
 
     fn expected(&self, availability: &Availability<'_>, queued: &QueuedTask) -> Duration {
+        queued.average_run.mul_f64(self.factor(availability, queued))
+    }
+
+    /// Factor on the task's run time on a target.
+    fn factor(&self, availability: &Availability<'_>, queued: &QueuedTask) -> f64 {
         let rack = queued.requirements.preferred_rack.as_ref();
         let is_remote = rack.is_some_and(|rack| !availability.tracker.entry.labels.contains(rack));
         let factor = if is_remote { self.settings.remote_factor } else { 1.0 };
-        queued.average_run.mul_f64(availability.factor * factor)
+        availability.factor * factor
     }
 
     /// Capacity of the fast targets, counted in tasks of the size of `queued`.
@@ -333,12 +340,13 @@
     slowness.get(slowness.len() / 2).copied().unwrap_or_default().exp()
 }
 
-/// Ratio of the run time on the fastest target to that on an average one; at most 1.
+/// Ratio of the run time on the fastest targets to that on an average one; at most 1.
 pub(super) fn fastest_factor(
     trackers: &BTreeMap<Target, Tracker>,
     speeds: &Estimator,
     now: Instant,
 ) -> f64 {
-    let slowness = trackers.keys().map(|name| speeds.slowness(name, now));
-    slowness.fold(0.0, f64::min).exp()
+    let mut slowness: Vec<f64> = trackers.keys().map(|name| speeds.slowness(name, now)).collect();
+    slowness.sort_by(f64::total_cmp);
+    reference::of_sorted_logarithms(&slowness).map_or(1.0, |factor| factor.min(1.0))
 }
--- a/crates/fleet/src/steward/state/placer.rs
+++ b/crates/fleet/src/steward/state/placer.rs
@@ -12,6 +12,7 @@
 use crate::member::Membership;
 use crate::placement::{Choice, FastTargets, Rated, Scale, choose, is_fast, shortlist};
 use crate::queue::QueuedTask;
+use crate::speed::reference;
 use crate::steward::Settings;
 
 /// The target on which a task is to start.
@@ -21,7 +22,7 @@
     pub(super) row: usize,
     /// Expected run time on the target.
     pub(super) expected: Duration,
-    /// Expected run time on the fastest target, free or not.
+    /// Expected run time on the fastest targets, free or not.
     pub(super) fastest_run: Duration,
     /// Whether the task must run alone there.
     pub(super) isolated: bool,
@@ -44,7 +45,7 @@
     requirements: Requirements,
     /// For each class of targets the factor on run times there; `None` if the task can't run there.
     factors: Vec<Option<f64>>,
-    /// Factor on its run time on the fastest target that is not suspect, free or not.
+    /// Factor on its run time on the fastest targets that are not suspect, free or not.
     fastest: Option<f64>,
 }
 
@@ -117,7 +118,7 @@
         let fastest = profile.fastest.or_else(|| {
             // All targets are suspect, and a suspect target is better than none.
             self.rated.iter_mut().for_each(|one| one.suspect = false);
-            self.rated.iter().map(|one| one.factor).min_by(f64::total_cmp)
+            reference::of(self.rated.iter().map(|one| one.factor).collect())
         })?;
         let fastest_run = scale.run(fastest);
         let fast = self.fast(queued, profile, (scale, fastest_run));
@@ -167,13 +168,15 @@
             is_eligible(class, queued).then_some(factor)
         };
         let factors: Vec<Option<f64>> = self.kept.classes().iter().map(factor).collect();
-        let fastest = factors.iter().enumerate().filter_map(|(class, factor)| {
-            Some(self.kept.sums().healthy(class).first()? * (*factor)?)
+        let healthy = factors.iter().enumerate().filter_map(|(class, factor)| {
+            let factor = (*factor)?;
+            Some(self.kept.sums().healthy(class).iter().map(move |one| one * factor))
         });
+        let fastest = reference::of(healthy.flatten().collect());
         self.profile = Some(Profile {
             service: queued.service.clone(),
             requirements: queued.requirements.clone(),
-            fastest: fastest.min_by(f64::total_cmp),
+            fastest,
             factors,
         });
     }
--- a/crates/fleet/src/steward/state/targets.rs
+++ b/crates/fleet/src/steward/state/targets.rs
@@ -23,14 +23,19 @@
 use crate::lease::{Attempt, Term, Tracker};
 use crate::member::split::Holding;
 use crate::member::{Claim, Membership};
+use crate::placement::FAST_FACTOR;
 use crate::speed::Estimator;
 
 pub(super) use rooms::Rooms;
 pub(super) use runs::{Ends, MIN_RUN, merge, remaining};
+use sums::fastest_factor;
 pub(super) use sums::{Capacity, Sums};
 pub(super) use values::{Class, Values};
 use values::{Classes, Score, is_claimed, is_fast_factor};
 
+/// Relative error of limits of run times, which are rounded to nanoseconds.
+const ROUNDING: f64 = 1e-6;
+
 /// Values and sums of all targets.
 #[derive(Clone, Debug)]
 pub(super) struct Kept {
@@ -247,7 +252,9 @@
         let scores: Vec<Score> =
             trackers.iter().map(|tracker| Score::of(tracker, speeds, now)).collect();
         let open = trackers.iter().zip(&scores).filter(|(tracker, _)| !tracker.is_evacuated);
-        let fastest = open.map(|(_, score)| score.slowness).fold(0.0, f64::min).exp();
+        let mut open: Vec<f64> = open.map(|(_, score)| score.slowness).collect();
+        open.sort_unstable_by(f64::total_cmp);
+        let fastest = fastest_factor(&open);
         let values = trackers.iter().zip(rows).zip(scores).map(|((tracker, class), score)| {
             let is_claimed = is_claimed(&tracker.entry, membership);
             Values::new(tracker, (class, score, is_claimed), fastest, now)
@@ -335,6 +342,14 @@
         self.replace(row, values);
         let fastest = self.sums.fastest_factor();
         let rows = if fastest == before { row..row + 1 } else { 0..self.values.len() };
+        let low = before.min(fastest) * FAST_FACTOR * (1.0 - ROUNDING);
+        let high = before.max(fastest) * FAST_FACTOR * (1.0 + ROUNDING);
+        // Of the others, only targets between the two limits can become fast or slow.
+        let may_change = |one: &usize| {
+            let factor = self.values[*one].factor();
+            *one == row || (low..=high).contains(&factor)
+        };
+        let rows: Vec<usize> = rows.filter(may_change).collect();
         for row in rows {
             let is_fast = is_fast_factor(self.values[row].factor(), fastest);
             if is_fast != self.values[row].is_fast {
--- a/crates/fleet/src/steward/state/targets/sums.rs
+++ b/crates/fleet/src/steward/state/targets/sums.rs
@@ -8,6 +8,7 @@
 use super::runs::{Ends, Run};
 use super::values::Values;
 use crate::job::{Id, Task};
+use crate::speed::reference;
 
 /// Units of a fixed-point number.
 const ONE: f64 = (1_u64 << 40) as f64;
@@ -234,9 +235,9 @@
         self.fast_ends.advance(now);
     }
 
-    /// Ratio of the run time on the fastest target to that on an average one; at most 1.
+    /// Ratio of the run time on the fastest targets to that on an average one; at most 1.
     pub(in super::super) fn fastest_factor(&self) -> f64 {
-        self.open_slowness.first().copied().unwrap_or_default().min(0.0).exp()
+        fastest_factor(&self.open_slowness)
     }
 
     /// Ratio of the run time on the median target to that on an average one.
@@ -314,6 +315,11 @@
     }
 }
 
+/// Ratio of the run time on the fastest targets to that on an average one; at most 1. `slowness` is in ascending order.
+pub(super) fn fastest_factor(slowness: &[f64]) -> f64 {
+    reference::of_sorted_logarithms(slowness).map_or(1.0, |factor| factor.min(1.0))
+}
+
 /// Whether tasks may be placed on a target, full or not, and it is not suspect.
 fn is_healthy(values: &Values) -> bool {
     values.is_usable() && !values.is_suspect()
