fix(platform): a host starts although the port of its metrics is taken

A host whose settings gave the metrics' port, which is fixed, to its listener for callers ended at each start with "Address already in use", and no caller was served.

Cause: all four listeners were required, though only three are named by the settings.

Change: without the port the host logs "metrics unavailable" and goes on.

The new test starts a host process on that port and submits a job.

--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -64,6 +64,19 @@
     assert!(metrics.contains("coltsfootshunt_jobs_answered_total"), "{metrics}");
 }
 
+/// Guards against a host that ends at its start because the port of its metrics is one of its settings.
+#[tokio::test]
+async fn a_host_whose_metrics_port_is_taken_serves_callers() {
+    let cluster = Cluster::start(PROGRAM, FOLDER, &["a"], 3).await;
+    let mut host = cluster.host_without_metrics("a-1", "a");
+    cluster.launch(&mut host);
+    cluster.wait_until_ready(&[&host]).await;
+    serve_job(&cluster, &host, 1).await;
+    assert_eq!(cluster.invariants.violations(), Vec::<String>::new());
+    let lines = host.log_lines();
+    assert!(lines.iter().any(|line| line["msg"] == "metrics unavailable"), "{lines:?}");
+}
+
 #[tokio::test]
 async fn unsupported_requests_are_refused_at_once() {
     let (cluster, hosts) = cluster().await;
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -285,7 +285,9 @@
         Record::SettingsReloaded { error: Some(error) } => {
             warn!(log, "{}", name; "reason" => %error)
         }
-        Record::ConnectionFailed { error } => warn!(log, "{}", name; "reason" => %error),
+        Record::ConnectionFailed { error } | Record::MetricsUnavailable { error } => {
+            warn!(log, "{}", name; "reason" => %error)
+        }
         Record::ClientRefused { reason } => warn!(log, "{}", name; "reason" => %reason),
         Record::ThreadPanicked(panic) => {
             error!(log, "{}", name; "thread" => %panic.thread, "reason" => %panic.message,
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -517,6 +517,11 @@
         /// Error of the operating system.
         error: Arc<str>,
     },
+    /// Metrics and the state are not served, since their port can't be bound.
+    MetricsUnavailable {
+        /// Address, and the error of the operating system.
+        error: Arc<str>,
+    },
     /// A client was refused because of what all clients make the process hold.
     ClientRefused {
         /// Limit that was reached.
--- a/crates/fleet/src/report/record/name.rs
+++ b/crates/fleet/src/report/record/name.rs
@@ -68,6 +68,7 @@
             Self::ProcessStarted { .. } => "process began",
             Self::SettingsReloaded { .. } => "settings read",
             Self::ConnectionFailed { .. } => "connection not accepted",
+            Self::MetricsUnavailable { .. } => "metrics unavailable",
             Self::ClientRefused { .. } => "client refused",
             Self::ThreadPanicked(_) => "thread panicked",
             Self::Stopping => "stop began",
