test(split): a steward that returns work for its backlog asks for help

Work is returned from 40 ms of backlog on and another member is asked for from 50 ms on, so a zone's only steward stays behind without help.

--- a/crates/fleet/src/member/tests/split.rs
+++ b/crates/fleet/src/member/tests/split.rs
@@ -9,6 +9,7 @@
 use crate::member::split::{
     Change, Demand, Member, Planner, Rank, ShareNotice, Shares, Split, SplitNotice,
 };
+use crate::precedence::Policy;
 
 fn member(host: &str, cpu_millis: u32) -> Member {
     Member { host: Host::try_from(host).unwrap(), cpu_millis }
@@ -105,6 +106,31 @@
     down_after_60_s(400, 62_000, 2);
 }
 
+/// Guards against a zone whose steward returns work for its backlog and gets no help: what a steward returns
+/// keeps its backlog near the limit above which it returns work.
+fn asks_for_help(backlog: Duration, returns_work: bool, expected: usize) {
+    let start = Instant::now();
+    let mut planner = Planner::default();
+    let mut policy = Policy::default();
+    policy.set_dense(true);
+    let class = policy.typical_class(0, start);
+    let mut members = 0;
+    let mut has_returned = false;
+    for at_ms in (0..=5_000).step_by(50) {
+        let now = start + Duration::from_millis(at_ms);
+        policy.set_backlog(backlog, (backlog, false), now);
+        has_returned |= policy.sheds(&class, false);
+        members = planner.plan(&Demand { backlog, ..demand(117, 4, 0) }, now);
+    }
+    assert_eq!((has_returned, members), (returns_work, expected));
+}
+
+cases! { asks_for_help:
+    where_work_is_returned(Duration::from_millis(41), true, 3);
+    before_work_is_returned(Duration::from_millis(35), false, 3);
+    not_as_a_host_that_keeps_up(Duration::from_millis(10), false, 2);
+}
+
 fn me() -> Host {
     Host::try_from("me").unwrap()
 }
