--- a/review/rig/src/record.rs
+++ b/review/rig/src/record.rs
@@ -24,6 +24,7 @@
     since: Instant,
     lines: Vec<String>,
     runs: Vec<Run>,
+    violations: usize,
 }
 
 /// The record. Clones share it.
@@ -32,7 +33,8 @@
 
 impl Record {
     pub fn new() -> Self {
-        let contents = Contents { since: Instant::now(), lines: Vec::new(), runs: Vec::new() };
+        let contents =
+            Contents { since: Instant::now(), lines: Vec::new(), runs: Vec::new(), violations: 0 };
         Self(Arc::new(Mutex::new(contents)))
     }
 
@@ -40,11 +42,6 @@
         self.0.lock().expect("no thread panics while it holds this lock")
     }
 
-    /// Time since the record began.
-    pub fn now(&self) -> Duration {
-        self.lock().since.elapsed()
-    }
-
     /// Adds a line and returns its time.
     pub fn note(&self, text: &str) -> Duration {
         let mut contents = self.lock();
@@ -53,6 +50,17 @@
         at
     }
 
+    /// Adds a line on a broken rule.
+    pub fn violate(&self, text: &str) {
+        self.note(text);
+        self.lock().violations += 1;
+    }
+
+    /// Number of lines on broken rules.
+    pub fn violations(&self) -> usize {
+        self.lock().violations
+    }
+
     pub fn started(&self, worker: &str, task: &str, number: u64, token: u64, spec: &str) {
         let started =
             self.note(&format!("{worker} starts {task} run {number}, token {token}, {spec}"));
