feat(report): the log tells whose time limit ended a job

Of an unserved job the lines on its acceptance and its end gave one time limit, the shorter of the caller's and the route's, so a play could not tell which of the two had ended it. 'job accepted' and 'job refused' now give both beside the one in force, 'job answered' names the one that applied, and 'losses' counts jobs that the route's timeout ended.

--- a/crates/cli/src/losses/history.rs
+++ b/crates/cli/src/losses/history.rs
@@ -34,6 +34,9 @@
     /// A task failed in all of its attempts.
     #[display("failed")]
     Failed,
+    /// The route's timeout passed; the caller stated no time.
+    #[display("ended by the route's timeout")]
+    RouteTimeout,
     /// The deadline passed while a task ran on a slow target, see [`SLOW_PERCENT`].
     #[display("ran over on a slow target")]
     TimedOutOnSlow,
@@ -115,6 +118,7 @@
             ("failed", _) => Outcome::Failed,
             ("no_steward", _) => Outcome::NoSteward,
             ("unknown", "its steward is gone") => Outcome::StewardLost,
+            ("unknown", "its route's timeout") => Outcome::RouteTimeout,
             ("unknown", _) if self.running.is_empty() => Outcome::NotStarted,
             ("unknown", _) if self.running.values().any(|run| run.is_slow) => {
                 Outcome::TimedOutOnSlow
--- a/crates/cli/src/losses/tests.rs
+++ b/crates/cli/src/losses/tests.rs
@@ -17,7 +17,9 @@
     r#"{"job":"1","msg":"task started","task":"1.0.0","run":1,"expected_ms":450,"best_ms":440}"#;
 const ENDED: &str = r#"{"job":"1","msg":"task ended","task":"1.0.0","run":1,"end":"done"}"#;
 const DEADLINE: &str =
-    r#"{"job":"1","msg":"job answered","outcome":"unknown","reason":"its deadline"}"#;
+    r#"{"job":"1","msg":"job answered","outcome":"unknown","reason":"its caller's deadline"}"#;
+const ROUTE_TIMEOUT: &str =
+    r#"{"job":"1","msg":"job answered","outcome":"unknown","reason":"its route's timeout"}"#;
 const STEWARD_LOST: &str =
     r#"{"job":"1","msg":"job answered","outcome":"unknown","reason":"its steward is gone"}"#;
 const TOO_LATE: &str =
@@ -48,6 +50,7 @@
     a_job_that_stewards_returned(&[ACCEPTED, TOO_LATE], Outcome::Returned);
     a_timeout_on_a_slow_target(&[ACCEPTED, ON_SLOW, DEADLINE, ENDED], Outcome::TimedOutOnSlow);
     a_timeout_on_a_fast_target(&[ACCEPTED, ON_FAST, DEADLINE, ENDED], Outcome::TimedOutOnFast);
+    a_job_that_its_route_ended(&[ACCEPTED, ON_FAST, ROUTE_TIMEOUT], Outcome::RouteTimeout);
     a_job_whose_last_task_never_started(&[ACCEPTED, ON_FAST, ENDED, DEADLINE], Outcome::NotStarted);
     a_job_whose_steward_was_lost(&[ACCEPTED, ON_FAST, STEWARD_LOST], Outcome::StewardLost);
     a_job_without_a_logged_end(&[ACCEPTED, ON_FAST], Outcome::Unfinished);
--- a/crates/entry/tests/explained.rs
+++ b/crates/entry/tests/explained.rs
@@ -70,7 +70,7 @@
     let (answer, ()) = tokio::join!(cluster.submit(&hosts[0], &job, (1, 14_000, 300)), hang);
     assert_eq!(answer.map(|one| one.0), Some(504));
     let messages = ["job accepted", "tasks sent", "task started", "job answered"];
-    wait_for_lines(&hosts, &job, &messages, ("reason", "its deadline")).await;
+    wait_for_lines(&hosts, &job, &messages, ("reason", "its caller's deadline")).await;
 }
 
 /// The steward of a job's targets crashes.
--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -69,7 +69,8 @@
         let document = self.config.document().cloned().ok_or(refuse(Refusal::NotReady))?;
         let route = document.route_of(&submission.kind).ok_or(refuse(Refusal::UnknownKind))?;
         let plan = &submission.plan;
-        let timeout = submission.timeout.min(route.timeout);
+        let patience = submission.patience;
+        let (bound, timeout) = patience.limit(route.timeout);
         let forecast = self.speeds.forecast(&route.kind, plan.critical_path());
         let run = forecast.median;
         let candidates = self.candidates();
@@ -93,6 +94,8 @@
             wait,
             run,
             timeout,
+            stated_timeout: patience.stated,
+            route_timeout: route.timeout,
         };
         // Without a steward the job waits for the next one, unless this host is isolated.
         let outcome = if candidates.is_empty() && self.membership.is_isolated(now) {
@@ -129,6 +132,8 @@
             wait,
             run,
             timeout,
+            stated_timeout: patience.stated,
+            route_timeout: route.timeout,
             version: document.version,
         });
         let policy = Policy {
@@ -137,7 +142,7 @@
             max_attempts: route.max_attempts,
         };
         let instants = (now, now + objective, now + timeout);
-        Ok(Open::new(route.kind.clone(), plan.clone(), policy, instants, size))
+        Ok(Open::new(route.kind.clone(), plan.clone(), policy, instants, bound, size))
     }
 
     /// Whether any steward is reachable.
@@ -276,14 +281,17 @@
     /// Closes jobs past their deadline, refuses stalled jobs and expires old outcomes.
     pub(super) fn maintain_jobs(&mut self, now: Instant) {
         for id in self.jobs.matching(|open| now >= open.deadline) {
-            let may_have_started = self.jobs.get(&id).is_some_and(|open| open.may_have_started);
-            let outcome = if may_have_started {
+            let Some(open) = self.jobs.get(&id) else {
+                continue;
+            };
+            let reason = open.bound.reason();
+            let outcome = if open.may_have_started {
                 Outcome::Unknown
             } else {
                 let refusal = Refusal::TooLate;
                 Outcome::Refused { refusal, retry_after: RETRY_AFTER }
             };
-            self.close(&id, outcome, "its deadline", now);
+            self.close(&id, outcome, reason, now);
         }
         self.refuse_stalled(now);
         self.jobs.expire(now);
--- a/crates/fleet/src/control/repeats.rs
+++ b/crates/fleet/src/control/repeats.rs
@@ -75,13 +75,16 @@
     /// Continues requests that have waited for earlier runs, with the rest of their time.
     fn resume_parked(&mut self, released: Vec<Parked>, now: Instant) {
         for Parked { request_id, submission, since } in released {
-            let timeout = submission.timeout.saturating_sub(now.duration_since(since));
-            if timeout.is_zero() {
+            let patience = submission.patience.after(now.duration_since(since));
+            let document = self.config.document();
+            let route = document.and_then(|document| document.route_of(&submission.kind));
+            let is_over = route.is_some_and(|route| patience.limit(route.timeout).1.is_zero());
+            if is_over {
                 // Runs of an earlier request were at work.
                 let response = Response::Outcome(Outcome::Unknown);
                 self.actions.push(Action::Respond(request_id, response));
             } else {
-                self.submit(request_id, &Submission { timeout, ..submission }, now);
+                self.submit(request_id, &Submission { patience, ..submission }, now);
             }
         }
     }
--- a/crates/fleet/src/control/tests/departures.rs
+++ b/crates/fleet/src/control/tests/departures.rs
@@ -12,7 +12,7 @@
 
 use crate::config::tests::{document, route};
 use crate::control::{self, Dependencies, Event, Executor, JobState, Settings};
-use crate::job::{Id, Plan, Requirements, Resources, Step, Submission};
+use crate::job::{Id, Patience, Plan, Requirements, Resources, Step, Submission};
 use crate::lease::{Call, Client, Response, Term};
 use crate::member::tests::identity;
 use crate::peer::{Account, Ack, Batch, Outbox, Transport, Unreachable};
@@ -114,7 +114,7 @@
         id: id(),
         kind: Kind::try_from("cut").unwrap(),
         plan: Arc::new(Plan::new("work".into(), vec![step]).unwrap()),
-        timeout: CALLER_TIMEOUT,
+        patience: Patience::from(CALLER_TIMEOUT),
     }
 }
 
--- a/crates/fleet/src/control/tests/extreme_values.rs
+++ b/crates/fleet/src/control/tests/extreme_values.rs
@@ -11,7 +11,9 @@
 use crate::config::tests::{document, route};
 use crate::config::{Route, Stretch};
 use crate::control::{Action, Event, Request, Response, State};
-use crate::job::{Id, Outcome, Plan, RequestId, Requirements, Resources, Step, Submission};
+use crate::job::{
+    Id, Outcome, Patience, Plan, RequestId, Requirements, Resources, Step, Submission,
+};
 use crate::member::tests::identity;
 use crate::peer::{Batch, Message};
 use crate::store::Update;
@@ -30,7 +32,7 @@
         id: Id::try_from("0000000000000001").unwrap(),
         kind: Kind::try_from("cut").unwrap(),
         plan: Arc::new(plan),
-        timeout,
+        patience: Patience::from(timeout),
     };
     state.handle(Event::Request(RequestId(2), Request::Submit(submission)));
     state.advance()
--- a/crates/fleet/src/control/tests/mod.rs
+++ b/crates/fleet/src/control/tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod backlog;
 mod busy_stewards;
+mod caller_deadlines;
 mod cancels;
 mod common_work;
 mod delayed_words;
--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -224,6 +224,10 @@
     hidden_targets: BTreeSet<coltsfootshunt_core::name::Target>,
     /// Host that callers submit to; `None` for a random one.
     caller_host: Option<usize>,
+    /// Time for which callers wait; that of the route if `None`.
+    pub(super) caller_timeout: Option<Duration>,
+    /// Whether callers state with the submission for how long they wait.
+    pub(super) states_timeout: bool,
     /// Delay after which a caller without a definite outcome submits its job again.
     pub(super) retry_delay_ms: u64,
     /// Number of times that a caller submits a job without a definite outcome.
@@ -322,6 +326,8 @@
             target_partitions: BTreeMap::new(),
             hidden_targets: BTreeSet::new(),
             caller_host: None,
+            caller_timeout: None,
+            states_timeout: true,
             retry_delay_ms: RETRY_DELAY_MS,
             max_sends: MAX_SENDS,
             document: Arc::new(document(1, vec![route("cut", "/a/")])),
--- a/crates/fleet/src/control/tests/simulation/callers.rs
+++ b/crates/fleet/src/control/tests/simulation/callers.rs
@@ -6,7 +6,9 @@
 use super::{Caller, SimEvent, Simulation};
 use crate::config::Document;
 use crate::control::{Event, Request};
-use crate::job::{Id, Outcome, Plan, RequestId, Requirements, Resources, Step, Submission};
+use crate::job::{
+    Id, Outcome, Patience, Plan, RequestId, Requirements, Resources, Step, Submission,
+};
 use crate::store::Update;
 
 impl Simulation {
@@ -95,13 +97,16 @@
         caller.is_waiting = true;
         caller.attempt += 1;
         caller.sends += 1;
+        let timeout = self.caller_timeout.unwrap_or(self.document.routes[0].timeout);
+        let patience =
+            if self.states_timeout { Patience::from(timeout) } else { Patience::default() };
         let submission = Submission {
             id: id.clone(),
             kind: coltsfootshunt_core::name::Kind::try_from("cut").unwrap(),
             plan: Arc::clone(&caller.plan),
-            timeout: self.document.routes[0].timeout,
+            patience,
         };
-        let timeout_ms = submission.timeout.as_millis() as u64;
+        let timeout_ms = timeout.as_millis() as u64;
         let attempt = caller.attempt;
         self.open_requests.insert((host, request_id), id.clone());
         let incarnation = self.hosts[host].incarnation;
--- a/crates/fleet/src/control/tests/startup.rs
+++ b/crates/fleet/src/control/tests/startup.rs
@@ -13,7 +13,7 @@
 use crate::directory;
 use crate::evacuation;
 use crate::job::{
-    Id, Outcome, Plan, Refusal, RequestId, Requirements, Resources, Step, Submission,
+    Id, Outcome, Patience, Plan, Refusal, RequestId, Requirements, Resources, Step, Submission,
 };
 use crate::lease::{Term, Token};
 use crate::member::tests::identity;
@@ -81,7 +81,7 @@
         id: Id::try_from("0000000000000001").unwrap(),
         kind: Kind::try_from("cut").unwrap(),
         plan: Arc::new(plan),
-        timeout: Duration::from_millis(1_500),
+        patience: Patience::from(Duration::from_millis(1_500)),
     };
     state.handle(Event::Request(RequestId(2), Request::Submit(submission)));
     state.advance()
--- a/crates/fleet/src/control/tests/wide_jobs.rs
+++ b/crates/fleet/src/control/tests/wide_jobs.rs
@@ -8,7 +8,7 @@
 use super::simulation::ManualClock;
 use super::startup::host_without_peers;
 use crate::control::{Action, Event, Request, Response, State};
-use crate::job::{Id, Outcome, Plan, Refusal, RequestId, Requirements, Step, Submission};
+use crate::job::{Id, Outcome, Patience, Plan, Refusal, RequestId, Requirements, Step, Submission};
 
 /// Number of tasks of each job, the most that a job may have.
 const WIDTH: u32 = 1_000;
@@ -22,7 +22,7 @@
         id: Id::try_from(format!("{number:016x}")).unwrap(),
         kind: Kind::try_from("cut").unwrap(),
         plan: Arc::new(Plan::new("work".into(), vec![step]).unwrap()),
-        timeout: Duration::from_millis(1_500),
+        patience: Patience::from(Duration::from_millis(1_500)),
     };
     state.handle(Event::Request(RequestId(number as u64), Request::Submit(submission)));
     state.advance().into_iter().find_map(|action| match action {
--- a/crates/fleet/src/job/message.rs
+++ b/crates/fleet/src/job/message.rs
@@ -7,7 +7,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use super::{Id, Plan, Requirements};
+use super::{Id, Patience, Plan, Requirements};
 use crate::member::Echo;
 
 /// A job as submitted by a caller.
@@ -20,7 +20,7 @@
     /// Steps and tasks to run.
     pub plan: Arc<Plan>,
     /// Time for which the caller waits for the answer.
-    pub timeout: Duration,
+    pub patience: Patience,
 }
 
 /// Identifier of one task.
--- a/crates/fleet/src/job/mod.rs
+++ b/crates/fleet/src/job/mod.rs
@@ -4,6 +4,7 @@
 mod classifier;
 mod message;
 mod open;
+mod patience;
 mod plan;
 mod registry;
 
@@ -15,5 +16,6 @@
     Assignment, Completion, End, Grant, Item, Outcome, Refusal, Reservation, Submission, Task,
 };
 pub use open::{Granted, Open, Policy, Ready, RequestId};
+pub use patience::{Bound, Patience};
 pub use plan::{Id, InvalidJob, Plan, Requirements, Resources, Step};
 pub use registry::Registry;
--- a/crates/fleet/src/job/open.rs
+++ b/crates/fleet/src/job/open.rs
@@ -7,7 +7,7 @@
 
 use coltsfootshunt_core::name::{Host, Kind, Service};
 
-use super::{Completion, End, Outcome, Plan, Refusal, Requirements, Size};
+use super::{Bound, Completion, End, Outcome, Plan, Refusal, Requirements, Size};
 
 pub use shared::Granted;
 
@@ -72,8 +72,10 @@
     pub admitted_at: Instant,
     /// Time after which the answer counts as late.
     pub objective: Instant,
-    /// Time at which the caller stops waiting.
+    /// Time by which it must be answered.
     pub deadline: Instant,
+    /// Whose time limit the deadline is.
+    pub bound: Bound,
     /// Whether a steward may have started any of its tasks.
     pub may_have_started: bool,
     /// Whether any of its tasks has run.
@@ -125,6 +127,7 @@
         plan: Arc<Plan>,
         policy: Policy,
         (admitted_at, objective, deadline): (Instant, Instant, Instant),
+        bound: Bound,
         size: Size,
     ) -> Self {
         let mut tasks = Vec::new();
@@ -147,6 +150,7 @@
             admitted_at,
             objective,
             deadline,
+            bound,
             may_have_started: false,
             started: false,
             committed: false,
--- a/crates/fleet/src/job/tests.rs
+++ b/crates/fleet/src/job/tests.rs
@@ -5,8 +5,8 @@
 use coltsfootshunt_testkit::cases;
 
 use super::{
-    Classifier, Completion, End, Granted, Id, InvalidJob, Open, Outcome, Plan, Policy, Refusal,
-    Registry, RequestId, Requirements, Reservation, Resources, Size, Step, Task,
+    Bound, Classifier, Completion, End, Granted, Id, InvalidJob, Open, Outcome, Patience, Plan,
+    Policy, Refusal, Registry, RequestId, Requirements, Reservation, Resources, Size, Step, Task,
 };
 
 fn id() -> Id {
@@ -28,7 +28,14 @@
     let service = Service::try_from("mill").unwrap();
     let policy = Policy { service, priority: 0, max_attempts: attempts };
     let later = now + Duration::from_secs(1);
-    Open::new(Kind::try_from("cut").unwrap(), plan, policy, (now, later, later), Size::Usual)
+    Open::new(
+        Kind::try_from("cut").unwrap(),
+        plan,
+        policy,
+        (now, later, later),
+        Bound::Caller,
+        Size::Usual,
+    )
 }
 
 /// Sends all ready tasks to one steward and returns their number.
@@ -314,3 +321,22 @@
     a_job_like_the_others_as_usual(&[4, 4, 5], Size::Usual);
     a_job_of_twice_the_usual_work_as_large(&[4, 4, 9], Size::Large);
 }
+
+/// Guards against the route's timeout in place of a longer one of the caller, and against a request that waits
+/// for earlier runs and then gets its time anew.
+fn limits(stated_ms: Option<u64>, elapsed_ms: u64, expected: (Bound, u64)) {
+    let ms = Duration::from_millis;
+    let patience = stated_ms.map_or_else(Patience::default, |stated| Patience::from(ms(stated)));
+    let patience = patience.after(ms(elapsed_ms / 2)).after(ms(elapsed_ms - elapsed_ms / 2));
+    let (bound, left) = expected;
+    assert_eq!(patience.limit(ms(1_500)), (bound, ms(left)));
+}
+
+cases! { limits:
+    to_the_route_without_a_statement(None, 0, (Bound::Route, 1_500));
+    to_a_shorter_statement(Some(800), 0, (Bound::Caller, 800));
+    to_a_longer_statement(Some(4_000), 0, (Bound::Caller, 4_000));
+    to_the_rest_of_the_statement(Some(4_000), 1_001, (Bound::Caller, 2_999));
+    to_the_rest_of_the_route(None, 1_001, (Bound::Route, 499));
+    to_nothing_when_the_time_is_over(Some(800), 900, (Bound::Caller, 0));
+}
--- a/crates/fleet/src/repeat/tests.rs
+++ b/crates/fleet/src/repeat/tests.rs
@@ -5,7 +5,7 @@
 use coltsfootshunt_testkit::cases;
 
 use super::{Parked, Register};
-use crate::job::{Id, Plan, RequestId, Requirements, Step, Submission};
+use crate::job::{Id, Patience, Plan, RequestId, Requirements, Step, Submission};
 
 const MAX_TIME: Duration = Duration::from_millis(1_300);
 
@@ -23,7 +23,7 @@
         id: id(),
         kind: Kind::try_from("cut").unwrap(),
         plan: Arc::new(Plan::new("work".into(), vec![step]).unwrap()),
-        timeout: Duration::from_secs(1),
+        patience: Patience::from(Duration::from_secs(1)),
     };
     Parked { request_id: RequestId(1), submission, since: now }
 }
--- a/crates/fleet/src/report/json.rs
+++ b/crates/fleet/src/report/json.rs
@@ -85,21 +85,47 @@
 fn write(log: &Logger, record: &Record) {
     let name = record.name();
     match record {
-        Record::JobAccepted { job, kind, tasks, size, declared, wait, run, timeout, version } => {
+        Record::JobAccepted {
+            job,
+            kind,
+            tasks,
+            size,
+            declared,
+            wait,
+            run,
+            timeout,
+            stated_timeout,
+            route_timeout,
+            version,
+        } => {
             info!(log, "{}", name; "job" => %job, "kind" => %kind, "tasks" => tasks,
                 "size" => %size, "declared_ms" => millis(*declared), "wait_ms" => millis(*wait),
                 "run_ms" => millis(*run), "patience_ms" => millis(*timeout),
+                "caller_timeout_ms" => stated_timeout.map(millis), "route_timeout_ms" => millis(*route_timeout),
                 "configuration" => version);
         }
         Record::JobAnswered { job, kind, size, outcome, took, reason } => {
             info!(log, "{}", name; "job" => %job, "kind" => %kind, "size" => %size,
                 "outcome" => label(outcome), "took_ms" => millis(*took), "reason" => reason);
         }
-        Record::JobRefused { job, kind, tasks, size, outcome, declared, wait, run, timeout } => {
+        Record::JobRefused {
+            job,
+            kind,
+            tasks,
+            size,
+            outcome,
+            declared,
+            wait,
+            run,
+            timeout,
+            stated_timeout,
+            route_timeout,
+        } => {
             info!(log, "{}", name; "job" => %job, "kind" => %kind, "tasks" => tasks,
                 "size" => %size, "reason" => label(outcome),
                 "declared_ms" => millis(*declared), "wait_ms" => millis(*wait), "run_ms" => millis(*run),
-                "patience_ms" => millis(*timeout));
+                "patience_ms" => millis(*timeout), "caller_timeout_ms" => stated_timeout.map(millis),
+                "route_timeout_ms" => millis(*route_timeout));
         }
         Record::CallerLeft { job, after } => {
             info!(log, "{}", name; "job" => %job, "after_ms" => millis(*after));
--- a/crates/fleet/src/report/record.rs
+++ b/crates/fleet/src/report/record.rs
@@ -38,8 +38,12 @@
         wait: Duration,
         /// Expected run time of its critical path.
         run: Duration,
-        /// Time for which its caller waits.
+        /// Time within which it must be answered.
         timeout: Duration,
+        /// Time for which its caller waits, if the caller states one.
+        stated_timeout: Option<Duration>,
+        /// Timeout of its route.
+        route_timeout: Duration,
         /// Version of the configuration that was applied to the decision.
         version: u64,
     },
@@ -76,8 +80,12 @@
         wait: Duration,
         /// Expected run time of its critical path.
         run: Duration,
-        /// Time for which its caller waits.
+        /// Time within which it must be answered.
         timeout: Duration,
+        /// Time for which its caller waits, if the caller states one.
+        stated_timeout: Option<Duration>,
+        /// Timeout of its route.
+        route_timeout: Duration,
     },
     /// The caller closed its connection before the answer.
     CallerLeft {
--- a/crates/model/src/dispatcher.rs
+++ b/crates/model/src/dispatcher.rs
@@ -303,7 +303,12 @@
         let step = Step { count: job.tasks.len() as u32, requirements, after: Vec::new() };
         let plan = Plan::new("work".into(), vec![step]).expect("a job of a load has tasks");
         let kind = parse_name(KINDS[job.kind].name);
-        Submission { id: job_id(number), kind, plan: Arc::new(plan), timeout: CALLER_TIMEOUT }
+        Submission {
+            id: job_id(number),
+            kind,
+            plan: Arc::new(plan),
+            patience: CALLER_TIMEOUT.into(),
+        }
     }
 
     /// Has a host handle an event, at once or after those that wait.
