fix(job): a job lasts as long as its caller waits, not as the route's timeout says

Callers of long work were answered 504 at the route's timeout of 1,500 ms and their tasks were stopped, although their requests state that they wait several seconds more: the shorter of the two limits bounded a job.

With the true limit, the answer has to leave before the caller does: a job that has not ended is answered 10 ms before the stated deadline, at that time and not at the next periodic work. Jobs that would outlast a planned stop are answered 504 at its end, and their runs are cancelled; before, none could.

The model drew one deadline of 1,500 ms for all callers, so its checks were fitted to the cut.

The callers of the two tests with a member that hears late wait 10 ms longer, so that their jobs are given up at the same time as before, 1,500 ms.

--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -4,11 +4,12 @@
 
 use coltsfootshunt_core::name::{Host, Service};
 
+use super::state::TICK_INTERVAL;
 use super::{Action, Response, State};
 use crate::admission::{self, Estimate};
 use crate::directory::Entry;
 use crate::job::{
-    Completion, Id, Open, Outcome, Policy, Refusal, RequestId, Requirements, Submission,
+    Bound, Completion, Id, Open, Outcome, Policy, Refusal, RequestId, Requirements, Submission,
 };
 use crate::member::Peer;
 use crate::peer::Message;
@@ -28,6 +29,9 @@
 /// How long before the caller's timeout a response must be ready: time for its way back, and a
 /// margin.
 pub(super) const RESPONSE_MARGIN: Duration = Duration::from_millis(40);
+/// How long before the deadline that a caller states its job is given up, so that the answer reaches the caller
+/// before it leaves.
+pub(super) const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 /// Round trip to the steward in this process.
 const LOCAL_ROUND_TRIP: Duration = Duration::ZERO;
 /// Round trip to a host of this availability zone.
@@ -271,16 +275,26 @@
         }
     }
 
-    /// Closes all jobs with [`Outcome::Unknown`] after a pause of this process.
-    pub(super) fn give_up_all_jobs(&mut self, now: Instant) {
+    /// Closes all jobs with [`Outcome::Unknown`].
+    pub(super) fn give_up_all_jobs(&mut self, reason: &'static str, now: Instant) {
         for id in self.jobs.matching(|_| true) {
-            self.close(&id, Outcome::Unknown, "this host was paused", now);
+            self.close(&id, Outcome::Unknown, reason, now);
         }
     }
 
     /// Closes jobs past their deadline, refuses stalled jobs and expires old outcomes.
     pub(super) fn maintain_jobs(&mut self, now: Instant) {
-        for id in self.jobs.matching(|open| now >= open.deadline) {
+        self.close_overdue(now);
+        self.refuse_stalled(now);
+        self.jobs.expire(now);
+        let due = self.jobs.earliest(answer_due);
+        self.next_due = due.filter(|due| *due < now + TICK_INTERVAL);
+    }
+
+    /// Closes jobs past their deadline.
+    pub(super) fn close_overdue(&mut self, now: Instant) {
+        self.next_due = None;
+        for id in self.jobs.matching(|open| now >= answer_due(open)) {
             let Some(open) = self.jobs.get(&id) else {
                 continue;
             };
@@ -293,8 +307,14 @@
             };
             self.close(&id, outcome, reason, now);
         }
-        self.refuse_stalled(now);
-        self.jobs.expire(now);
+    }
+}
+
+/// Time at which a job that has not ended is answered.
+fn answer_due(open: &Open) -> Instant {
+    match open.bound {
+        Bound::Caller => open.deadline.checked_sub(ANSWER_MARGIN).unwrap_or(open.deadline),
+        Bound::Route => open.deadline,
     }
 }
 
--- a/crates/fleet/src/control/repeats.rs
+++ b/crates/fleet/src/control/repeats.rs
@@ -95,12 +95,18 @@
         self.resume_parked(released, now);
     }
 
-    /// Answers all requests that wait, after a pause of this process.
-    pub(super) fn give_up_parked(&mut self) {
-        for parked in self.repeats.clear() {
+    /// Answers all requests that wait.
+    pub(super) fn answer_parked(&mut self) {
+        for parked in self.repeats.take_parked() {
             let response = Response::Outcome(Outcome::Unknown);
             self.actions.push(Action::Respond(parked.request_id, response));
         }
+    }
+
+    /// Answers all requests that wait and forgets the given up jobs, after a pause of this process.
+    pub(super) fn give_up_parked(&mut self) {
+        self.answer_parked();
+        self.repeats.clear();
         self.settling.clear();
     }
 
--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -31,6 +31,9 @@
 /// Shortest gap between two wakeups that counts as a pause of the process. A host that runs at a
 /// fifth of its speed stays below it.
 const MIN_PAUSE: Duration = Duration::from_millis(700);
+/// Time before the end of a planned stop at which the jobs that are still open are answered. It covers the
+/// cancellation of their runs, so that repeats elsewhere don't run beside them.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
 /// Shortest duration of a planned stop, so that all hosts learn that this one is leaving.
 const MIN_STOP_DURATION: Duration = Duration::from_millis(1_200);
 
@@ -120,6 +123,8 @@
     pub(super) actions: Vec<Action>,
     snapshot: Snapshot,
     last_tick: Instant,
+    /// When the next job is due for its answer, if that is before the next periodic work.
+    pub(super) next_due: Option<Instant>,
     /// Uptime at the last check for a pause.
     last_uptime: Duration,
     stopping_since: Option<Instant>,
@@ -180,6 +185,7 @@
             actions: Vec::new(),
             snapshot: Snapshot::default(),
             last_tick: now,
+            next_due: None,
             last_uptime,
             stopping_since: None,
             must_exit: false,
@@ -191,7 +197,8 @@
     /// Time of the next periodic work.
     #[must_use]
     pub fn next_wake(&self) -> Instant {
-        self.last_tick + TICK_INTERVAL
+        let tick = self.last_tick + TICK_INTERVAL;
+        self.next_due.map_or(tick, |due| due.min(tick))
     }
 
     /// Detects a pause of the process and drops the state that is outdated after it. Must run
@@ -260,6 +267,8 @@
         if now.duration_since(self.last_tick) >= TICK_INTERVAL {
             self.last_tick = now;
             self.tick(now);
+        } else if self.next_due.is_some_and(|due| now >= due) {
+            self.close_overdue(now);
         }
         self.retry_stalled(now);
         self.start_tasks(now);
@@ -357,6 +366,10 @@
             return;
         };
         let elapsed = now.duration_since(since);
+        if elapsed + LAST_ANSWERS_TIME >= self.settings.stop_timeout {
+            self.give_up_all_jobs("this host stops", now);
+            self.answer_parked();
+        }
         let is_idle = self.jobs.is_empty()
             && !self.repeats.has_parked()
             && self.steward.is_idle()
@@ -373,7 +386,7 @@
         let now = self.clock.now();
         self.record(Record::ProcessPaused { pause: gap });
         self.evacuations.set_outdated();
-        self.give_up_all_jobs(now);
+        self.give_up_all_jobs("this host was paused", now);
         self.give_up_parked();
         let mut output = steward::Output::default();
         self.steward.release_targets(&mut output);
--- a/crates/fleet/src/control/tests/splits.rs
+++ b/crates/fleet/src/control/tests/splits.rs
@@ -1,8 +1,11 @@
 //! Dense zones, whose targets several hosts share, under one fault each.
 
+use std::time::Duration;
+
 use coltsfootshunt_testkit::cases;
 
 use super::simulation::{Partition, Simulation};
+use crate::control::jobs::ANSWER_MARGIN;
 use crate::job::{Id, Outcome};
 
 /// CPU of a task of which two fit on a target.
@@ -186,6 +189,8 @@
     let deputy = 1 - lead;
     assert_eq!(sim.members(lead), [lead, deputy]);
     sim.direct_callers_to(deputy);
+    // Jobs are answered 1,500 ms after their submission.
+    sim.caller_timeout = Some(Duration::from_millis(1_500) + ANSWER_MARGIN);
     let mut jobs = Vec::new();
     for round in 0..80 {
         if round == 10 {
--- a/crates/fleet/src/job/patience.rs
+++ b/crates/fleet/src/job/patience.rs
@@ -32,12 +32,13 @@
 }
 
 impl Patience {
-    /// The limit that applies on a route with this timeout, and the time that is left until then.
+    /// The limit that applies on a route with this timeout, and the time that is left until then. The route's
+    /// timeout applies to callers that state none.
     #[must_use]
     pub fn limit(&self, route_timeout: Duration) -> (Bound, Duration) {
         let (bound, timeout) = match self.stated {
-            Some(stated) if stated <= route_timeout => (Bound::Caller, stated),
-            _ => (Bound::Route, route_timeout),
+            Some(stated) => (Bound::Caller, stated),
+            None => (Bound::Route, route_timeout),
         };
         (bound, timeout.saturating_sub(self.elapsed))
     }
--- a/crates/fleet/src/job/registry.rs
+++ b/crates/fleet/src/job/registry.rs
@@ -106,6 +106,11 @@
         matching.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Earliest of the times that `time` gives for the open jobs.
+    pub fn earliest(&self, time: impl Fn(&Open) -> Instant) -> Option<Instant> {
+        self.open.values().map(time).min()
+    }
+
     /// Stewards that have tasks of open jobs, some of them repeatedly.
     pub fn stewards(&self) -> impl Iterator<Item = Host> {
         self.open.values().flat_map(Open::stewards)
--- a/crates/fleet/src/repeat/register.rs
+++ b/crates/fleet/src/repeat/register.rs
@@ -98,11 +98,15 @@
         self.parked.values().any(|parked| !parked.is_empty())
     }
 
-    /// Removes and returns all requests that wait, and forgets all jobs.
-    pub fn clear(&mut self) -> Vec<Parked> {
+    /// Removes and returns all requests that wait.
+    pub fn take_parked(&mut self) -> Vec<Parked> {
+        std::mem::take(&mut self.parked).into_values().flatten().collect()
+    }
+
+    /// Forgets all jobs.
+    pub fn clear(&mut self) {
         self.jobs.clear();
         self.early.clear();
-        std::mem::take(&mut self.parked).into_values().flatten().collect()
     }
 
     /// Forgets jobs whose runs are over by time, and returns the requests that have waited for them.
--- a/crates/model/src/fifo.rs
+++ b/crates/model/src/fifo.rs
@@ -5,7 +5,7 @@
 use std::collections::{BinaryHeap, VecDeque};
 use std::time::Duration;
 
-use crate::load::{CALLER_TIMEOUT, Load, is_middle_third};
+use crate::load::{Load, is_middle_third};
 use crate::policy::{Answer, Policy};
 
 /// A single queue that knows the speed of each target and refuses no job.
@@ -72,7 +72,8 @@
     /// left.
     fn start(&mut self, now: Duration) {
         while let Some(&(job, task)) = self.waiting.front() {
-            let caller_leaves_at = self.load.jobs[job].arrives_at + CALLER_TIMEOUT;
+            let waiting = &self.load.jobs[job];
+            let caller_leaves_at = waiting.arrives_at + waiting.patience();
             if now > caller_leaves_at {
                 self.waiting.pop_front();
                 continue;
@@ -98,8 +99,8 @@
     fn answers(&self) -> Vec<Answer> {
         let answer = |(number, job): (usize, &crate::load::Job)| {
             let elapsed = self.ended_at[number].saturating_sub(job.arrives_at);
-            let is_complete = self.remaining[number] == 0 && elapsed <= CALLER_TIMEOUT;
-            if is_complete { Answer::Completed(elapsed) } else { Answer::Abandoned(CALLER_TIMEOUT) }
+            let is_complete = self.remaining[number] == 0 && elapsed <= job.patience();
+            if is_complete { Answer::Completed(elapsed) } else { Answer::Abandoned(job.patience()) }
         };
         self.load.jobs.iter().enumerate().map(answer).collect()
     }
--- a/crates/model/src/load.rs
+++ b/crates/model/src/load.rs
@@ -18,8 +18,10 @@
 pub const STRETCH: f64 = 1.6;
 /// Constant part of the objective of a job.
 pub const ALLOWANCE: Duration = Duration::from_millis(60);
-/// Time after which a caller leaves without an answer.
-pub const CALLER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Timeout of the routes, and the constant part of the time for which a caller waits.
+pub const ROUTE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Factor on the objective of a job in the time for which its caller waits.
+const PATIENCE_FACTOR: u32 = 3;
 
 /// A kind of job.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -254,13 +256,19 @@
         longest.mul_f64(STRETCH) + ALLOWANCE
     }
 
+    /// Time from the arrival after which the caller leaves without an answer. Callers state it.
+    #[must_use]
+    pub fn patience(&self) -> Duration {
+        ROUTE_TIMEOUT + self.objective() * PATIENCE_FACTOR
+    }
+
     /// Whether the longest task would end before the caller leaves, if it started on arrival on the
     /// fastest target of the workload.
     #[must_use]
     pub fn is_reachable(&self, workload: &Workload) -> bool {
         let longest = self.tasks.iter().max().copied().unwrap_or_default();
         let fastest = workload.slowness_factors.iter().copied().fold(f64::INFINITY, f64::min);
-        longest.mul_f64(fastest) < CALLER_TIMEOUT
+        longest.mul_f64(fastest) < self.patience()
     }
 
     /// CPU time of all tasks on an average target, in thousandths of a core times seconds.
