fix(cancel): a cancellation is acknowledged once the other hosts know of it

A caller that had its cancellation acknowledged could see the job run again: the host that had the job answered at once, while its messages to the other hosts waited behind the batches in flight. The same held for a host that asked for the job elsewhere: it answered at the first host's word.

The answer now waits for the word of all other hosts that are alive, whoever has the job. After a second without it, the cancellation is acknowledged if one other host has confirmed it, and answered 504 otherwise. No messages are added: the other hosts have always answered.

The simulation delivered what a killed host had queued behind a batch in flight, so it could not show this; now such messages are lost, while a host that ends by itself still sends its last ones.

--- a/crates/fleet/src/cancel/register.rs
+++ b/crates/fleet/src/cancel/register.rs
@@ -30,13 +30,17 @@
     waits_for: BTreeSet<Host>,
     /// Whether a host that may have the job can't answer.
     is_uncertain: bool,
+    /// Whether this host or one that has answered had the job.
+    had_job: bool,
+    /// Whether another host remembers the cancellation.
+    is_confirmed: bool,
     since: Instant,
 }
 
-/// What is known of a job that a caller cancels through a host that doesn't have it.
+/// What is known of a job that a caller cancels.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
-    /// A host had it, and has cancelled it.
+    /// A host had it and has cancelled it, and the others will not start it.
     Cancelled,
     /// No host has it, and none will start it.
     Unknown,
@@ -93,23 +97,27 @@
     }
 
     /// Begins an inquiry of a request at these hosts, or joins the one that is open. `is_uncertain` says whether
-    /// another host that may have the job can't be asked.
+    /// another host that may have the job can't be asked, `is_known` whether this host had the job.
     pub fn inquire(
         &mut self,
         id: &Id,
         request_id: RequestId,
         (hosts, is_uncertain): (BTreeSet<Host>, bool),
+        is_known: bool,
         now: Instant,
     ) {
         let inquiry = self.inquiries.entry(id.clone()).or_insert(Inquiry {
             request_ids: Vec::new(),
             waits_for: BTreeSet::new(),
             is_uncertain: false,
+            had_job: false,
+            is_confirmed: hosts.is_empty(),
             since: now,
         });
         inquiry.request_ids.push(request_id);
         inquiry.waits_for.extend(hosts);
         inquiry.is_uncertain |= is_uncertain;
+        inquiry.had_job |= is_known;
     }
 
     /// Applies a host's word. Returns the requests to answer, once that is possible.
@@ -120,10 +128,8 @@
         had_job: bool,
     ) -> Option<(Vec<RequestId>, Verdict)> {
         let inquiry = self.inquiries.get_mut(id)?;
-        inquiry.waits_for.remove(from);
-        if had_job {
-            return self.close(id, Verdict::Cancelled);
-        }
+        inquiry.is_confirmed |= inquiry.waits_for.remove(from);
+        inquiry.had_job |= had_job;
         self.settle(id)
     }
 
@@ -142,7 +148,11 @@
     /// Answers an inquiry that waits for no host.
     pub fn settle(&mut self, id: &Id) -> Option<(Vec<RequestId>, Verdict)> {
         let inquiry = self.inquiries.get(id).filter(|inquiry| inquiry.waits_for.is_empty())?;
-        let verdict = if inquiry.is_uncertain { Verdict::Unconfirmed } else { Verdict::Unknown };
+        let verdict = match (inquiry.had_job, inquiry.is_uncertain) {
+            (true, _) => Verdict::Cancelled,
+            (false, true) => Verdict::Unconfirmed,
+            (false, false) => Verdict::Unknown,
+        };
         self.close(id, verdict)
     }
 
@@ -155,8 +165,13 @@
     pub fn expire(&mut self, now: Instant) -> (Vec<(Vec<RequestId>, Verdict)>, usize) {
         let is_late = |inquiry: &Inquiry| now.duration_since(inquiry.since) >= REPLY_TIMEOUT;
         let late = self.inquiries.iter().filter(|(_, inquiry)| is_late(inquiry));
-        let late: Vec<Id> = late.map(|(id, _)| id.clone()).collect();
-        let answers = late.iter().filter_map(|id| self.close(id, Verdict::Unconfirmed)).collect();
+        let verdict = |inquiry: &Inquiry| match (inquiry.had_job, inquiry.is_confirmed) {
+            (true, true) => Verdict::Cancelled,
+            _ => Verdict::Unconfirmed,
+        };
+        let late: Vec<(Id, Verdict)> =
+            late.map(|(id, inquiry)| (id.clone(), verdict(inquiry))).collect();
+        let answers = late.iter().filter_map(|(id, verdict)| self.close(id, *verdict)).collect();
         self.jobs.retain(|_, entry| now.duration_since(entry.at) < RETENTION);
         let excess = self.jobs.len().saturating_sub(MAX_JOBS);
         if excess > 0 {
--- a/crates/fleet/src/cancel/tests.rs
+++ b/crates/fleet/src/cancel/tests.rs
@@ -30,8 +30,8 @@
     let mut register = Register::default();
     let now = Instant::now();
     let hosts: BTreeSet<Host> = [host("a"), host("b")].into();
-    register.inquire(&id(1), RequestId(1), (hosts.clone(), is_uncertain), now);
-    register.inquire(&id(1), RequestId(2), (hosts, is_uncertain), now);
+    register.inquire(&id(1), RequestId(1), (hosts.clone(), is_uncertain), false, now);
+    register.inquire(&id(1), RequestId(2), (hosts, is_uncertain), false, now);
     let mut answers = Vec::new();
     for word in words {
         match word {
@@ -58,6 +58,36 @@
     not_by_the_word_of_another_host(false, &[HadNoJob("a"), HadNoJob("c")], None);
 }
 
+/// Guards against an acknowledgement that only the host which gives it knows of. `is_known` says whether that host
+/// had the job; `later` is the answer once the time for words of other hosts is over.
+fn acknowledgement_waits(is_known: bool, words: &[Word], at_once: bool, later: Option<Verdict>) {
+    let mut register = Register::default();
+    let now = Instant::now();
+    let hosts: BTreeSet<Host> = [host("a"), host("b")].into();
+    register.inquire(&id(1), RequestId(1), (hosts, false), is_known, now);
+    let mut answers = Vec::new();
+    for word in words {
+        match word {
+            HadJob(name) => answers.extend(register.reply(&id(1), &host(name), true)),
+            HadNoJob(name) => answers.extend(register.reply(&id(1), &host(name), false)),
+            Lost(name) => answers.extend(register.lose(&host(name))),
+        }
+    }
+    let cancelled = vec![(vec![RequestId(1)], Verdict::Cancelled)];
+    assert_eq!(answers, if at_once { cancelled } else { Vec::new() });
+    let (late, _) = register.expire(now + Duration::from_secs(1));
+    let later: Vec<_> = later.map(|verdict| (vec![RequestId(1)], verdict)).into_iter().collect();
+    assert_eq!(late, later);
+}
+
+cases! { acknowledgement_waits:
+    for_all_hosts_where_the_job_is(true, &[HadNoJob("a")], false, Some(Verdict::Cancelled));
+    for_all_hosts_where_the_job_is_not(false, &[HadJob("a")], false, Some(Verdict::Cancelled));
+    for_at_least_one_host(true, &[], false, Some(Verdict::Unconfirmed));
+    until_all_have_answered(true, &[HadNoJob("a"), HadNoJob("b")], true, None);
+    not_for_a_host_that_is_lost(true, &[Lost("a"), HadNoJob("b")], true, None);
+}
+
 #[test]
 fn cancelled_jobs_are_remembered_for_two_minutes() {
     let mut register = Register::default();
--- a/crates/fleet/src/control/cancels.rs
+++ b/crates/fleet/src/control/cancels.rs
@@ -19,7 +19,8 @@
 pub(super) const MAX_CANCELLED_FOR_NEW_PEER: usize = 512;
 
 impl State {
-    /// Cancels a job for a caller, at all hosts. Where this host doesn't have it, the answer waits for the others.
+    /// Cancels a job for a caller, at all hosts. The answer waits for their word, so that the cancellation outlasts
+    /// this host and the one that has the job.
     pub(super) fn cancel(&mut self, id: &Id, request_id: RequestId, now: Instant) {
         let is_known = self.cancel_here(id, now);
         let (hosts, is_uncertain) = self.other_owners(now);
@@ -30,11 +31,7 @@
             }
         }
         self.record(Record::JobCancelled { job: id.clone(), is_known, asked: hosts.len() });
-        if is_known {
-            let response = Response::Cancelled(Verdict::Cancelled);
-            return self.actions.push(Action::Respond(request_id, response));
-        }
-        self.cancelled.inquire(id, request_id, (hosts, is_uncertain), now);
+        self.cancelled.inquire(id, request_id, (hosts, is_uncertain), is_known, now);
         let answer = self.cancelled.settle(id);
         self.answer_cancels(answer);
     }
--- a/crates/fleet/src/control/tests/cancels.rs
+++ b/crates/fleet/src/control/tests/cancels.rs
@@ -123,6 +123,38 @@
     }
 }
 
+/// Guards against an acknowledgement that the killed host alone remembers: the messages to the other hosts were
+/// still in its outboxes.
+fn cancel_outlasts_the_host_that_acknowledged_it(through: usize) {
+    for seed in 1..=8 {
+        let (mut sim, id) = long_job(seed);
+        for other in (0..sim.host_count()).filter(|other| *other != through) {
+            sim.set_batch_delay(through, other, 30);
+        }
+        // The batch with the message on another job is in flight.
+        sim.cancel(&Id::try_from("00000000000000ff").unwrap(), through);
+        sim.run_for(2);
+        sim.cancel(&id, through);
+        while sim.cancel_verdicts(&id).is_empty() {
+            sim.run_for(1);
+        }
+        assert_eq!(sim.cancel_verdicts(&id), [Verdict::Cancelled], "seed {seed}");
+        sim.kill(through);
+        sim.run_for(1_300);
+        sim.submit_again(&id, OTHER_ZONE);
+        sim.run_for(CANCEL_MS - 1_300);
+        let starts = sim.starts_of(&id);
+        sim.run_for(4_000);
+        assert_eq!(sim.running(&id), 0, "seed {seed}");
+        assert_eq!(sim.starts_of(&id), starts, "seed {seed}");
+    }
+}
+
+cases! { cancel_outlasts_the_host_that_acknowledged_it:
+    that_has_the_job(OWNER);
+    that_asked_for_it(SAME_ZONE);
+}
+
 /// A job that no host has is unknown, and its cancellation is answered so.
 #[test]
 fn cancel_of_an_unknown_job_is_answered_so() {
--- a/crates/fleet/src/control/tests/simulation.rs
+++ b/crates/fleet/src/control/tests/simulation.rs
@@ -442,7 +442,18 @@
         self.schedule(2, SimEvent::Host(host, incarnation, update));
     }
 
+    /// Kills a host. Messages that wait behind a batch in flight are lost with it.
     pub(super) fn kill(&mut self, host: usize) {
+        let channels = self.hosts[host].channels.values_mut();
+        channels.for_each(|channel| {
+            channel.queue.clear();
+            channel.batch.clear();
+        });
+        self.end(host);
+    }
+
+    /// Ends the process of a host, which has sent its last messages.
+    fn end(&mut self, host: usize) {
         self.hosts[host].state = None;
         let waiting: Vec<Id> = self
             .callers
@@ -662,7 +673,7 @@
                     channel.start_session();
                 }
             }
-            Action::Exit => self.kill(host),
+            Action::Exit => self.end(host),
             Action::Record(Record::StewardshipTaken { zone, token }) => {
                 self.record_zone_claim(host, &Claim { zone, token });
             }
