feat(split): a dense zone is served by a member per 150 targets a core

In bursts callers of dense zones were answered late or refused although targets were idle: the zone's one steward was behind its events, and a member comes only seconds later.

A dense zone now has a member for each 150 targets a core, so that those of 117 targets have two from the start.

Small sites are not dense and unchanged.

--- a/crates/model/src/dispatcher.rs
+++ b/crates/model/src/dispatcher.rs
@@ -218,7 +218,7 @@
                 stop_timeout: WARM_UP,
                 // The model's hosts read the list once.
                 max_targets_age: Duration::MAX,
-                targets_per_core: 500,
+                targets_per_core: 150,
                 evacuation: coltsfootshunt_fleet::evacuation::Settings::default(),
             };
             let state = State::new(settings, Arc::clone(&clock) as Arc<dyn Clock>);
