fix(split): a member asks for help before its steward returns work

A steward of a dense zone returns work from 40 ms of backlog on, which keeps its backlog there, and the planner added a member from 50 ms on: callers were refused and no help came (asks_for_help, both cases listed until now). The planner now adds a member from 30 ms of backlog on, for 300 ms as before.

--- a/crates/fleet/src/member/split/planner.rs
+++ b/crates/fleet/src/member/split/planner.rs
@@ -2,9 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-/// Backlog of a member's control thread above which it needs help: a third of the time that a short task's
-/// slack leaves for its way.
-const MAX_BACKLOG: Duration = Duration::from_millis(50);
+/// Backlog of a member's control thread above which it needs help. It is below the one from which a steward returns
+/// work, which keeps its backlog from growing further.
+const MAX_BACKLOG: Duration = Duration::from_millis(30);
 /// Time for which a member must have had such a backlog. A shorter one is a burst that it catches up with.
 const LAG_TIME: Duration = Duration::from_millis(300);
 /// Shortest time between an increase and the change before it, so that the effect of one shows before the next.
