--- a/crates/fleet/src/control/state.rs
+++ b/crates/fleet/src/control/state.rs
@@ -33,7 +33,7 @@
 const MIN_PAUSE: Duration = Duration::from_millis(700);
 /// Time before the end of a planned stop at which the jobs that are still open are answered. It covers the
 /// cancellation of their runs, so that repeats elsewhere don't run beside them.
-const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
 /// Shortest duration of a planned stop, so that all hosts learn that this one is leaving.
 const MIN_STOP_DURATION: Duration = Duration::from_millis(1_200);
 
