test(platform): a job lasts as long as its caller states, with processes

A caller that states 4,000 ms on a route of 1,500 ms, with a task of 2,000 ms, is answered 200 and its task runs once.

--- a/crates/entry/tests/platform.rs
+++ b/crates/entry/tests/platform.rs
@@ -64,6 +64,16 @@
     assert!(metrics.contains("coltsfootshunt_jobs_answered_total"), "{metrics}");
 }
 
+/// Guards against an answer at the route's timeout, 1,500 ms, to a caller that waits longer.
+#[tokio::test]
+async fn a_job_lasts_as_long_as_its_caller_states() {
+    let (cluster, hosts) = cluster().await;
+    let answer = cluster.submit_within(&hosts[0], &id(1), 2_000, Some(4_000)).await;
+    assert_eq!(answer, Some((200, json!({ "state": "completed" }))));
+    assert_eq!(cluster.invariants.starts(&id(1)), 1);
+    assert_eq!(cluster.invariants.violations(), Vec::<String>::new());
+}
+
 /// Guards against a host that ends at its start because the port of its metrics is one of its settings.
 #[tokio::test]
 async fn a_host_whose_metrics_port_is_taken_serves_callers() {
