--- a/crates/fleet/src/control/jobs.rs
+++ b/crates/fleet/src/control/jobs.rs
@@ -29,8 +29,7 @@
 /// How long before the caller's timeout a response must be ready: time for its way back, and a
 /// margin.
 pub(super) const RESPONSE_MARGIN: Duration = Duration::from_millis(40);
-/// How long before the deadline that a caller states its job is given up, so that the answer reaches the caller
-/// before it leaves.
+/// How long before its caller's deadline a job is given up, so that the answer arrives before the caller leaves.
 pub(super) const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 /// Round trip to the steward in this process.
 const LOCAL_ROUND_TRIP: Duration = Duration::ZERO;
--- a/crates/fleet/src/job/open.rs
+++ b/crates/fleet/src/job/open.rs
@@ -74,7 +74,7 @@
     pub objective: Instant,
     /// Time by which it must be answered.
     pub deadline: Instant,
-    /// Whose time limit the deadline is.
+    /// Time limit that sets the deadline.
     pub bound: Bound,
     /// Whether a steward may have started any of its tasks.
     pub may_have_started: bool,
