--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,7 +3,7 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 temporary=$(mktemp -d) || exit 2
-target/review-3/release/review-rig capacity "$folder" "$temporary"
+target/review-3/release/review-rig fraction "$folder" "$temporary"
 status=$?
 rm -rf "$temporary"
 [ "$status" -le 1 ] || status=2
